--- /dev/null
+++ b/Makefile
@@ -0,0 +1,29 @@
+# Sets up a virtual environment and runs the main jobs of the workspace.
+PY ?= python3
+BIN := .venv/bin
+PACKAGES := settings platform policy peers router admin
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/sardinebend-$(p))
+
+.PHONY: setup run demo lint test matrix capacity reference
+
+setup: .venv/ready
+
+.venv/ready: constraints.txt requirements-dev.txt $(wildcard packages/*/pyproject.toml)
+	$(PY) -m venv .venv
+	$(BIN)/pip install -q --disable-pip-version-check -c constraints.txt \
+	  -r requirements-dev.txt $(EDITABLE)
+	touch $@
+
+run: setup
+	$(BIN)/sardinebend
+
+demo: setup
+	$(BIN)/python -m standins.demo
+
+lint: setup
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy packages/*/src standins
+
+test: lint
+	$(BIN)/python -m pytest
--- /dev/null
+++ b/packages/sardinebend-admin/src/sardinebend_admin/__init__.py
@@ -0,0 +1,1 @@
+"""The operator command."""
--- /dev/null
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -0,0 +1,185 @@
+"""Turns messages into thrift frames and back."""
+
+import pathlib
+import typing
+
+from sardinebend_policy import claims
+from sardinebend_policy import membership
+from sardinebend_policy import outcomes
+import thriftpy2
+from thriftpy2 import utils as thrift_utils
+from thriftpy2.protocol import compact
+
+from sardinebend_peers import errors
+from sardinebend_peers import messages
+
+MAX_FRAME_BYTES: typing.Final = 16 * 1024 * 1024
+
+_IDL = thriftpy2.load(
+    str(pathlib.Path(__file__).with_name('peers.thrift')),
+    module_name='sardinebend_peers_thrift',
+)
+_PROTOCOL = compact.TCompactProtocolFactory()
+
+
+class Envelope(typing.NamedTuple):
+    """A message with the number that pairs a reply with its call."""
+
+    call_id: int
+    is_reply: bool
+    message: messages.Message
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Returns the bytes of one frame, without its length."""
+    frame = _IDL.Frame(call_id=envelope.call_id, is_reply=envelope.is_reply)
+    _ENCODERS[type(envelope.message)](frame, envelope.message)
+    return thrift_utils.serialize(frame, _PROTOCOL)
+
+
+def decode(data: bytes) -> Envelope:
+    """Returns the envelope held by a frame.
+
+    Raises:
+        errors.MalformedFrame: The bytes aren't a frame of the protocol.
+    """
+    try:
+        frame = thrift_utils.deserialize(_IDL.Frame(), data, _PROTOCOL)
+        return Envelope(
+            _need(frame.call_id, int),
+            _need(frame.is_reply, bool),
+            _decode_message(frame),
+        )
+    # The library raises whatever its reading of hostile bytes runs into:
+    # EOFError, struct.error, UnicodeDecodeError, MemoryError and others.
+    except Exception as exc:
+        raise errors.MalformedFrame(f'{type(exc).__name__}: {exc}') from exc
+
+
+def _need(value: typing.Any, kind: type) -> typing.Any:
+    if not isinstance(value, kind):
+        raise errors.MalformedFrame(f'{value!r} is not of type {kind.__name__}')
+    return value
+
+
+def _put_beat(frame: typing.Any, message: messages.Beat) -> None:
+    frame.heartbeat = _IDL.Heartbeat(**message.heartbeat._asdict())
+
+
+def _put_claim_question(
+    frame: typing.Any, message: messages.ClaimQuestion
+) -> None:
+    frame.claim_question = _IDL.ClaimQuestion(**message._asdict())
+
+
+def _put_claim_reply(frame: typing.Any, message: messages.ClaimReply) -> None:
+    reply = _IDL.ClaimReply(state=message.answer.state.value)
+    answer = message.answer.answer
+    if answer is not None:
+        reply.status = answer.status
+        reply.content_type = answer.content_type
+        reply.body = answer.body
+    frame.claim_reply = reply
+
+
+def _put_crashes(frame: typing.Any, message: messages.CrashNotices) -> None:
+    frame.crashes = [
+        _IDL.CrashNotice(
+            crash_id=crash.crash_id, fingerprints=sorted(crash.fingerprints)
+        )
+        for crash in message.crashes
+    ]
+
+
+def _put_leaving(frame: typing.Any, message: messages.LeavingNotice) -> None:
+    frame.leaving = _IDL.LeavingNotice(**message._asdict())
+
+
+def _put_settings_question(
+    frame: typing.Any, message: messages.SettingsQuestion
+) -> None:
+    frame.settings_question = _IDL.SettingsQuestion(**message._asdict())
+
+
+def _put_settings_reply(
+    frame: typing.Any, message: messages.SettingsReply
+) -> None:
+    frame.settings_reply = _IDL.SettingsReply(**message._asdict())
+
+
+def _put_ack(frame: typing.Any, message: messages.Ack) -> None:
+    """Leaves the frame empty; a frame without a body is an `Ack`."""
+
+
+_ENCODERS: typing.Final[dict[type, typing.Callable]] = {
+    messages.Beat: _put_beat,
+    messages.ClaimQuestion: _put_claim_question,
+    messages.ClaimReply: _put_claim_reply,
+    messages.CrashNotices: _put_crashes,
+    messages.LeavingNotice: _put_leaving,
+    messages.SettingsQuestion: _put_settings_question,
+    messages.SettingsReply: _put_settings_reply,
+    messages.Ack: _put_ack,
+}
+
+
+def _decode_message(frame: typing.Any) -> messages.Message:
+    if frame.heartbeat is not None:
+        return messages.Beat(_decode_heartbeat(frame.heartbeat))
+    if frame.claim_question is not None:
+        item = frame.claim_question
+        return messages.ClaimQuestion(
+            _need(item.incarnation, str), _need(item.nonce, str)
+        )
+    if frame.claim_reply is not None:
+        return messages.ClaimReply(_decode_claim(frame.claim_reply))
+    if frame.crashes is not None:
+        return messages.CrashNotices(
+            tuple(
+                messages.CrashNotice(
+                    _need(item.crash_id, str), frozenset(item.fingerprints)
+                )
+                for item in frame.crashes
+            )
+        )
+    if frame.leaving is not None:
+        return messages.LeavingNotice(
+            _need(frame.leaving.endpoint_id, str),
+            _need(frame.leaving.incarnation, str),
+        )
+    return _decode_settings(frame)
+
+
+def _decode_settings(frame: typing.Any) -> messages.Message:
+    if frame.settings_question is not None:
+        have = _need(frame.settings_question.have_version, int)
+        return messages.SettingsQuestion(have)
+    if frame.settings_reply is not None:
+        item = frame.settings_reply
+        return messages.SettingsReply(
+            _need(item.version, int),
+            _need(item.base_version, int),
+            _need(item.nodes, bytes),
+        )
+    return messages.Ack()
+
+
+def _decode_heartbeat(item: typing.Any) -> membership.Heartbeat:
+    return membership.Heartbeat(
+        _need(item.host_id, str),
+        _need(item.incarnation, str),
+        _need(item.settings_version, int),
+        _need(item.running, int),
+        _need(item.is_leaving, bool),
+        _need(item.is_ready, bool),
+    )
+
+
+def _decode_claim(item: typing.Any) -> claims.ClaimantAnswer:
+    state = claims.ClaimantState(_need(item.state, str))
+    if item.status is None:
+        return claims.ClaimantAnswer(state)
+    answer = outcomes.Answered(
+        0, item.status, item.content_type or '', item.body or b''
+    )
+    return claims.ClaimantAnswer(state, answer)
--- /dev/null
+++ b/packages/sardinebend-peers/src/sardinebend_peers/errors.py
@@ -0,0 +1,26 @@
+"""Errors of the peers package."""
+
+
+class PeerError(Exception):
+    """Base of every error that this package raises."""
+
+
+class PeerUnreachable(PeerError):
+    """Raised when a peer can't be asked, or doesn't answer in time.
+
+    The peer may or may not have received the message.
+    """
+
+
+class MalformedFrame(PeerError):
+    """Raised when bytes from a peer aren't a message of the protocol.
+
+    The connection is closed; check that only entry hosts reach the port.
+    """
+
+
+class PeerNotAuthentic(PeerError):
+    """Raised when the other end doesn't know the shared secret.
+
+    Give all entry hosts the same `peer_secret_file`.
+    """
--- /dev/null
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -0,0 +1,55 @@
+// Messages between entry hosts. Fields are only ever added, with new numbers:
+// an older reader skips them, so that old and new hosts work side by side.
+
+struct Heartbeat {
+  1: string host_id,
+  2: string incarnation,
+  3: i64 settings_version,
+  4: i32 running,
+  5: bool is_leaving,
+  6: bool is_ready,
+}
+
+struct ClaimQuestion {
+  1: string incarnation,
+  2: string nonce,
+}
+
+struct ClaimReply {
+  1: string state,
+  2: optional i32 status,
+  3: optional string content_type,
+  4: optional binary body,
+}
+
+struct CrashNotice {
+  1: string crash_id,
+  2: list<string> fingerprints,
+}
+
+struct LeavingNotice {
+  1: string endpoint_id,
+  2: string incarnation,
+}
+
+struct SettingsQuestion {
+  1: i64 have_version,
+}
+
+struct SettingsReply {
+  1: i64 version,
+  2: i64 base_version,
+  3: binary nodes,
+}
+
+struct Frame {
+  1: i64 call_id,
+  2: bool is_reply,
+  3: optional Heartbeat heartbeat,
+  4: optional ClaimQuestion claim_question,
+  5: optional ClaimReply claim_reply,
+  6: optional list<CrashNotice> crashes,
+  7: optional LeavingNotice leaving,
+  8: optional SettingsQuestion settings_question,
+  9: optional SettingsReply settings_reply,
+}
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -0,0 +1,396 @@
+"""The session of a draft: attempts, order of tokens, recovery, typed ends.
+
+The session is driven by events and answers with actions; it reads no clock
+and does no I/O. Its invariants:
+
+* Token n is delivered once, after token n - 1, whatever attempt it is from.
+* `NotRun` is said only if no attempt's order can have reached an endpoint.
+* Nothing follows `End`.
+"""
+
+import enum
+import random
+import typing
+
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import errors
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import outcomes
+from sardinebend_policy import planners
+from sardinebend_policy import quarantine as quarantine_lib
+from sardinebend_policy import retries
+from sardinebend_policy import routes
+from sardinebend_policy import stalls
+
+NO_ROUTE_RETRY_S: typing.Final = 1.0
+BUSY_RETRY_S: typing.Final = 1.0
+
+
+class _State(enum.Enum):
+    IDLE = enum.auto()
+    CONNECTING = enum.auto()
+    STREAMING = enum.auto()
+    PROBING = enum.auto()
+    TELLING = enum.auto()
+    PAUSING = enum.auto()
+    ENDED = enum.auto()
+
+
+class Shared(typing.NamedTuple):
+    """What all sessions of one host have in common."""
+
+    fleet: fleet_lib.Fleet
+    planner: planners.Planner
+    quarantine: quarantine_lib.Quarantine
+    budgets: retries.BudgetPool
+    gaps: stalls.GapTracker
+    rng: random.Random
+
+
+class DraftSession:
+    """Carries one draft to one typed end.
+
+    Attributes:
+        request: The request.
+        attempt: Number of the current attempt, from 1; 0 before the first.
+        outcome: The end, once there is one.
+    """
+
+    def __init__(
+        self,
+        request: msg.DraftRequest,
+        cfg: msg.DraftConfig,
+        shared: Shared,
+    ) -> None:
+        if request.max_tokens < 1:
+            raise errors.InvalidArgument(
+                'max_tokens', request.max_tokens, '1 or more'
+            )
+        self.request = request
+        self.attempt = 0
+        self.outcome: outcomes.Outcome | None = None
+        self._cfg = cfg
+        self._shared = shared
+        self._state = _State.IDLE
+        self._route: routes.PipelineRoute | None = None
+        self._delivered: list[str] = []
+        self._avoid: set[str] = set()
+        self._may_have_run: set[int] = set()
+        self._last_token_at = 0.0
+        self._pause_s = 0.0
+        self._retry_after_s = BUSY_RETRY_S
+        self._handlers: dict[type, typing.Callable] = {
+            msg.Started: self._on_started,
+            msg.Connected: self._on_connected,
+            msg.ConnectFailed: self._on_connect_failed,
+            msg.Refused: self._on_refused,
+            msg.Chunk: self._on_chunk,
+            msg.Finished: self._on_finished,
+            msg.Broken: self._on_broken,
+            msg.Probed: self._on_probed,
+            msg.PeersTold: self._on_peers_told,
+            msg.TimerDue: self._on_timer,
+            msg.CallerLeft: self._on_caller_left,
+            msg.HostStopping: self._on_host_stopping,
+        }
+
+    @property
+    def delivered(self) -> int:
+        """Number of tokens given to the caller."""
+        return len(self._delivered)
+
+    def handle(self, event: msg.Event, now: float) -> list[msg.Action]:
+        """Takes in an event and returns what has to be done."""
+        if self._state is _State.ENDED:
+            return []
+        stale = getattr(event, 'attempt', self.attempt) != self.attempt
+        if stale:
+            return []
+        return self._handlers[type(event)](event, now)
+
+    # Starting an attempt.
+
+    def _on_started(self, event: msg.Started, now: float) -> list[msg.Action]:
+        until = self._shared.quarantine.refused_until(
+            self.request.fingerprint, now
+        )
+        if until is not None:
+            self._retry_after_s = until - now
+            return self._give_up(outcomes.Reason.QUARANTINED)
+        timer = msg.SetTimer(msg.Timer('deadline'), self.request.deadline)
+        return [timer, *self._start_attempt(now)]
+
+    def _start_attempt(self, now: float) -> list[msg.Action]:
+        if now >= self.request.deadline:
+            return self._give_up(outcomes.Reason.DEADLINE)
+        wish = planners.Wish(
+            self.request.spec,
+            frozenset(self._avoid | self._other_suspects_endpoints()),
+            frozenset(self._route.endpoint_ids if self._route else ()),
+            self.request.prefix,
+            self._cfg.failure_domain,
+        )
+        route = self._shared.planner.choose(wish, now)
+        if route is None:
+            self._retry_after_s = NO_ROUTE_RETRY_S
+            return self._give_up(outcomes.Reason.NO_ROUTE)
+        self.attempt += 1
+        self._route = route
+        self._state = _State.CONNECTING
+        for endpoint_id in route.endpoint_ids:
+            self._shared.fleet.begin(endpoint_id, self.request.fingerprint)
+        return [msg.Connect(self.attempt, route)]
+
+    def _other_suspects_endpoints(self) -> set[str]:
+        """Endpoints that a suspect must not share with another suspect."""
+        mine = self.request.fingerprint
+        if not self._shared.quarantine.is_suspect(mine):
+            return set()
+        return {
+            state.spec.endpoint_id
+            for state in self._shared.fleet.list_all()
+            if any(
+                other != mine and self._shared.quarantine.is_suspect(other)
+                for other in state.running
+            )
+        }
+
+    def _on_connected(
+        self, event: msg.Connected, now: float
+    ) -> list[msg.Action]:
+        if self._state is not _State.CONNECTING or self._route is None:
+            return []
+        # The process may have been paused since the connection was opened.
+        if now >= self.request.deadline:
+            return self._give_up(outcomes.Reason.DEADLINE)
+        self._state = _State.STREAMING
+        self._may_have_run.add(self.attempt)
+        self._last_token_at = now
+        order = msg.SendOrder(
+            self.attempt,
+            self._route,
+            len(self._delivered),
+            tuple(self._delivered),
+            self.request.deadline,
+        )
+        stall_at = now + self._cfg.first_token_s
+        return [order, msg.SetTimer(msg.Timer('stall'), stall_at)]
+
+    def _on_connect_failed(
+        self, event: msg.ConnectFailed, now: float
+    ) -> list[msg.Action]:
+        self._shared.fleet.mark_suspect(event.endpoint_id, now)
+        self._avoid.add(event.endpoint_id)
+        return [
+            *self._leave_attempt(),
+            *self._retry(outcomes.Reason.NO_ROUTE, now),
+        ]
+
+    def _on_refused(self, event: msg.Refused, now: float) -> list[msg.Action]:
+        self._may_have_run.discard(self.attempt)
+        self._avoid.add(event.endpoint_id)
+        self._retry_after_s = event.retry_after_s
+        return [
+            *self._leave_attempt(),
+            *self._retry(outcomes.Reason.ENDPOINT_REFUSED, now),
+        ]
+
+    # Reading the stream.
+
+    def _on_chunk(self, event: msg.Chunk, now: float) -> list[msg.Action]:
+        if self._state is not _State.STREAMING:
+            return []
+        expected = len(self._delivered)
+        if event.token_index < expected:
+            return []
+        if event.token_index > expected:
+            return self._fail_attempt(now)
+        if expected == self.request.max_tokens:
+            # The engine runs on beyond what was asked for; what was asked
+            # for is whole.
+            return self._answer(now)
+        self._delivered.append(event.text)
+        self._shared.gaps.record(now - self._last_token_at)
+        self._last_token_at = now
+        bound_s = self._shared.gaps.bound_s(
+            self._cfg.stall_floor_s, self._cfg.stall_ceiling_s
+        )
+        return [
+            msg.Deliver(event.token_index, event.text),
+            msg.SetTimer(msg.Timer('stall'), now + bound_s),
+        ]
+
+    def _on_finished(self, event: msg.Finished, now: float) -> list[msg.Action]:
+        if self._state is not _State.STREAMING:
+            return []
+        if event.token_count != len(self._delivered):
+            return self._fail_attempt(now)
+        return self._answer(now, is_running=False)
+
+    def _answer(self, now: float, is_running: bool = True) -> list[msg.Action]:
+        if self.attempt == 1:
+            budget = self._shared.budgets.get(self.request.customer)
+            budget.record_success(now)
+        self._shared.quarantine.clear(self.request.fingerprint)
+        outcome = outcomes.Answered(tokens=len(self._delivered))
+        return self._end(outcome, is_running)
+
+    # Recovering.
+
+    def _on_broken(self, event: msg.Broken, now: float) -> list[msg.Action]:
+        if self._state is not _State.STREAMING:
+            return []
+        return self._probe()
+
+    def _probe(self) -> list[msg.Action]:
+        if self._route is None:
+            return []
+        self._state = _State.PROBING
+        return [
+            msg.CloseAttempt(self.attempt),
+            msg.ProbeStages(self.attempt, self._route.endpoint_ids),
+        ]
+
+    def _on_probed(self, event: msg.Probed, now: float) -> list[msg.Action]:
+        if self._state is not _State.PROBING or self._route is None:
+            return []
+        if not event.dead:
+            # The connection was at fault; the endpoints bear no mark.
+            return self._fail_attempt(now)
+        crashes = tuple(
+            self._record_crash(dead, now) for dead in event.dead if dead.crashed
+        )
+        for dead in event.dead:
+            self._shared.fleet.mark_suspect(dead.endpoint_id, now)
+            self._avoid.add(dead.endpoint_id)
+        if not crashes:
+            return self._fail_attempt(now)
+        actions = self._leave_attempt()
+        tell = msg.TellPeers(crashes)
+        until = self._shared.quarantine.refused_until(
+            self.request.fingerprint, now
+        )
+        if until is not None:
+            self._retry_after_s = until - now
+            return [
+                *actions,
+                tell,
+                *self._give_up(outcomes.Reason.QUARANTINED),
+            ]
+        self._state = _State.TELLING
+        told_by = now + self._cfg.suspicion_wait_s
+        return [*actions, tell, msg.SetTimer(msg.Timer('told'), told_by)]
+
+    def _record_crash(
+        self, dead: msg.DeadEndpoint, now: float
+    ) -> quarantine_lib.Crash:
+        state = self._shared.fleet.get(dead.endpoint_id)
+        running = frozenset(state.running) if state else frozenset()
+        crash = quarantine_lib.Crash(
+            f'{dead.endpoint_id}/{dead.incarnation}',
+            running | {self.request.fingerprint},
+            now,
+        )
+        self._shared.quarantine.record_crash(crash, now)
+        return crash
+
+    def _on_peers_told(
+        self, event: msg.PeersTold, now: float
+    ) -> list[msg.Action]:
+        if self._state is not _State.TELLING:
+            return []
+        return self._retry(outcomes.Reason.ENDPOINT_ERROR, now)
+
+    def _fail_attempt(self, now: float) -> list[msg.Action]:
+        return [
+            *self._leave_attempt(),
+            *self._retry(outcomes.Reason.ENDPOINT_ERROR, now),
+        ]
+
+    def _retry(self, reason: outcomes.Reason, now: float) -> list[msg.Action]:
+        if self.attempt >= self._cfg.max_attempts:
+            return self._give_up(reason)
+        until = self._shared.quarantine.refused_until(
+            self.request.fingerprint, now
+        )
+        if until is not None:
+            self._retry_after_s = until - now
+            return self._give_up(outcomes.Reason.QUARANTINED)
+        budget = self._shared.budgets.get(self.request.customer)
+        if not budget.try_spend(now):
+            return self._give_up(outcomes.Reason.RETRY_BUDGET)
+        if self.attempt == 1:
+            # The first retry goes out at once: it decides the recovery time,
+            # and the budget bounds how many of them there are.
+            return self._start_attempt(now)
+        self._state = _State.PAUSING
+        self._pause_s = retries.next_pause_s(
+            self._pause_s,
+            self._cfg.backoff_base_s,
+            self._cfg.backoff_cap_s,
+            self._shared.rng,
+        )
+        return [msg.SetTimer(msg.Timer('retry'), now + self._pause_s)]
+
+    def _on_timer(self, event: msg.TimerDue, now: float) -> list[msg.Action]:
+        name = event.timer.name
+        if name == 'deadline':
+            return self._give_up(outcomes.Reason.DEADLINE)
+        if name == 'stall' and self._state is _State.STREAMING:
+            return self._probe()
+        if name == 'told' and self._state is _State.TELLING:
+            return self._retry(outcomes.Reason.ENDPOINT_ERROR, now)
+        if name == 'retry' and self._state is _State.PAUSING:
+            return self._start_attempt(now)
+        return []
+
+    # Ending.
+
+    def _on_caller_left(
+        self, event: msg.CallerLeft, now: float
+    ) -> list[msg.Action]:
+        return self._give_up(outcomes.Reason.CALLER_LEFT)
+
+    def _on_host_stopping(
+        self, event: msg.HostStopping, now: float
+    ) -> list[msg.Action]:
+        return self._give_up(outcomes.Reason.DRAINING)
+
+    def _give_up(self, reason: outcomes.Reason) -> list[msg.Action]:
+        no_repeat = reason in (
+            outcomes.Reason.CALLER_LEFT,
+            outcomes.Reason.DEADLINE,
+        )
+        retry_after_s = None if no_repeat else self._retry_after_s
+        outcome: outcomes.Outcome
+        if self._may_have_run or self._delivered:
+            outcome = outcomes.Incomplete(
+                reason, len(self._delivered), retry_after_s
+            )
+        else:
+            outcome = outcomes.NotRun(reason, retry_after_s)
+        return self._end(outcome)
+
+    def _leave_attempt(self, is_running: bool = True) -> list[msg.Action]:
+        """Closes the current attempt, once."""
+        holds = (_State.CONNECTING, _State.STREAMING, _State.PROBING)
+        if self._state not in holds or self._route is None:
+            return []
+        for endpoint_id in self._route.endpoint_ids:
+            self._shared.fleet.finish(endpoint_id, self.request.fingerprint)
+        actions: list[msg.Action] = [msg.CloseAttempt(self.attempt)]
+        if is_running and self.attempt in self._may_have_run:
+            cancel = msg.CancelAttempt(
+                self.attempt, self._route.endpoint_ids, self.request.deadline
+            )
+            actions.append(cancel)
+        self._state = _State.IDLE
+        return actions
+
+    def _end(
+        self, outcome: outcomes.Outcome, is_running: bool = True
+    ) -> list[msg.Action]:
+        actions = self._leave_attempt(is_running)
+        self._state = _State.ENDED
+        self.outcome = outcome
+        return [*actions, msg.End(outcome)]
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/fleet.py
@@ -0,0 +1,202 @@
+"""What an entry host knows of the endpoints: load, health, leaving marks."""
+
+import collections
+import typing
+
+REPORT_TTL_S: typing.Final = 10.0
+PREFIX_TTL_S: typing.Final = 120.0
+MAX_PREFIXES: typing.Final = 1024
+MAX_RETIRED: typing.Final = 64
+SUSPECT_HOLD_S: typing.Final = 30.0
+MAX_REPORTED_RUNNING: typing.Final = 100_000
+
+
+class EndpointSpec(typing.NamedTuple):
+    """An endpoint as the settings describe it.
+
+    Attributes:
+        endpoint_id: Its name.
+        url: Its address.
+        failure_domain: Where it is.
+        service: Name of the plain service; empty for a model engine.
+        model: Model that an engine holds.
+        model_version: Version of that model.
+        first_layer: First layer held.
+        end_layer: One past the last layer held.
+        layer_cost_us: Time of one layer for one token, in microseconds.
+        batch_slots: Requests that an engine runs at once without queueing.
+    """
+
+    endpoint_id: str
+    url: str
+    failure_domain: str
+    service: str = ''
+    model: str = ''
+    model_version: str = ''
+    first_layer: int = 0
+    end_layer: int = 0
+    layer_cost_us: float = 100.0
+    batch_slots: int = 16
+
+
+class LoadReport(typing.NamedTuple):
+    """An endpoint's own report, which lags behind.
+
+    Attributes:
+        running: Requests that it ran when it made the report.
+        at: When the report was received.
+    """
+
+    running: int
+    at: float
+
+
+class EndpointState:
+    """One endpoint's changing state, as seen from this host."""
+
+    def __init__(self, spec: EndpointSpec) -> None:
+        self.spec = spec
+        self.incarnation = ''
+        self.suspect_until = 0.0
+        self.report = LoadReport(0, 0.0)
+        self.sent_since_report = 0
+        self.ended_since_report = 0
+        self.running: collections.Counter[str] = collections.Counter()
+        self.retired: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+        self.prefixes: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this incarnation was seen to be leaving."""
+        return self.incarnation in self.retired
+
+    def estimate_running(self, now: float) -> float:
+        """Returns the load: the report corrected by what was done since."""
+        own = sum(self.running.values())
+        if now - self.report.at > REPORT_TTL_S:
+            return own
+        reported = (
+            self.report.running
+            + self.sent_since_report
+            - self.ended_since_report
+        )
+        return max(own, reported)
+
+    def holds_prefix(self, prefix: str, now: float) -> bool:
+        """Tells whether a prompt prefix was lately seen in the cache."""
+        return now - self.prefixes.get(prefix, -PREFIX_TTL_S) < PREFIX_TTL_S
+
+
+class Fleet:
+    """All endpoints known to this host."""
+
+    def __init__(self) -> None:
+        self._states: dict[str, EndpointState] = {}
+
+    def apply_specs(self, specs: typing.Iterable[EndpointSpec]) -> None:
+        """Takes in the endpoints of a settings version."""
+        fresh = {}
+        for spec in specs:
+            state = self._states.get(spec.endpoint_id)
+            if state is None or state.spec.url != spec.url:
+                state = EndpointState(spec)
+            state.spec = spec
+            fresh[spec.endpoint_id] = state
+        self._states = fresh
+
+    def get(self, endpoint_id: str) -> EndpointState | None:
+        """Returns an endpoint's state, or `None` for an unknown one."""
+        return self._states.get(endpoint_id)
+
+    def list_all(self) -> list[EndpointState]:
+        """Returns the states of all endpoints."""
+        return list(self._states.values())
+
+    def list_usable(self, now: float) -> list[EndpointState]:
+        """Returns endpoints that may get new work."""
+        return [
+            state
+            for state in self._states.values()
+            if not state.is_leaving and state.suspect_until <= now
+        ]
+
+    def see_incarnation(self, endpoint_id: str, incarnation: str) -> None:
+        """Takes in the incarnation that an endpoint or the list named."""
+        state = self._states.get(endpoint_id)
+        if state is None or state.incarnation == incarnation:
+            return
+        if incarnation in state.retired:
+            # An older list still shows an incarnation that has left since.
+            return
+        if state.incarnation:
+            self._retire(state, state.incarnation)
+        state.incarnation = incarnation
+        state.suspect_until = 0.0
+        state.prefixes.clear()
+
+    def mark_leaving(self, endpoint_id: str, incarnation: str) -> None:
+        """Keeps new work from an incarnation for good."""
+        state = self._states.get(endpoint_id)
+        if state is None:
+            return
+        if not state.incarnation:
+            state.incarnation = incarnation
+        self._retire(state, incarnation)
+
+    def mark_suspect(self, endpoint_id: str, now: float) -> None:
+        """Keeps new work from an endpoint until it answers or time passes."""
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.suspect_until = now + SUSPECT_HOLD_S
+
+    def mark_alive(self, endpoint_id: str) -> None:
+        """Lets an endpoint that answered a probe have work again."""
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.suspect_until = 0.0
+
+    def begin(self, endpoint_id: str, fingerprint: str) -> None:
+        """Counts a request sent to an endpoint."""
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.running[fingerprint] += 1
+            state.sent_since_report += 1
+
+    def finish(self, endpoint_id: str, fingerprint: str) -> None:
+        """Counts the end of a request at an endpoint."""
+        state = self._states.get(endpoint_id)
+        if state is None:
+            return
+        if state.running[fingerprint] > 1:
+            state.running[fingerprint] -= 1
+        else:
+            del state.running[fingerprint]
+        state.ended_since_report += 1
+
+    def take_report(self, endpoint_id: str, running: int, now: float) -> None:
+        """Takes in a load report; impossible values are passed over."""
+        state = self._states.get(endpoint_id)
+        if state is None or not 0 <= running <= MAX_REPORTED_RUNNING:
+            return
+        state.report = LoadReport(running, now)
+        state.sent_since_report = 0
+        state.ended_since_report = 0
+
+    def note_prefix(self, endpoint_id: str, prefix: str, now: float) -> None:
+        """Remembers that an endpoint's cache holds a prompt prefix."""
+        state = self._states.get(endpoint_id)
+        if state is None:
+            return
+        state.prefixes.pop(prefix, None)
+        state.prefixes[prefix] = now
+        if len(state.prefixes) > MAX_PREFIXES:
+            state.prefixes.popitem(last=False)
+
+    def _retire(self, state: EndpointState, incarnation: str) -> None:
+        state.retired[incarnation] = None
+        if len(state.retired) > MAX_RETIRED:
+            state.retired.popitem(last=False)
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -0,0 +1,276 @@
+"""Carries the session of one booking: claim row, one send, outcome."""
+
+import typing
+
+import result
+from sardinebend_peers import errors as peer_errors
+from sardinebend_platform import errors as platform_errors
+from sardinebend_platform import store
+from sardinebend_policy import booking_messages as msg
+from sardinebend_policy import bookings
+from sardinebend_policy import claims
+from sardinebend_policy import outcomes
+import trio
+
+from sardinebend_router import carrier
+from sardinebend_router import logs
+from sardinebend_router import services
+from sardinebend_router import state as state_lib
+
+AskClaimant = typing.Callable[
+    [str, str, str], typing.Awaitable[claims.ClaimantAnswer]
+]
+
+
+class Platform(typing.NamedTuple):
+    """The platform's stores."""
+
+    table: store.TableStore
+    objects: store.ObjectStore
+
+
+class Plan(typing.NamedTuple):
+    """Where and what a booking is sent.
+
+    Attributes:
+        service: The plain service.
+        call: The call.
+        connect_s: Longest wait for a connection.
+    """
+
+    service: str
+    call: services.Call
+    connect_s: float
+
+
+class BookingCarrier(carrier.Carrier):
+    """Runs one booking's session.
+
+    Attributes:
+        outcome: What the caller is told, once `told` is set.
+        told: Set when there is an outcome.
+    """
+
+    def __init__(
+        self,
+        session: bookings.BookingSession,
+        state: state_lib.HostState,
+        client: services.ServiceClient,
+        platform: Platform,
+        ask_claimant: AskClaimant,
+        plan: Plan,
+    ) -> None:
+        super().__init__(session)
+        self.outcome: outcomes.Outcome | None = None
+        self.told = trio.Event()
+        self._session = session
+        self._state = state
+        self._client = client
+        self._platform = platform
+        self._ask_claimant = ask_claimant
+        self._plan = plan
+        self._open: services.OpenService | None = None
+        self._endpoint_id = ''
+        self._performers: dict[type, typing.Callable[..., None]] = {
+            msg.Connect: self._connect,
+            msg.WriteClaim: lambda a: self.start_task(self._write_claim, a),
+            msg.Send: lambda a: self.start_task(self._send),
+            msg.CloseConnection: self._close_connection,
+            msg.AskClaimant: lambda a: self.start_task(self._ask, a),
+            msg.ReadRow: lambda a: self.start_task(self._read_row),
+            msg.WriteOutcome: lambda a: self.start_task(self._write_outcome, a),
+            msg.SetClaimState: self._set_claim_state,
+            msg.ReplayAnswer: lambda a: self._replay(a),
+            msg.SetTimer: lambda a: self.set_timer(a.timer, a.at),
+            msg.End: lambda a: self._tell(a.outcome),
+            msg.Done: lambda a: self._finish(),
+        }
+        self._replaying: claims.ClaimRow | None = None
+
+    async def run(self, first_event: msg.Event) -> None:
+        """Runs the session until nothing is left to do."""
+        try:
+            await super().run(first_event)
+        finally:
+            if self._open is not None:
+                await self._open.close()
+        if self._replaying is not None:
+            self._tell(await self._load_answer(self._replaying))
+
+    def perform(self, action: msg.Action) -> None:
+        """Does what an action asks for, without waiting."""
+        self._performers[type(action)](action)
+
+    def make_timer_event(self, timer: msg.Timer) -> msg.Event:
+        """Returns the event that reports a timer."""
+        return msg.TimerDue(timer)
+
+    # Connection and call.
+
+    def _connect(self, action: msg.Connect) -> None:
+        endpoint_id = services.choose_endpoint(
+            self._state.fleet, self._plan.service, action.avoid
+        )
+        if endpoint_id is None:
+            self.post(msg.NoEndpoint())
+        else:
+            self.start_task(self._open_connection, endpoint_id)
+
+    async def _open_connection(self, endpoint_id: str) -> None:
+        try:
+            opened = await self._client.connect(
+                endpoint_id, self._plan.connect_s
+            )
+        except platform_errors.ConnectFailed:
+            self._state.fleet.mark_suspect(endpoint_id, trio.current_time())
+            self.post(msg.ConnectFailed(endpoint_id))
+            return
+        self._open = opened
+        self._endpoint_id = endpoint_id
+        self.post(msg.Connected(endpoint_id))
+
+    def _close_connection(self, action: msg.CloseConnection) -> None:
+        opened, self._open = self._open, None
+        if opened is not None:
+            self.start_task(opened.close)
+
+    async def _send(self) -> None:
+        if self._open is None:
+            return
+        mark = self._session.request.request_id
+        self._state.fleet.begin(self._endpoint_id, mark)
+        try:
+            reply = await self._open.send(self._plan.call)
+        except platform_errors.PlatformError:
+            self.post(msg.ReplyLost())
+            return
+        finally:
+            self._state.fleet.finish(self._endpoint_id, mark)
+        content_type = reply.headers.get('content-type', '')
+        self.post(msg.Replied(reply.status, content_type, reply.body))
+
+    # The claim row.
+
+    async def _write_claim(self, action: msg.WriteClaim) -> None:
+        write = store.Write(
+            self._session.request.row_key,
+            action.expected_version,
+            typing.cast(dict, action.row),
+        )
+        answer = await self._platform.table.transact([write])
+        if isinstance(answer, result.Ok):
+            self.post(msg.ClaimWritten(action.expected_version + 1))
+            return
+        error = answer.err_value
+        if isinstance(error, platform_errors.Conflict):
+            row = error.rows.get(write.key)
+            value = typing.cast(claims.ClaimRow, row.value) if row else None
+            self.post(msg.ClaimConflict(value, row.version if row else 0))
+        elif isinstance(error, platform_errors.Unclear):
+            self.post(msg.ClaimUnclear())
+        else:
+            self.post(msg.TableDown())
+
+    async def _read_row(self) -> None:
+        answer = await self._platform.table.read(self._session.request.row_key)
+        row = answer.ok_value if isinstance(answer, result.Ok) else None
+        if row is None:
+            self.post(msg.RowRead(None, 0))
+        else:
+            value = typing.cast(claims.ClaimRow, row.value)
+            self.post(msg.RowRead(value, row.version))
+
+    async def _write_outcome(self, action: msg.WriteOutcome) -> None:
+        written = await self._try_write_outcome(action)
+        self.post(msg.OutcomeWritten() if written else msg.OutcomeNotWritten())
+
+    async def _try_write_outcome(self, action: msg.WriteOutcome) -> bool:
+        """Writes the outcome if the row still holds this nonce."""
+        key = self._session.request.row_key
+        read = await self._platform.table.read(key)
+        if isinstance(read, result.Err):
+            return False
+        row = read.ok_value
+        if row is None or row.value['nonce'] != self._session.request.nonce:
+            return True
+        if row.value['state'] != claims.RowState.CLAIMED:
+            return True
+        value: dict[str, typing.Any] = {**row.value, 'state': action.state}
+        answer = action.answer
+        if answer is not None and not await self._put_answer(value, answer):
+            return False
+        write = store.Write(key, row.version, value)
+        written = await self._platform.table.transact([write])
+        return isinstance(written, result.Ok)
+
+    async def _put_answer(
+        self, value: dict[str, typing.Any], answer: outcomes.Answered
+    ) -> bool:
+        value['status'] = answer.status
+        value['content_type'] = answer.content_type
+        is_large = len(answer.body) > claims.MAX_INLINE_BODY_BYTES
+        text = None if is_large else _decode_text(answer.body)
+        if text is not None:
+            value['body'] = text
+            return True
+        value['object_key'] = f'answers/{self._session.request.nonce}'
+        put = await self._platform.objects.put(value['object_key'], answer.body)
+        return isinstance(put, result.Ok)
+
+    def _replay(self, action: msg.ReplayAnswer) -> None:
+        self._replaying = action.row
+
+    async def _load_answer(self, row: claims.ClaimRow) -> outcomes.Outcome:
+        """Returns a recorded answer; its body may be in the object store."""
+        body = row.get('body', '').encode()
+        if 'object_key' in row:
+            got = await self._platform.objects.get(row['object_key'])
+            if isinstance(got, result.Err) or got.ok_value is None:
+                reason = outcomes.Reason.TABLE_UNAVAILABLE
+                return outcomes.OutcomeUnknown(reason)
+            body = got.ok_value
+        return outcomes.Answered(0, row['status'], row['content_type'], body)
+
+    # Other hosts.
+
+    async def _ask(self, action: msg.AskClaimant) -> None:
+        try:
+            answer = await self._ask_claimant(
+                action.host, action.incarnation, action.nonce
+            )
+        except peer_errors.PeerError:
+            self.post(msg.ClaimantLost(action.nonce))
+            return
+        self.post(msg.ClaimantSaid(action.nonce, answer))
+
+    def _set_claim_state(self, action: msg.SetClaimState) -> None:
+        self._state.claims.set_state(
+            self._session.request.nonce, action.state, action.answer
+        )
+
+    # Ends.
+
+    def _tell(self, outcome: outcomes.Outcome) -> None:
+        self.outcome = outcome
+        self.told.set()
+        request = self._session.request
+        logs.get().info(
+            'booking ended',
+            extra={
+                'request_id': request.request_id,
+                'customer': request.customer,
+                'endpoint': self._endpoint_id,
+                'outcome': type(outcome).__name__,
+                'reason': getattr(outcome, 'reason', ''),
+            },
+        )
+
+    def _finish(self) -> None:
+        self.stop()
+
+
+def _decode_text(body: bytes) -> str | None:
+    try:
+        return body.decode()
+    except UnicodeDecodeError:
+        return None
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/completions.py
@@ -0,0 +1,299 @@
+"""Serves drafts: `POST /v1/completions`."""
+
+import hashlib
+import time
+import typing
+
+import msgspec
+from sardinebend_policy import admission
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import drafts
+from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
+from sardinebend_policy import routes
+import trio
+
+from sardinebend_router import auth
+from sardinebend_router import calls
+from sardinebend_router import drafting
+from sardinebend_router import engines
+from sardinebend_router import errors
+from sardinebend_router import problems
+from sardinebend_router import state as state_lib
+
+PREFIX_CHARS: typing.Final = 64
+KEEP_ALIVE_S: typing.Final = 5.0
+EVENT_STREAM: typing.Final = 'text/event-stream'
+DEFAULT_MAX_TOKENS: typing.Final = 256
+
+
+class CompletionBody(typing.TypedDict, total=False):
+    """The request body.
+
+    Attributes:
+        model: Name of the route.
+        prompt: The prompt.
+        max_tokens: Largest number of tokens wanted.
+        stream: Whether the answer comes as server-sent events.
+    """
+
+    model: typing.Required[str]
+    prompt: typing.Required[str]
+    max_tokens: int
+    stream: bool
+
+
+class Completions:
+    """Serves drafts of one host."""
+
+    def __init__(
+        self,
+        state: state_lib.HostState,
+        driver: engines.PipelineDriver,
+        tell_crashes: drafting.TellCrashes,
+    ) -> None:
+        self._state = state
+        self._driver = driver
+        self._tell_crashes = tell_crashes
+
+    async def serve(self, call: calls.Call, caller: auth.Caller) -> None:
+        """Serves one draft from its request to its typed end."""
+        state = self._state
+        customer = caller.name
+        limit = int(state.number('request.max_body_bytes', customer))
+        wait_s = state.number('request.body_wait_s', customer)
+        raw = await call.read_body(limit, wait_s)
+        body = calls.parse_json(raw, CompletionBody)
+        request = self._make_request(call, customer, body, raw)
+        route = body['model']
+        carrier = self._make_carrier(request, customer, route)
+        writer = _Writer(call, carrier.answer, request, body)
+        write_wait_s = state.number('request.write_wait_s', customer)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(call.watch)
+            nursery.start_soon(writer.watch_stuck, write_wait_s)
+            written = trio.Event()
+            nursery.start_soon(writer.run, written)
+            await self._run(call, carrier, request, route)
+            await written.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _run(
+        self,
+        call: calls.Call,
+        carrier: drafting.DraftCarrier,
+        request: msg.DraftRequest,
+        route: str,
+    ) -> None:
+        state = self._state
+        customer = request.customer
+        ticket = admission.Ticket(
+            request.request_id,
+            customer,
+            state.number('admission.weight', customer),
+            int(state.number('admission.max_queued', customer)),
+            request.deadline,
+        )
+        start = trio.current_time()
+        state.in_flight[request.request_id] = state_lib.InFlight(
+            request.request_id,
+            customer,
+            f'draft/{route}',
+            call.note_left,
+            lambda: carrier.post(msg.HostStopping()),
+        )
+        try:
+            async with state.gate.enter(ticket, call.left) as refusal:
+                if refusal is not None:
+                    carrier.answer.end(refusal)
+                    return
+                call.on_left(lambda: carrier.post(msg.CallerLeft()))
+                await carrier.run(msg.Started())
+        finally:
+            del state.in_flight[request.request_id]
+            outcome = carrier.answer.outcome
+            kind = type(outcome).__name__
+            state.metrics.count('drafts', outcome=kind)
+            elapsed_s = trio.current_time() - start
+            state.metrics.record_time('draft', elapsed_s)
+
+    def _make_request(
+        self,
+        call: calls.Call,
+        customer: str,
+        body: CompletionBody,
+        raw: bytes,
+    ) -> msg.DraftRequest:
+        state = self._state
+        route = state.settings.tree.section('routes').get(body['model'])
+        if route is None:
+            raise errors.NotFound(f'no route is named {body["model"][:64]!r}')
+        spec = routes.ModelSpec(
+            route['model'], route['model_version'], route['layers']
+        )
+        most = int(state.number('draft.max_tokens', customer, body['model']))
+        max_tokens = body.get('max_tokens', min(DEFAULT_MAX_TOKENS, most))
+        if not 1 <= max_tokens <= most:
+            raise errors.MalformedBody(
+                f'max_tokens is {max_tokens}; expected 1 to {most}'
+            )
+        limit_s = state.number('request.deadline_s', customer, body['model'])
+        deadline = trio.current_time() + call.read_timeout_s(limit_s)
+        fingerprint = quarantine.make_fingerprint(
+            state.fingerprint_secret, customer, f'draft/{body["model"]}', raw
+        )
+        prefix = body['prompt'][:PREFIX_CHARS].encode()
+        return msg.DraftRequest(
+            call.request_id,
+            customer,
+            fingerprint,
+            spec,
+            body['prompt'],
+            max_tokens,
+            deadline,
+            hashlib.sha256(prefix).hexdigest()[:16],
+        )
+
+    def _make_carrier(
+        self, request: msg.DraftRequest, customer: str, route: str
+    ) -> drafting.DraftCarrier:
+        state = self._state
+
+        def number(key: str) -> float:
+            return state.number(key, customer, route)
+
+        cfg = msg.DraftConfig(
+            int(number('draft.max_attempts')),
+            number('draft.stall_floor_s'),
+            number('draft.stall_ceiling_s'),
+            number('draft.first_token_s'),
+            number('draft.suspicion_wait_s'),
+            number('retry.backoff_base_s'),
+            number('retry.backoff_cap_s'),
+            state.own.failure_domain,
+        )
+        session = drafts.DraftSession(request, cfg, state.drafts)
+        timeouts_s = (number('endpoint.connect_s'), number('endpoint.probe_s'))
+        return drafting.DraftCarrier(
+            session, state, self._driver, self._tell_crashes, timeouts_s
+        )
+
+
+class _Writer:
+    """Writes a draft's answer to the caller, streamed or whole.
+
+    All tokens that gathered while a write was under way leave in one write;
+    a lone token leaves at once.
+    """
+
+    def __init__(
+        self,
+        call: calls.Call,
+        answer: drafting.Answer,
+        request: msg.DraftRequest,
+        body: CompletionBody,
+    ) -> None:
+        self._call = call
+        self._answer = answer
+        self._request = request
+        self._model = body['model']
+        self._is_streamed = body.get('stream', False)
+        self._created = int(time.time())
+        self._write_began: float | None = None
+
+    async def run(self, written: trio.Event) -> None:
+        """Writes until the end, or until the caller is gone."""
+        try:
+            if self._is_streamed:
+                await self._write_stream()
+            else:
+                await self._write_whole()
+        finally:
+            written.set()
+
+    async def watch_stuck(self, limit_s: float) -> None:
+        """Takes a caller that stopped reading for one that left.
+
+        The server's writes can't be cancelled, so the work upstream is ended
+        from here; the socket's own time limit ends the write.
+        """
+        while True:
+            await trio.sleep(limit_s / 4)
+            began = self._write_began
+            if began is not None and trio.current_time() - began > limit_s:
+                self._call.note_left()
+
+    async def _write_whole(self) -> None:
+        while self._answer.outcome is None:
+            await self._answer.wait_beyond(len(self._answer.tokens))
+        outcome = self._answer.outcome
+        if self._call.left.is_set():
+            return
+        if not isinstance(outcome, outcomes.Answered):
+            problem = problems.from_outcome(outcome, self._request.request_id)
+            await self._call.reply_problem(problem)
+            return
+        text = ''.join(self._answer.tokens)
+        body = self._make_body(text, self._finish_reason())
+        body['usage'] = {'completion_tokens': outcome.tokens}
+        await self._call.reply_json(200, body)
+
+    async def _write_stream(self) -> None:
+        sent = 0
+        while True:
+            with trio.move_on_after(KEEP_ALIVE_S) as waiting:
+                await self._answer.wait_beyond(sent)
+            if self._call.left.is_set():
+                return
+            tokens = self._answer.tokens
+            if sent < len(tokens):
+                events = [self._make_event(text) for text in tokens[sent:]]
+                sent = len(tokens)
+                await self._write(b''.join(events))
+            elif self._answer.outcome is not None:
+                await self._write_end(self._answer.outcome)
+                return
+            elif waiting.cancelled_caught and sent:
+                await self._write(b': keep-alive\n\n')
+
+    async def _write_end(self, outcome: outcomes.Outcome) -> None:
+        if isinstance(outcome, outcomes.Answered):
+            body = self._make_body('', self._finish_reason())
+            body['usage'] = {'completion_tokens': outcome.tokens}
+            end = b'data: ' + msgspec.json.encode(body) + b'\n\n'
+            await self._write(end + b'data: [DONE]\n\n', more=False)
+            return
+        problem = problems.from_outcome(outcome, self._request.request_id)
+        if not self._call.has_started:
+            await self._call.reply_problem(problem)
+            return
+        data = msgspec.json.encode(problem)
+        await self._write(b'event: error\ndata: ' + data + b'\n\n', more=False)
+
+    async def _write(self, data: bytes, more: bool = True) -> None:
+        self._write_began = trio.current_time()
+        if not self._call.has_started:
+            headers = [(b'cache-control', b'no-store')]
+            await self._call.start(200, EVENT_STREAM, headers)
+        await self._call.write(data, more)
+        self._write_began = None
+
+    def _finish_reason(self) -> str:
+        is_full = len(self._answer.tokens) >= self._request.max_tokens
+        return 'length' if is_full else 'stop'
+
+    def _make_event(self, text: str) -> bytes:
+        body = self._make_body(text, None)
+        return b'data: ' + msgspec.json.encode(body) + b'\n\n'
+
+    def _make_body(
+        self, text: str, finish_reason: str | None
+    ) -> dict[str, typing.Any]:
+        choice = {'index': 0, 'text': text, 'finish_reason': finish_reason}
+        return {
+            'id': self._request.request_id,
+            'object': 'text_completion',
+            'created': self._created,
+            'model': self._model,
+            'choices': [choice],
+        }
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/engines.py
@@ -0,0 +1,278 @@
+"""How orders reach model engines, and how their streams are read."""
+
+import abc
+import typing
+
+import msgspec
+from sardinebend_platform import connections
+from sardinebend_platform import errors as platform_errors
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import routes
+import trio
+
+CANCEL_TIMEOUT_S: typing.Final = 2.0
+MAX_LINE_BYTES: typing.Final = 256 * 1024
+REFUSAL_STATUSES: typing.Final = (409, 429)
+
+_JSON = ((b'content-type', b'application/json'),)
+
+
+class Health(typing.TypedDict, total=False):
+    """An endpoint's answer to a probe."""
+
+    incarnation: str
+    leaving: bool
+
+
+class Load(typing.TypedDict, total=False):
+    """An engine's load report."""
+
+    running: int
+    incarnation: str
+    leaving: bool
+
+
+class Order(typing.NamedTuple):
+    """An order with what the engine needs of the request."""
+
+    request: msg.DraftRequest
+    send: msg.SendOrder
+
+
+class _Line(msgspec.Struct):
+    """A line of an engine's stream."""
+
+    request: str = ''
+    attempt: int = 0
+    index: int = -1
+    text: str = ''
+    final: bool = False
+    count: int = -1
+    lost: str = ''
+
+
+class OpenPipeline(abc.ABC):
+    """A connection to a route's first stage."""
+
+    @abc.abstractmethod
+    async def run(
+        self, order: Order, post: typing.Callable[[msg.Event], None]
+    ) -> None:
+        """Sends the order and reports the stream as events.
+
+        Returns after `Finished`, `Refused` or `Broken` was reported.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes the connection."""
+
+
+class PipelineDriver(abc.ABC):
+    """Opens pipelines and talks to engines about them."""
+
+    @abc.abstractmethod
+    async def connect(
+        self, route: routes.PipelineRoute, timeout_s: float
+    ) -> OpenPipeline:
+        """Opens a new connection to the first stage.
+
+        Raises:
+            sardinebend_platform.errors.ConnectFailed: It couldn't be opened.
+        """
+
+    @abc.abstractmethod
+    async def cancel(
+        self, endpoint_id: str, request_id: str, attempt: int
+    ) -> bool:
+        """Cancels an attempt at one endpoint; true once confirmed."""
+
+    @abc.abstractmethod
+    async def probe(
+        self, endpoint_id: str, timeout_s: float
+    ) -> Health | platform_errors.PlatformError:
+        """Asks an endpoint on a new connection whether it is alive."""
+
+    @abc.abstractmethod
+    async def fetch_load(self, endpoint_id: str) -> Load | None:
+        """Returns an engine's load report, if it can be had."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes idle connections."""
+
+
+class HandOnPipeline(OpenPipeline):
+    """A stream of lines from the first stage over HTTP."""
+
+    def __init__(
+        self,
+        conn: connections.Connection,
+        fleet: fleet_lib.Fleet,
+    ) -> None:
+        self._conn = conn
+        self._fleet = fleet
+
+    async def run(
+        self, order: Order, post: typing.Callable[[msg.Event], None]
+    ) -> None:
+        """Sends the order and reports the stream as events."""
+        attempt = order.send.attempt
+        body = encode_order(order, self._fleet, trio.current_time())
+        try:
+            async with self._conn.stream(
+                'POST', '/v1/run', _JSON, body
+            ) as response:
+                if response.status in REFUSAL_STATUSES:
+                    first = order.send.route.endpoint_ids[0]
+                    post(msg.Refused(attempt, first, 1.0))
+                elif response.status == 200:
+                    await self._read_lines(response, order, post)
+                post(msg.Broken(attempt))
+        except platform_errors.ExchangeFailed:
+            post(msg.Broken(attempt))
+
+    async def _read_lines(
+        self,
+        response: typing.Any,
+        order: Order,
+        post: typing.Callable[[msg.Event], None],
+    ) -> None:
+        buffer = b''
+        async for chunk in response.aiter_stream():
+            *lines, buffer = (buffer + chunk).split(b'\n')
+            if len(buffer) > MAX_LINE_BYTES:
+                return
+            for line in lines:
+                event = decode_line(line, order)
+                post(event)
+                if not isinstance(event, msg.Chunk):
+                    return
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._conn.close()
+
+
+class HandOnDriver(PipelineDriver):
+    """Gives the whole route to the first stage and reads one stream."""
+
+    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+        self._fleet = fleet
+        self._origins: dict[str, connections.Origin] = {}
+
+    async def connect(
+        self, route: routes.PipelineRoute, timeout_s: float
+    ) -> OpenPipeline:
+        """Opens a new connection to the first stage."""
+        origin = self._origin(route.endpoint_ids[0])
+        conn = await origin.connect(timeout_s)
+        return HandOnPipeline(conn, self._fleet)
+
+    async def cancel(
+        self, endpoint_id: str, request_id: str, attempt: int
+    ) -> bool:
+        """Cancels an attempt at one endpoint; true once confirmed."""
+        body = msgspec.json.encode({'request': request_id, 'attempt': attempt})
+        try:
+            reply = await self._origin(endpoint_id).exchange(
+                'POST', '/v1/cancel', _JSON, body, timeout_s=CANCEL_TIMEOUT_S
+            )
+        except platform_errors.PlatformError:
+            return False
+        return reply.status == 200
+
+    async def probe(
+        self, endpoint_id: str, timeout_s: float
+    ) -> Health | platform_errors.PlatformError:
+        """Asks an endpoint on a new connection whether it is alive."""
+        try:
+            reply = await self._origin(endpoint_id).exchange(
+                'GET', '/health', timeout_s=timeout_s, fresh=True
+            )
+        except platform_errors.PlatformError as exc:
+            return exc
+        try:
+            return msgspec.json.decode(reply.body, type=Health)
+        except msgspec.MsgspecError:
+            return Health()
+
+    async def fetch_load(self, endpoint_id: str) -> Load | None:
+        """Returns an engine's load report, if it can be had."""
+        try:
+            reply = await self._origin(endpoint_id).exchange(
+                'GET', '/load', timeout_s=CANCEL_TIMEOUT_S
+            )
+            return msgspec.json.decode(reply.body, type=Load)
+        except (platform_errors.PlatformError, msgspec.MsgspecError):
+            return None
+
+    async def close(self) -> None:
+        """Closes idle connections."""
+        for origin in self._origins.values():
+            await origin.close()
+
+    def _origin(self, endpoint_id: str) -> connections.Origin:
+        state = self._fleet.get(endpoint_id)
+        if state is None:
+            raise platform_errors.ConnectFailed(f'{endpoint_id} is not known')
+        url = state.spec.url
+        origin = self._origins.get(url)
+        if origin is None:
+            origin = connections.Origin(url)
+            self._origins[url] = origin
+        return origin
+
+
+def encode_order(order: Order, fleet: fleet_lib.Fleet, now: float) -> bytes:
+    """Returns the body of an order in the engines' protocol."""
+    request, send = order
+    stages = []
+    for stage in send.route.stages:
+        state = fleet.get(stage.endpoint_id)
+        stages.append(
+            {
+                'endpoint': stage.endpoint_id,
+                'url': state.spec.url if state else '',
+                'first_layer': stage.first_layer,
+                'end_layer': stage.end_layer,
+            }
+        )
+    spec = send.route.spec
+    return msgspec.json.encode(
+        {
+            'request': request.request_id,
+            'attempt': send.attempt,
+            'model': spec.model,
+            'model_version': spec.model_version,
+            'layers': spec.layers,
+            'route': stages,
+            'position': 0,
+            'prompt': request.prompt,
+            'start_index': send.start_index,
+            'delivered': send.delivered,
+            'max_tokens': request.max_tokens,
+            'deadline_s': max(0.001, send.deadline - now),
+            'priority': 0,
+        }
+    )
+
+
+_decode_line = msgspec.json.Decoder(_Line).decode
+
+
+def decode_line(line: bytes, order: Order) -> msg.Event:
+    """Returns the event that a line of an engine's stream reports."""
+    attempt = order.send.attempt
+    try:
+        item = _decode_line(line)
+    except msgspec.MsgspecError:
+        return msg.Broken(attempt)
+    if item.lost:
+        return msg.Broken(attempt, item.lost)
+    if item.final:
+        return msg.Finished(attempt, item.count)
+    if item.request != order.request.request_id or item.index < 0:
+        return msg.Broken(attempt)
+    return msg.Chunk(item.attempt, item.index, item.text)
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -0,0 +1,300 @@
+"""One entry host: puts its parts together, starts and stops them."""
+
+import contextlib
+import random
+import socket
+import ssl
+import typing
+
+import result
+from sardinebend_peers import links
+from sardinebend_platform import errors as platform_errors
+from sardinebend_platform import store
+from sardinebend_policy import membership as membership_lib
+from sardinebend_settings import hostfile
+from sardinebend_settings import tree as tree_lib
+import trio
+
+from sardinebend_router import asgi
+from sardinebend_router import booking
+from sardinebend_router import completions
+from sardinebend_router import engines
+from sardinebend_router import errors
+from sardinebend_router import front as front_lib
+from sardinebend_router import logs
+from sardinebend_router import operations
+from sardinebend_router import operators
+from sardinebend_router import peering as peering_lib
+from sardinebend_router import services
+from sardinebend_router import settings_store
+from sardinebend_router import state as state_lib
+from sardinebend_router import watching
+
+DRAIN_STEP_S: typing.Final = 0.05
+DRAIN_ANNOUNCE_S: typing.Final = 0.2
+LAST_RECORD_S: typing.Final = 5.0
+START_RETRY_S: typing.Final = 1.0
+START_TRIES: typing.Final = 30
+
+
+class Outside(typing.NamedTuple):
+    """What a host reaches through interfaces.
+
+    Attributes:
+        table: The platform's table service.
+        objects: The platform's object store.
+        host_list: The platform's host list.
+        make_driver: Makes the driver of the model engines.
+        make_client: Makes the client of the plain services.
+    """
+
+    table: store.TableStore
+    objects: store.ObjectStore
+    host_list: store.HostList
+    make_driver: typing.Callable[[state_lib.HostState], engines.PipelineDriver]
+    make_client: typing.Callable[[state_lib.HostState], services.ServiceClient]
+
+
+class Tls(typing.NamedTuple):
+    """TLS of one host; `None` for plain connections."""
+
+    files: tuple[str, str] | None = None
+    peer_server: ssl.SSLContext | None = None
+    peer_client: ssl.SSLContext | None = None
+
+
+class Host:
+    """One entry host's process.
+
+    Attributes:
+        state: Its state.
+        caller_port: Port for callers, once started.
+        peer_port: Port for peers, once started.
+    """
+
+    def __init__(
+        self,
+        cfg: hostfile.HostFile,
+        outside: Outside,
+        secret: bytes,
+        initial_tree: tree_lib.Tree | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._cfg = cfg
+        self._outside = outside
+        self._secret = secret
+        self._initial_tree = initial_tree
+        self._tls = make_tls(cfg)
+        self._settings = settings_store.SettingsStore(outside.table)
+        self._drain_wanted = trio.Event()
+        self._hurry = trio.Event()
+        self._shutdown = trio.Event()
+        self._watchers: watching.Watchers | None = None
+        scheme = 'https' if self._tls.files else 'http'
+        callers, peers = cfg['callers'], cfg['peers']
+        own = membership_lib.Member(
+            cfg['host_id'],
+            cfg['failure_domain'],
+            f'{scheme}://{callers["address"]}:{callers["port"]}',
+            f'{peers["address"]}:{peers["port"]}',
+        )
+        self.state = state_lib.HostState(
+            own,
+            cfg['region'],
+            tree_lib.Tree(0, {}),
+            secret,
+            rng or random.Random(),
+        )
+        self.caller_port = 0
+        self.peer_port = 0
+
+    async def run(
+        self, task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Starts, serves until a planned stop, and ends."""
+        caller_sock, peer_listener = self._bind()
+        driver = self._outside.make_driver(self.state)
+        client = self._outside.make_client(self.state)
+        async with trio.open_nursery() as nursery:
+            peering = peering_lib.Peering(
+                self.state, self._secret, nursery, self._tls.peer_client
+            )
+            server = links.PeerServer(
+                peering.answer, self._secret, self._tls.peer_server
+            )
+            nursery.start_soon(server.serve, peer_listener)
+            self._watchers = watching.Watchers(
+                self.state,
+                self._outside.host_list,
+                self._settings,
+                driver,
+                peering,
+            )
+            await self._watchers.poll_list()
+            nursery.start_soon(peering.run_heartbeats)
+            await self._load_settings(peering)
+            self._watchers.start(nursery)
+            front = self._make_front(driver, client, peering, nursery)
+            await nursery.start(self._serve, front, caller_sock)
+            logs.get().info('started', extra={'port': self.caller_port})
+            task_status.started()
+            await self._drain_wanted.wait()
+            await self._drain(peering)
+            self._shutdown.set()
+            nursery.cancel_scope.cancel()
+        await driver.close()
+        logs.get().info('stopped')
+
+    def begin_drain(self) -> None:
+        """Begins a planned stop; a second call shortens the wait."""
+        if self._drain_wanted.is_set():
+            self._hurry.set()
+        self._drain_wanted.set()
+
+    # Starting.
+
+    def _bind(self) -> tuple[socket.socket, trio.SocketListener]:
+        callers, peers = self._cfg['callers'], self._cfg['peers']
+        write_wait_s = self.state.number('request.write_wait_s')
+        try:
+            caller_sock = asgi.listen(
+                callers['address'], callers['port'], write_wait_s
+            )
+            peer_sock = asgi.listen(peers['address'], peers['port'])
+        except OSError as exc:
+            raise errors.StartFailed(f'{callers}, {peers}: {exc}') from exc
+        self.caller_port = caller_sock.getsockname()[1]
+        self.peer_port = peer_sock.getsockname()[1]
+        wrapped = trio.socket.from_stdlib_socket(peer_sock)
+        return caller_sock, trio.SocketListener(wrapped)
+
+    async def _load_settings(self, peering: peering_lib.Peering) -> None:
+        """Takes the newest settings of table and peers before serving."""
+        for _ in range(START_TRIES):
+            for member in self.state.membership.list_members():
+                await peering.fetch_settings(member)
+            loaded = await self._settings.load()
+            if isinstance(loaded, result.Ok):
+                tree = loaded.ok_value.tree
+                if not tree.version and self._initial_tree is not None:
+                    await self._write_first_tree(self._initial_tree)
+                    continue
+                self.state.settings.apply_tree(tree)
+            if self.state.settings.tree.version:
+                return
+            await trio.sleep(START_RETRY_S)
+        raise errors.StartFailed('neither the table nor a peer has settings')
+
+    async def _write_first_tree(self, tree: tree_lib.Tree) -> None:
+        author = settings_store.Author('initial', self.state.own.host_id)
+        await self._settings.initialise(tree, author)
+
+    def _make_front(
+        self,
+        driver: engines.PipelineDriver,
+        client: services.ServiceClient,
+        peering: peering_lib.Peering,
+        nursery: trio.Nursery,
+    ) -> front_lib.Front:
+        state = self.state
+        platform = booking.Platform(self._outside.table, self._outside.objects)
+        return front_lib.Front(
+            state,
+            completions.Completions(state, driver, peering.tell_crashes),
+            operations.Operations(
+                state, client, platform, peering.ask_claimant, nursery
+            ),
+            operators.Operators(
+                state, self._settings, peering, self.begin_drain
+            ),
+        )
+
+    async def _serve(
+        self,
+        front: front_lib.Front,
+        sock: socket.socket,
+        task_status: trio.TaskStatus = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await asgi.serve(
+            front,
+            sock,
+            shutdown=self._shutdown,
+            tls_files=self._tls.files,
+            read_wait_s=int(self.state.number('request.body_wait_s')),
+            task_status=task_status,
+        )
+
+    # Stopping.
+
+    async def _drain(self, peering: peering_lib.Peering) -> None:
+        """Lets all requests in flight finish, then their records."""
+        state = self.state
+        state.is_draining = True
+        state.membership.is_leaving = True
+        logs.get().info('draining', extra={'in_flight': len(state.in_flight)})
+        await peering.beat_once()
+        await trio.sleep(DRAIN_ANNOUNCE_S)
+        limit_s = state.number('hosts.drain_wait_s')
+        if not await self._wait_empty(limit_s):
+            for entry in list(state.in_flight.values()):
+                entry.force_end()
+            await self._wait_empty(LAST_RECORD_S)
+
+    async def _wait_empty(self, limit_s: float) -> bool:
+        deadline = trio.current_time() + limit_s
+        while self.state.in_flight and not self._hurry.is_set():
+            if trio.current_time() >= deadline:
+                break
+            await trio.sleep(DRAIN_STEP_S)
+        return not self.state.in_flight
+
+
+def make_tls(cfg: hostfile.HostFile) -> Tls:
+    """Returns the TLS contexts that host settings describe."""
+    files = cfg.get('tls')
+    if files is None:
+        return Tls()
+    pair = (files['cert_file'], files['key_file'])
+    ca_file = files.get('ca_file')
+    try:
+        server = ssl.create_default_context(
+            ssl.Purpose.CLIENT_AUTH, cafile=ca_file
+        )
+        client = ssl.create_default_context(cafile=ca_file)
+        for context in (server, client):
+            context.load_cert_chain(*pair)
+    except (OSError, ssl.SSLError) as exc:
+        raise errors.StartFailed(f'TLS files: {exc}') from exc
+    if ca_file is not None:
+        server.verify_mode = ssl.CERT_REQUIRED
+    return Tls(pair, server, client)
+
+
+def read_secret(path: str) -> bytes:
+    """Returns the secret that the entry hosts share."""
+    try:
+        with open(path, 'rb') as stream:
+            secret = stream.read().strip()
+    except OSError as exc:
+        raise errors.StartFailed(f'{path}: {exc.strerror}') from exc
+    if len(secret) < 16:
+        raise errors.StartFailed(f'{path}: a secret of 16 bytes or more')
+    return secret
+
+
+def describe_failure(exc: BaseException) -> str:
+    """Returns one line for a failure, also one wrapped by nurseries."""
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    return f'{type(exc).__name__}: {exc}'
+
+
+@contextlib.contextmanager
+def start_failures() -> typing.Iterator[None]:
+    """Unwraps a `StartFailed` that nurseries have wrapped."""
+    try:
+        yield
+    except* errors.StartFailed as group:
+        raise errors.StartFailed(describe_failure(group)) from group
+    except* platform_errors.PlatformError as group:
+        raise errors.StartFailed(describe_failure(group)) from group
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/logs.py
@@ -0,0 +1,35 @@
+"""Logs as JSON lines on standard error."""
+
+import logging
+import sys
+import typing
+
+from pythonjsonlogger import json as json_logger
+
+LOGGER_NAME: typing.Final = 'sardinebend'
+
+
+def set_up(level: str, host_id: str) -> None:
+    """Sends the package's log records to standard error, one object a line."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            '%(asctime)s %(levelname)s %(message)s',
+            rename_fields={
+                'asctime': 'time',
+                'levelname': 'level',
+                'message': 'event',
+            },
+            static_fields={'host': host_id},
+            datefmt='%Y-%m-%dT%H:%M:%S%z',
+        )
+    )
+    logger = get()
+    logger.handlers[:] = [handler]
+    logger.setLevel(level.upper())
+    logger.propagate = False
+
+
+def get() -> logging.Logger:
+    """Returns the package's logger."""
+    return logging.getLogger(LOGGER_NAME)
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/lookup.py
@@ -0,0 +1,74 @@
+"""Carries a repeatable call to a plain service."""
+
+from sardinebend_platform import errors as platform_errors
+from sardinebend_policy import lookups
+from sardinebend_policy import outcomes
+import trio
+
+from sardinebend_router import booking
+from sardinebend_router import services
+from sardinebend_router import state as state_lib
+
+
+class LookupCarrier:
+    """Runs one lookup's session."""
+
+    def __init__(
+        self,
+        session: lookups.LookupSession,
+        state: state_lib.HostState,
+        client: services.ServiceClient,
+        plan: booking.Plan,
+        reply_s: float,
+    ) -> None:
+        self._session = session
+        self._state = state
+        self._client = client
+        self._plan = plan
+        self._reply_s = reply_s
+
+    async def run(self, deadline: float) -> outcomes.Outcome:
+        """Tries endpoints until there is an end."""
+        with trio.move_on_at(deadline):
+            return await self._try_all()
+        return self._session.give_up(outcomes.Reason.DEADLINE)
+
+    async def _try_all(self) -> outcomes.Outcome:
+        step: outcomes.Outcome | lookups.Pause = lookups.Pause(0, frozenset())
+        while isinstance(step, lookups.Pause):
+            await trio.sleep(step.pause_s)
+            endpoint_id = services.choose_endpoint(
+                self._state.fleet, self._plan.service, step.avoid
+            )
+            if endpoint_id is None:
+                return self._session.on_no_endpoint()
+            step = await self._try_one(endpoint_id)
+        return step
+
+    async def _try_one(
+        self, endpoint_id: str
+    ) -> outcomes.Outcome | lookups.Pause:
+        fleet = self._state.fleet
+        try:
+            opened = await self._client.connect(
+                endpoint_id, self._plan.connect_s
+            )
+        except platform_errors.ConnectFailed:
+            now = trio.current_time()
+            fleet.mark_suspect(endpoint_id, now)
+            return self._session.on_connect_failed(endpoint_id, now)
+        mark = self._plan.call.request_id
+        fleet.begin(endpoint_id, mark)
+        self._session.note_sent()
+        try:
+            with trio.fail_after(self._reply_s):
+                reply = await opened.send(self._plan.call)
+        except (platform_errors.PlatformError, trio.TooSlowError):
+            now = trio.current_time()
+            return self._session.on_reply_lost(endpoint_id, now)
+        finally:
+            fleet.finish(endpoint_id, mark)
+            await opened.close()
+        content_type = reply.headers.get('content-type', '')
+        answer = outcomes.Answered(0, reply.status, content_type, reply.body)
+        return self._session.on_reply(endpoint_id, answer, trio.current_time())
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/metrics.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms, in the text format that scrapers read."""
+
+import collections
+import typing
+
+from hdrh import histogram
+
+LOWEST_US: typing.Final = 1
+HIGHEST_US: typing.Final = 3_600_000_000
+DIGITS: typing.Final = 2
+QUANTILES: typing.Final = (50.0, 95.0, 99.0, 100.0)
+PREFIX: typing.Final = 'sardinebend'
+
+Labels = tuple[tuple[str, str], ...]
+
+
+class Metrics:
+    """The counters, gauges and histograms of one process."""
+
+    def __init__(self) -> None:
+        self._counters: collections.Counter[tuple[str, Labels]] = (
+            collections.Counter()
+        )
+        self._gauges: dict[str, typing.Callable[[], float]] = {}
+        self._times: dict[str, histogram.HdrHistogram] = {}
+
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Adds to a counter."""
+        self._counters[name, tuple(sorted(labels.items()))] += amount
+
+    def read(self, name: str, **labels: str) -> int:
+        """Returns a counter."""
+        return self._counters[name, tuple(sorted(labels.items()))]
+
+    def watch(self, name: str, gauge: typing.Callable[[], float]) -> None:
+        """Reads a gauge each time the page is asked for."""
+        self._gauges[name] = gauge
+
+    def record_time(self, name: str, seconds: float) -> None:
+        """Adds to a histogram of times."""
+        times = self._times.get(name)
+        if times is None:
+            times = histogram.HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+            self._times[name] = times
+        value = min(HIGHEST_US, max(LOWEST_US, int(seconds * 1e6)))
+        times.record_value(value)
+
+    def render(self) -> str:
+        """Returns the page."""
+        lines = []
+        for (name, labels), value in sorted(self._counters.items()):
+            lines.append(f'{PREFIX}_{name}_total{_format(labels)} {value}')
+        for name, gauge in sorted(self._gauges.items()):
+            lines.append(f'{PREFIX}_{name} {gauge():g}')
+        for name, times in sorted(self._times.items()):
+            for quantile in QUANTILES:
+                seconds = times.get_value_at_percentile(quantile) / 1e6
+                label = _format((('quantile', f'{quantile / 100:g}'),))
+                lines.append(f'{PREFIX}_{name}_seconds{label} {seconds:g}')
+            count = times.get_total_count()
+            lines.append(f'{PREFIX}_{name}_seconds_count {count}')
+        return '\n'.join(lines) + '\n'
+
+
+def _format(labels: Labels) -> str:
+    if not labels:
+        return ''
+    pairs = ','.join(f'{key}="{value}"' for key, value in labels)
+    return '{' + pairs + '}'
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/operators.py
@@ -0,0 +1,235 @@
+"""Serves operators: `/admin/v1/...`."""
+
+import typing
+
+import result
+from sardinebend_platform import errors as platform_errors
+from sardinebend_settings import changes
+from sardinebend_settings import errors as settings_errors
+import trio
+
+from sardinebend_router import auth
+from sardinebend_router import calls
+from sardinebend_router import errors
+from sardinebend_router import logs
+from sardinebend_router import peering as peering_lib
+from sardinebend_router import problems
+from sardinebend_router import settings_store
+from sardinebend_router import state as state_lib
+
+MAX_CHANGE_BYTES: typing.Final = 8 * 1024 * 1024
+BODY_WAIT_S: typing.Final = 10.0
+HISTORY_ROWS: typing.Final = 100
+UNCLEAR_RETRY_S: typing.Final = 5.0
+
+
+class Operators:
+    """Serves the operators of one host."""
+
+    def __init__(
+        self,
+        state: state_lib.HostState,
+        store: settings_store.SettingsStore,
+        peering: peering_lib.Peering,
+        begin_drain: typing.Callable[[], None],
+    ) -> None:
+        self._state = state
+        self._store = store
+        self._peering = peering
+        self._begin_drain = begin_drain
+        self._handlers: dict[tuple[str, str], typing.Callable] = {
+            ('GET', 'settings'): self._get_settings,
+            ('POST', 'settings/changes'): self._change_settings,
+            ('GET', 'settings/history'): self._get_history,
+            ('GET', 'settings/resolve'): self._resolve,
+            ('GET', 'hosts'): self._get_hosts,
+            ('GET', 'endpoints'): self._get_endpoints,
+            ('GET', 'routes'): self._get_routes,
+            ('GET', 'requests'): self._get_requests,
+            ('POST', 'drain'): self._drain,
+        }
+
+    async def serve(
+        self, call: calls.Call, caller: auth.Caller, parts: list[str]
+    ) -> None:
+        """Serves one operator's request."""
+        handler = self._handlers.get((call.method, '/'.join(parts)))
+        if handler is None:
+            raise errors.NotFound(f'nothing is at {call.path[:100]}')
+        await handler(call, caller)
+
+    # Settings.
+
+    async def _get_settings(
+        self, call: calls.Call, caller: auth.Caller
+    ) -> None:
+        """Replies with nodes as the table has them, and their versions."""
+        prefix = call.query.get('prefix', '')
+        loaded = await self._store.load()
+        if isinstance(loaded, result.Err):
+            await self._reply_unavailable(call, loaded.err_value)
+            return
+        stored = loaded.ok_value
+        nodes = {
+            path: {'version': stored.node_versions[path], 'value': value}
+            for path, value in stored.tree.nodes.items()
+            if path.startswith(prefix)
+        }
+        body = {'version': stored.tree.version, 'nodes': nodes}
+        await call.reply_json(200, body)
+
+    async def _change_settings(
+        self, call: calls.Call, caller: auth.Caller
+    ) -> None:
+        raw = await call.read_body(MAX_CHANGE_BYTES, BODY_WAIT_S)
+        change = calls.parse_json(raw, changes.Change)
+        for edit in change['edits']:
+            auth.check_branch(caller, edit['node'])
+        author = settings_store.Author(caller.name, self._state.own.host_id)
+        try:
+            answer = await self._store.change(change, author)
+        except settings_errors.VersionConflict as exc:
+            await self._reply_conflict(call, exc)
+            return
+        except settings_errors.SettingsError as exc:
+            raise errors.MalformedBody(str(exc)) from exc
+        if isinstance(answer, result.Err):
+            await self._reply_unavailable(call, answer.err_value)
+            return
+        await self._put_in_force(call, caller, answer.ok_value)
+
+    async def _put_in_force(
+        self,
+        call: calls.Call,
+        caller: auth.Caller,
+        accepted: settings_store.Accepted,
+    ) -> None:
+        base = self._state.settings.tree.version
+        if accepted.tree is not None:
+            self._state.settings.apply_tree(accepted.tree)
+        in_force = await self._peering.push_settings(base)
+        logs.get().info(
+            'settings changed',
+            extra={'version': accepted.version, 'operator': caller.name},
+        )
+        body = {'version': accepted.version, 'in_force_at': in_force}
+        await call.reply_json(200, body)
+
+    async def _get_history(self, call: calls.Call, caller: auth.Caller) -> None:
+        after = _whole_number(call.query.get('after', '0'))
+        steps = await self._store.read_steps(after)
+        if isinstance(steps, result.Err):
+            await self._reply_unavailable(call, steps.err_value)
+            return
+        await call.reply_json(200, steps.ok_value[:HISTORY_ROWS])
+
+    async def _resolve(self, call: calls.Call, caller: auth.Caller) -> None:
+        query = call.query
+        scopes = self._state.scopes(
+            query.get('customer', ''),
+            query.get('route', ''),
+            query.get('kind', ''),
+        )
+        tree = self._state.settings.tree
+        values = {
+            key: resolved._asdict()
+            for key, resolved in tree.resolve_all(scopes).items()
+        }
+        await call.reply_json(200, {'version': tree.version, 'values': values})
+
+    async def _reply_conflict(
+        self, call: calls.Call, exc: settings_errors.VersionConflict
+    ) -> None:
+        problem = {
+            'type': f'{problems.TYPE_PREFIX}version-conflict',
+            'title': 'version conflict',
+            'status': 409,
+            'detail': str(exc),
+            'outcome': 'not_run',
+            'node': exc.node,
+            'expected_version': exc.expected_version,
+            'current_version': exc.current_version,
+            'current_value': exc.current_value,
+            'proposed_value': exc.proposed_value,
+        }
+        await call.reply_json(409, problem)
+
+    async def _reply_unavailable(
+        self, call: calls.Call, error: platform_errors.PlatformError
+    ) -> None:
+        is_unclear = isinstance(error, platform_errors.Unclear)
+        problem: problems.Problem = {
+            'type': f'{problems.TYPE_PREFIX}table-unavailable',
+            'title': 'table unavailable',
+            'status': 504 if is_unclear else 503,
+            'detail': str(error),
+            'outcome': 'unknown' if is_unclear else 'not_run',
+            'retry_after_s': UNCLEAR_RETRY_S,
+            'request_id': call.request_id,
+        }
+        await call.reply_problem(problem)
+
+    # What this host sees.
+
+    async def _get_hosts(self, call: calls.Call, caller: auth.Caller) -> None:
+        now = trio.current_time()
+        membership = self._state.membership
+        alive = {member.host_id for member in membership.list_alive(now)}
+        hosts = [
+            {
+                'host': member.host_id,
+                'failure_domain': member.failure_domain,
+                'address': member.caller_url,
+                'alive': member.host_id in alive,
+            }
+            for member in membership.list_members()
+        ]
+        own = {
+            'host': self._state.own.host_id,
+            'incarnation': self._state.incarnation,
+            'settings_version': self._state.settings.tree.version,
+            'ready': self._state.is_ready,
+            'draining': self._state.is_draining,
+        }
+        await call.reply_json(200, {'own': own, 'others': hosts})
+
+    async def _get_endpoints(
+        self, call: calls.Call, caller: auth.Caller
+    ) -> None:
+        now = trio.current_time()
+        endpoints = [
+            {
+                'endpoint': item.spec.endpoint_id,
+                'failure_domain': item.spec.failure_domain,
+                'incarnation': item.incarnation,
+                'leaving': item.is_leaving,
+                'suspect': item.suspect_until > now,
+                'running': item.estimate_running(now),
+            }
+            for item in self._state.fleet.list_all()
+        ]
+        await call.reply_json(200, endpoints)
+
+    async def _get_routes(self, call: calls.Call, caller: auth.Caller) -> None:
+        routes = self._state.settings.tree.section('routes')
+        await call.reply_json(200, dict(routes))
+
+    async def _get_requests(
+        self, call: calls.Call, caller: auth.Caller
+    ) -> None:
+        requests = [
+            {'request_id': r.request_id, 'customer': r.customer, 'kind': r.kind}
+            for r in self._state.in_flight.values()
+        ]
+        await call.reply_json(200, requests)
+
+    async def _drain(self, call: calls.Call, caller: auth.Caller) -> None:
+        auth.check_branch(caller, f'hosts/{self._state.own.host_id}')
+        self._begin_drain()
+        await call.reply_json(202, {'draining': True})
+
+
+def _whole_number(text: str) -> int:
+    if not text.isdecimal() or len(text) > 12:
+        raise errors.BadRequest(f'{text[:40]!r}; expected a whole number')
+    return int(text)
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/peering.py
@@ -0,0 +1,247 @@
+"""What this host tells and answers the other entry hosts."""
+
+import ssl
+import typing
+
+import msgspec
+from sardinebend_peers import errors as peer_errors
+from sardinebend_peers import links
+from sardinebend_peers import messages
+from sardinebend_policy import claims
+from sardinebend_policy import membership
+from sardinebend_policy import quarantine
+from sardinebend_settings import errors as settings_errors
+import trio
+
+from sardinebend_router import logs
+from sardinebend_router import state as state_lib
+
+HEARTBEAT_S: typing.Final = 1.0
+CALL_TIMEOUT_S: typing.Final = 1.0
+SETTINGS_TIMEOUT_S: typing.Final = 5.0
+
+
+class Peering:
+    """Links to the other hosts and answers to their calls."""
+
+    def __init__(
+        self,
+        state: state_lib.HostState,
+        secret: bytes,
+        nursery: trio.Nursery,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._state = state
+        self._secret = secret
+        self._nursery = nursery
+        self._tls = tls
+        self._links: dict[str, links.PeerLink] = {}
+        self._handlers: dict[type, typing.Callable[..., messages.Message]] = {
+            messages.Beat: self._on_beat,
+            messages.ClaimQuestion: self._on_claim_question,
+            messages.CrashNotices: self._on_crashes,
+            messages.LeavingNotice: self._on_leaving,
+            messages.SettingsQuestion: self._on_settings_question,
+            messages.SettingsReply: self._on_settings,
+        }
+
+    # Answers.
+
+    async def answer(self, message: messages.Message) -> messages.Message:
+        """Answers a call of another host."""
+        handler = self._handlers.get(type(message))
+        return handler(message) if handler else messages.Ack()
+
+    def _on_beat(self, message: messages.Beat) -> messages.Message:
+        self._take_heartbeat(message.heartbeat)
+        return messages.Beat(self.make_heartbeat())
+
+    def _on_claim_question(
+        self, message: messages.ClaimQuestion
+    ) -> messages.Message:
+        if message.incarnation != self._state.incarnation:
+            gone = claims.ClaimantAnswer(claims.ClaimantState.UNKNOWN)
+            return messages.ClaimReply(gone)
+        return messages.ClaimReply(self._state.claims.describe(message.nonce))
+
+    def _on_crashes(self, message: messages.CrashNotices) -> messages.Message:
+        now = trio.current_time()
+        for notice in message.crashes:
+            crash = quarantine.Crash(notice.crash_id, notice.fingerprints, now)
+            self._state.drafts.quarantine.record_crash(crash, now)
+        return messages.Ack()
+
+    def _on_leaving(self, message: messages.LeavingNotice) -> messages.Message:
+        self._state.fleet.mark_leaving(message.endpoint_id, message.incarnation)
+        return messages.Ack()
+
+    def _on_settings_question(
+        self, message: messages.SettingsQuestion
+    ) -> messages.Message:
+        return self._state.settings.make_reply(message.have_version)
+
+    def _on_settings(self, message: messages.SettingsReply) -> messages.Message:
+        self._apply_settings(message)
+        return messages.Beat(self.make_heartbeat())
+
+    def _apply_settings(self, reply: messages.SettingsReply) -> bool:
+        try:
+            return self._state.settings.apply_reply(reply)
+        except (settings_errors.SettingsError, msgspec.MsgspecError) as exc:
+            # A newer release may know keys that this one doesn't; the host
+            # stays at its version and says so with each heartbeat.
+            logs.get().error(
+                'settings from a peer are refused',
+                extra={'version': reply.version, 'error': str(exc)},
+            )
+            return False
+
+    # Calls.
+
+    def make_heartbeat(self) -> membership.Heartbeat:
+        """Returns this host's life sign."""
+        return membership.Heartbeat(
+            self._state.own.host_id,
+            self._state.incarnation,
+            self._state.settings.tree.version,
+            len(self._state.in_flight),
+            self._state.is_draining,
+            self._state.is_ready,
+        )
+
+    async def run_heartbeats(self) -> None:
+        """Sends heartbeats until cancelled."""
+        while True:
+            await self.beat_once()
+            await trio.sleep(HEARTBEAT_S)
+
+    async def beat_once(self) -> None:
+        """Makes one round of heartbeats."""
+        members = self._state.membership.draw_round(self._state.rng)
+        async with trio.open_nursery() as nursery:
+            for member in members:
+                nursery.start_soon(self._beat, member)
+
+    async def _beat(self, member: membership.Member) -> None:
+        beat = messages.Beat(self.make_heartbeat())
+        reply = await self._try_call(member, beat, CALL_TIMEOUT_S)
+        if not isinstance(reply, messages.Beat):
+            return
+        self._take_heartbeat(reply.heartbeat)
+        if reply.heartbeat.settings_version > self._state.settings.tree.version:
+            await self.fetch_settings(member)
+
+    async def fetch_settings(self, member: membership.Member) -> None:
+        """Brings this host to a peer's settings version."""
+        for have in (self._state.settings.tree.version, 0):
+            reply = await self._try_call(
+                member, messages.SettingsQuestion(have), SETTINGS_TIMEOUT_S
+            )
+            if not isinstance(reply, messages.SettingsReply):
+                return
+            if self._apply_settings(reply):
+                return
+
+    async def push_settings(self, base_version: int) -> list[str]:
+        """Pushes the settings to all peers.
+
+        Returns:
+            The hosts that confirmed to have at least this version.
+        """
+        version = self._state.settings.tree.version
+        reply = self._state.settings.make_reply(base_version)
+        confirmed = [self._state.own.host_id]
+
+        async def push(member: membership.Member) -> None:
+            answer = await self._try_call(member, reply, CALL_TIMEOUT_S)
+            if not isinstance(answer, messages.Beat):
+                return
+            self._take_heartbeat(answer.heartbeat)
+            if answer.heartbeat.settings_version >= version:
+                confirmed.append(member.host_id)
+
+        async with trio.open_nursery() as nursery:
+            for member in self._state.membership.list_members():
+                nursery.start_soon(push, member)
+        return sorted(confirmed)
+
+    async def ask_claimant(
+        self, host_id: str, incarnation: str, nonce: str
+    ) -> claims.ClaimantAnswer:
+        """Asks the host that holds a claim what became of it.
+
+        Raises:
+            sardinebend_peers.errors.PeerUnreachable: There is no answer.
+        """
+        if incarnation == self._state.incarnation:
+            return self._state.claims.describe(nonce)
+        member = self._state.membership.get_member(host_id)
+        if member is None:
+            raise peer_errors.PeerUnreachable(f'{host_id} is not listed')
+        question = messages.ClaimQuestion(incarnation, nonce)
+        reply = await self._link(member).call(question, CALL_TIMEOUT_S)
+        if not isinstance(reply, messages.ClaimReply):
+            raise peer_errors.PeerUnreachable(f'{host_id} gave no answer')
+        return reply.answer
+
+    async def tell_crashes(self, crashes: tuple[quarantine.Crash, ...]) -> None:
+        """Tells all live peers of crashes and waits for their answers.
+
+        The telling goes on when the waiting request ends: the others need
+        the word all the more if the request was refused.
+        """
+        notices = messages.CrashNotices(
+            tuple(
+                messages.CrashNotice(crash.crash_id, crash.fingerprints)
+                for crash in crashes
+            )
+        )
+        done = trio.Event()
+        self._nursery.start_soon(self._tell_all, notices, done)
+        await done.wait()
+
+    async def tell_leaving(self, endpoint_id: str, incarnation: str) -> None:
+        """Tells all live peers that an endpoint is leaving."""
+        notice = messages.LeavingNotice(endpoint_id, incarnation)
+        await self._tell_all(notice, trio.Event())
+
+    async def _tell_all(
+        self, message: messages.Message, done: trio.Event
+    ) -> None:
+        now = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for member in self._state.membership.list_alive(now):
+                nursery.start_soon(
+                    self._try_call, member, message, CALL_TIMEOUT_S
+                )
+        done.set()
+
+    async def close(self) -> None:
+        """Closes all links."""
+        for link in self._links.values():
+            await link.close()
+
+    async def _try_call(
+        self,
+        member: membership.Member,
+        message: messages.Message,
+        timeout_s: float,
+    ) -> messages.Message | None:
+        try:
+            return await self._link(member).call(message, timeout_s)
+        except peer_errors.PeerError:
+            self._state.metrics.count('peer_calls_failed', peer=member.host_id)
+            return None
+
+    def _link(self, member: membership.Member) -> links.PeerLink:
+        address = member.peer_address
+        link = self._links.get(address)
+        if link is None:
+            link = links.PeerLink(
+                address, self._secret, self._nursery, self._tls
+            )
+            self._links[address] = link
+        return link
+
+    def _take_heartbeat(self, heartbeat: membership.Heartbeat) -> None:
+        self._state.membership.take_heartbeat(heartbeat, trio.current_time())
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/services.py
@@ -0,0 +1,112 @@
+"""How calls reach plain services."""
+
+import abc
+import typing
+
+from sardinebend_platform import connections
+from sardinebend_platform import errors as platform_errors
+from sardinebend_policy import fleet as fleet_lib
+import trio
+
+IDEMPOTENCY_HEADER: typing.Final = b'idempotency-key'
+
+
+class Call(typing.NamedTuple):
+    """A call to a plain service.
+
+    Attributes:
+        operation: Its operation.
+        content_type: Content type of the body.
+        body: The body, passed on as it is.
+        idempotency_key: The caller's key; empty for none.
+        request_id: The request.
+    """
+
+    operation: str
+    content_type: str
+    body: bytes
+    idempotency_key: str
+    request_id: str
+
+
+class OpenService(abc.ABC):
+    """An open connection to a service's endpoint, for one call."""
+
+    @abc.abstractmethod
+    async def send(self, call: Call) -> connections.Reply:
+        """Sends a call once and returns the whole reply.
+
+        Raises:
+            sardinebend_platform.errors.ExchangeFailed: The call may have
+                been received.
+        """
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Closes the connection."""
+
+
+class ServiceClient(abc.ABC):
+    """Opens connections to the endpoints of plain services."""
+
+    @abc.abstractmethod
+    async def connect(self, endpoint_id: str, timeout_s: float) -> OpenService:
+        """Opens a new connection; nothing is sent on it.
+
+        Raises:
+            sardinebend_platform.errors.ConnectFailed: It couldn't be opened.
+        """
+
+
+class HttpService(OpenService):
+    """A new HTTP connection to a service's endpoint."""
+
+    def __init__(self, conn: connections.Connection) -> None:
+        self._conn = conn
+
+    async def send(self, call: Call) -> connections.Reply:
+        """Sends a call once and returns the whole reply."""
+        headers = [
+            (b'content-type', call.content_type.encode('latin-1', 'replace')),
+            (b'x-request-id', call.request_id.encode()),
+        ]
+        if call.idempotency_key:
+            key = call.idempotency_key.encode('latin-1', 'replace')
+            headers.append((IDEMPOTENCY_HEADER, key))
+        path = f'/operations/{call.operation}'
+        return await self._conn.exchange('POST', path, headers, call.body)
+
+    async def close(self) -> None:
+        """Closes the connection."""
+        await self._conn.close()
+
+
+class HttpServiceClient(ServiceClient):
+    """Opens a new HTTP connection for each call."""
+
+    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+        self._fleet = fleet
+
+    async def connect(self, endpoint_id: str, timeout_s: float) -> OpenService:
+        """Opens a new connection; nothing is sent on it."""
+        state = self._fleet.get(endpoint_id)
+        if state is None:
+            raise platform_errors.ConnectFailed(f'{endpoint_id} is not known')
+        origin = connections.Origin(state.spec.url)
+        return HttpService(await origin.connect(timeout_s))
+
+
+def choose_endpoint(
+    fleet: fleet_lib.Fleet, service: str, avoid: typing.Container[str]
+) -> str | None:
+    """Returns the least busy usable endpoint of a service, or `None`."""
+    now = trio.current_time()
+    candidates = [
+        state
+        for state in fleet.list_usable(now)
+        if state.spec.service == service and state.spec.endpoint_id not in avoid
+    ]
+    if not candidates:
+        return None
+    best = min(candidates, key=lambda state: state.estimate_running(now))
+    return best.spec.endpoint_id
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_store.py
@@ -0,0 +1,273 @@
+"""The settings tree in the platform's table, and changes to it.
+
+Rows: `settings/root` holds the tree's version and its last change;
+`settings/node/<path>` a node's value, its row version being the node's
+version; `settings/audit/<version>` the trail; `settings/change/<id>` the
+version that a change made, which settles a lost reply. A change writes all of
+its rows in one transaction. A removed node leaves a row without a value, so
+that its version never starts again.
+"""
+
+import time
+import typing
+
+import result
+from sardinebend_platform import errors as platform_errors
+from sardinebend_platform import store
+from sardinebend_settings import changes
+from sardinebend_settings import tree as tree_lib
+
+ROOT_KEY: typing.Final = 'settings/root'
+NODE_PREFIX: typing.Final = 'settings/node/'
+AUDIT_PREFIX: typing.Final = 'settings/audit/'
+CHANGE_PREFIX: typing.Final = 'settings/change/'
+PAGE_ROWS: typing.Final = 1000
+MAX_TRIES: typing.Final = 8
+
+
+class AuditEntry(typing.TypedDict):
+    """One accepted change as the trail keeps it.
+
+    Attributes:
+        version: Version of the tree that the change made.
+        change_id: The change.
+        who: The operator.
+        where: Host that took the change.
+        when: Time of acceptance, seconds since 1970.
+        why: The operator's reason.
+        nodes: Value before and after, by node path.
+    """
+
+    version: int
+    change_id: str
+    who: str
+    where: str
+    when: float
+    why: str
+    nodes: dict[str, dict[str, typing.Any]]
+
+
+class Stored(typing.NamedTuple):
+    """The tree as it stands in the table, with its nodes' versions."""
+
+    tree: tree_lib.Tree
+    node_versions: dict[str, int]
+    root_version: int
+
+
+class Accepted(typing.NamedTuple):
+    """A change that is in the table for good."""
+
+    version: int
+    tree: tree_lib.Tree | None
+
+
+class Author(typing.NamedTuple):
+    """Who makes a change, and through which host."""
+
+    who: str
+    where: str
+
+
+class SettingsStore:
+    """Reads and changes the tree in the table."""
+
+    def __init__(
+        self,
+        table: store.TableStore,
+        wall_clock: typing.Callable[[], float] = time.time,
+    ) -> None:
+        self._table = table
+        self._wall_clock = wall_clock
+
+    async def read_version(
+        self,
+    ) -> result.Result[int, platform_errors.Unavailable]:
+        """Returns the version of the tree in the table; 0 for none."""
+        read = await self._table.read(ROOT_KEY)
+        if isinstance(read, result.Err):
+            return read
+        row = read.ok_value
+        return result.Ok(row.value['version'] if row else 0)
+
+    async def load(
+        self,
+    ) -> result.Result[Stored, platform_errors.Unavailable]:
+        """Returns the whole tree, all nodes from one version."""
+        for _ in range(MAX_TRIES):
+            before = await self._table.read(ROOT_KEY)
+            rows = await self._scan_all(NODE_PREFIX)
+            after = await self._table.read(ROOT_KEY)
+            for answer in (before, rows, after):
+                if isinstance(answer, result.Err):
+                    return result.Err(answer.err_value)
+            if before != after:
+                # A change came in between; the nodes may be of two versions.
+                continue
+            return result.Ok(_make_stored(before.unwrap(), rows.unwrap()))
+        return result.Err(platform_errors.Unavailable('the tree kept changing'))
+
+    async def initialise(
+        self, tree: tree_lib.Tree, author: Author
+    ) -> result.Result[Accepted, store.TableError]:
+        """Writes the first tree, unless the table already has one."""
+        edits: list[changes.Edit] = [
+            {'node': path, 'expected_version': 0, 'value': value}
+            for path, value in tree.nodes.items()
+        ]
+        change: changes.Change = {
+            'change_id': 'initial',
+            'why': 'first start',
+            'edits': edits,
+        }
+        empty = Stored(tree_lib.Tree(0, {}), {}, 0)
+        first = tree_lib.Tree(1, tree.nodes)
+        writes = self._make_writes(empty, first, change, author)
+        answer = await self._table.transact(writes)
+        if isinstance(answer, result.Err):
+            return answer
+        return result.Ok(Accepted(1, first))
+
+    async def change(
+        self, change: changes.Change, author: Author
+    ) -> result.Result[Accepted, store.TableError]:
+        """Makes a change; repeats of the same change id make it once.
+
+        Raises:
+            sardinebend_settings.errors.SettingsError: The change is refused.
+        """
+        error: store.TableError = platform_errors.Unavailable('busy')
+        may_stand = False
+        for _ in range(MAX_TRIES):
+            known = await self._table.read(CHANGE_PREFIX + change['change_id'])
+            if isinstance(known, result.Err):
+                return result.Err(_soften(known.err_value, may_stand))
+            if known.ok_value is not None:
+                version = known.ok_value.value['version']
+                return result.Ok(Accepted(version, None))
+            stored = await self.load()
+            if isinstance(stored, result.Err):
+                return result.Err(_soften(stored.err_value, may_stand))
+            answer = await self._try_change(stored.ok_value, change, author)
+            if isinstance(answer, result.Ok):
+                return answer
+            error = answer.err_value
+            if isinstance(error, platform_errors.Unavailable):
+                return result.Err(_soften(error, may_stand))
+            may_stand |= isinstance(error, platform_errors.Unclear)
+        return result.Err(_soften(error, may_stand))
+
+    async def read_steps(
+        self, after_version: int
+    ) -> result.Result[list[AuditEntry], platform_errors.Unavailable]:
+        """Returns the changes made after a version, oldest first."""
+        after = audit_key(after_version)
+        rows = await self._table.scan(AUDIT_PREFIX, after, PAGE_ROWS)
+        return rows.map(
+            lambda items: [typing.cast(AuditEntry, row.value) for row in items]
+        )
+
+    async def _try_change(
+        self, stored: Stored, change: changes.Change, author: Author
+    ) -> result.Result[Accepted, store.TableError]:
+        tree = changes.apply_edits(stored.tree, stored.node_versions, change)
+        writes = self._make_writes(stored, tree, change, author)
+        answer = await self._table.transact(writes)
+        if isinstance(answer, result.Err):
+            return answer
+        return result.Ok(Accepted(tree.version, tree))
+
+    def _make_writes(
+        self,
+        stored: Stored,
+        tree: tree_lib.Tree,
+        change: changes.Change,
+        author: Author,
+    ) -> list[store.Write]:
+        entry: AuditEntry = {
+            'version': tree.version,
+            'change_id': change['change_id'],
+            'who': author.who,
+            'where': author.where,
+            'when': self._wall_clock(),
+            'why': change['why'],
+            'nodes': {
+                edit['node']: {
+                    'before': stored.tree.nodes.get(edit['node']),
+                    'after': edit['value'],
+                }
+                for edit in change['edits']
+            },
+        }
+        root = {'version': tree.version, 'change_id': change['change_id']}
+        made = {'version': tree.version}
+        return [
+            store.Write(ROOT_KEY, stored.root_version, root),
+            store.Write(audit_key(tree.version), 0, dict(entry)),
+            store.Write(CHANGE_PREFIX + change['change_id'], 0, made),
+            *(
+                store.Write(
+                    NODE_PREFIX + edit['node'],
+                    edit['expected_version'],
+                    {'value': edit['value']},
+                )
+                for edit in change['edits']
+            ),
+        ]
+
+    async def _scan_all(
+        self, prefix: str
+    ) -> result.Result[list[store.Row], platform_errors.Unavailable]:
+        rows: list[store.Row] = []
+        while True:
+            after = rows[-1].key if rows else ''
+            page = await self._table.scan(prefix, after, PAGE_ROWS)
+            if isinstance(page, result.Err):
+                return page
+            rows += page.ok_value
+            if len(page.ok_value) < PAGE_ROWS:
+                return result.Ok(rows)
+
+
+def audit_key(version: int) -> str:
+    """Returns the key of a version's entry in the trail."""
+    return f'{AUDIT_PREFIX}{version:012d}'
+
+
+def apply_steps(
+    tree: tree_lib.Tree, steps: typing.Sequence[AuditEntry]
+) -> tree_lib.Tree | None:
+    """Returns the tree after changes, or `None` if one is missing."""
+    version = tree.version
+    nodes = dict(tree.nodes)
+    for step in steps:
+        if step['version'] != version + 1:
+            return None
+        version = step['version']
+        for path, value in step['nodes'].items():
+            if value['after'] is None:
+                nodes.pop(path, None)
+            else:
+                nodes[path] = value['after']
+    return tree_lib.Tree.from_nodes(version, nodes)
+
+
+def _make_stored(root: store.Row | None, rows: list[store.Row]) -> Stored:
+    nodes = {}
+    versions = {}
+    for row in rows:
+        path = row.key.removeprefix(NODE_PREFIX)
+        versions[path] = row.version
+        if row.value['value'] is not None:
+            nodes[path] = row.value['value']
+    if root is None:
+        return Stored(tree_lib.Tree(0, {}), {}, 0)
+    tree = tree_lib.Tree.from_nodes(root.value['version'], nodes)
+    return Stored(tree, versions, root.version)
+
+
+def _soften(error: store.TableError, may_stand: bool) -> store.TableError:
+    """Keeps an earlier unclear write from being reported as without effect."""
+    if may_stand and isinstance(error, platform_errors.Unavailable):
+        return platform_errors.Unclear(str(error))
+    return error
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -0,0 +1,154 @@
+"""What the parts of one entry host share, without I/O."""
+
+import random
+import secrets
+import typing
+
+from sardinebend_policy import cancels
+from sardinebend_policy import claims
+from sardinebend_policy import drafts
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import membership as membership_lib
+from sardinebend_policy import planners
+from sardinebend_policy import quarantine
+from sardinebend_policy import retries
+from sardinebend_policy import stalls
+from sardinebend_settings import tree as tree_lib
+import trio
+
+from sardinebend_router import gate as gate_lib
+from sardinebend_router import metrics as metrics_lib
+from sardinebend_router import settings_state
+
+
+class InFlight(typing.NamedTuple):
+    """A request in flight.
+
+    Attributes:
+        request_id: The request.
+        customer: Its customer.
+        kind: `draft/<route>` or `<service>/<operation>`.
+        cancel: Ends it as if the caller had left.
+        force_end: Ends it because the host's planned stop can wait no more.
+    """
+
+    request_id: str
+    customer: str
+    kind: str
+    cancel: typing.Callable[[], None]
+    force_end: typing.Callable[[], None]
+
+
+class HostState:
+    """State of one entry host's process."""
+
+    def __init__(
+        self,
+        own: membership_lib.Member,
+        region: str,
+        tree: tree_lib.Tree,
+        fingerprint_secret: bytes,
+        rng: random.Random,
+    ) -> None:
+        self.own = own
+        self.region = region
+        self.incarnation = secrets.token_hex(8)
+        self.fingerprint_secret = fingerprint_secret
+        self.rng = rng
+        self.settings = settings_state.SettingsState(tree)
+        self.metrics = metrics_lib.Metrics()
+        self.fleet = fleet_lib.Fleet()
+        self.membership = membership_lib.Membership(own)
+        self.cancels = cancels.CancelTracker()
+        self.cancels_wanted = trio.Event()
+        self.claims = claims.ClaimRegistry()
+        self.in_flight: dict[str, InFlight] = {}
+        self.recording = 0
+        self.is_draining = False
+        self.is_blind = False
+        self.gate = gate_lib.Gate(int(self.number('admission.max_running')))
+        self.drafts = self._make_drafts()
+        self.settings.add_listener(self._apply_tree)
+        self.metrics.watch('requests_in_flight', lambda: len(self.in_flight))
+        self.metrics.watch('requests_waiting', lambda: self.gate.waiting)
+        self.metrics.watch('cancels_pending', lambda: self.cancels.pending)
+        self.metrics.watch(
+            'settings_version', lambda: self.settings.tree.version
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new requests are taken."""
+        return not (
+            self.is_draining or self.is_blind or not self.settings.tree.version
+        )
+
+    def scopes(
+        self, customer: str = '', route: str = '', kind: str = ''
+    ) -> list[str]:
+        """Returns scopes, most general first, for a request at this host."""
+        place = f'fleet/region:{self.region}'
+        scopes = ['fleet', place]
+        scopes.append(f'{place}/domain:{self.own.failure_domain}')
+        if customer:
+            scopes.append(f'fleet/customer:{customer}')
+        if route:
+            scopes.append(f'fleet/customer:{customer}/route:{route}')
+        if kind:
+            scopes.append(f'fleet/customer:{customer}/kind:{kind}')
+        return scopes
+
+    def number(
+        self, key: str, customer: str = '', route: str = '', kind: str = ''
+    ) -> float:
+        """Returns a numeric setting in force for a request."""
+        scopes = self.scopes(customer, route, kind)
+        value = self.settings.tree.resolve(key, scopes).value
+        return typing.cast(float, value)
+
+    def text(self, key: str) -> str:
+        """Returns a textual setting in force at this host."""
+        return str(self.settings.tree.resolve(key, self.scopes()).value)
+
+    def want_cancels(self) -> None:
+        """Wakes the task that sends cancels."""
+        self.cancels_wanted.set()
+
+    def _make_drafts(self) -> drafts.Shared:
+        planner = planners.make_planner(
+            self.text('routing.policy'), self.fleet, self.rng
+        )
+        return drafts.Shared(
+            self.fleet,
+            planner,
+            quarantine.Quarantine(self.number('quarantine.hold_s')),
+            retries.BudgetPool(
+                self.number('retry.budget_ratio'),
+                int(self.number('retry.budget_floor')),
+            ),
+            stalls.GapTracker(),
+            self.rng,
+        )
+
+    def _apply_tree(self, tree: tree_lib.Tree) -> None:
+        specs = [
+            fleet_lib.EndpointSpec(
+                name,
+                node['url'],
+                node['failure_domain'],
+                node.get('service', ''),
+                node.get('model', ''),
+                node.get('model_version', ''),
+                node.get('first_layer', 0),
+                node.get('end_layer', 0),
+                node.get('layer_cost_us', 100.0),
+                node.get('batch_slots', 16),
+            )
+            for name, node in tree.section('endpoints').items()
+        ]
+        self.fleet.apply_specs(specs)
+        planner = planners.make_planner(
+            self.text('routing.policy'), self.fleet, self.rng
+        )
+        self.drafts = self.drafts._replace(planner=planner)
+        self.gate.set_max_running(int(self.number('admission.max_running')))
--- /dev/null
+++ b/packages/sardinebend-router/src/sardinebend_router/watching.py
@@ -0,0 +1,204 @@
+"""Background tasks: host list, endpoint health, settings, cancels."""
+
+import typing
+
+import result
+from sardinebend_platform import errors as platform_errors
+from sardinebend_platform import store
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import membership
+from sardinebend_settings import errors as settings_errors
+import trio
+
+from sardinebend_router import engines
+from sardinebend_router import logs
+from sardinebend_router import peering as peering_lib
+from sardinebend_router import settings_store
+from sardinebend_router import state as state_lib
+
+LIST_POLL_S: typing.Final = 1.0
+SETTINGS_POLL_S: typing.Final = 5.0
+LOAD_POLLS_PER_S: typing.Final = 10
+SUSPECT_PROBE_S: typing.Final = 1.0
+PROBE_TIMEOUT_S: typing.Final = 1.0
+
+
+class Watchers:
+    """The background tasks of one host."""
+
+    def __init__(
+        self,
+        state: state_lib.HostState,
+        host_list: store.HostList,
+        settings: settings_store.SettingsStore,
+        driver: engines.PipelineDriver,
+        peering: peering_lib.Peering,
+    ) -> None:
+        self._state = state
+        self._host_list = host_list
+        self._settings = settings
+        self._driver = driver
+        self._peering = peering
+        self._table_seen_at = trio.current_time()
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Starts the tasks."""
+        nursery.start_soon(self._run_list)
+        nursery.start_soon(self._run_settings)
+        nursery.start_soon(self._run_loads)
+        nursery.start_soon(self._run_suspects)
+        nursery.start_soon(self._run_cancels)
+
+    # The platform's list.
+
+    async def _run_list(self) -> None:
+        while True:
+            await self.poll_list()
+            await trio.sleep(LIST_POLL_S)
+
+    async def poll_list(self) -> None:
+        """Takes in the platform's list once."""
+        answer = await self._host_list.fetch()
+        if isinstance(answer, result.Err):
+            self._state.metrics.count('host_list_failed')
+            return
+        listing = answer.ok_value
+        members = [
+            (
+                membership.Member(
+                    host.host_id,
+                    host.failure_domain,
+                    host.caller_url,
+                    host.peer_address,
+                ),
+                host.leaving,
+            )
+            for host in listing.hosts
+        ]
+        self._state.membership.apply_listing(members)
+        for endpoint in listing.endpoints:
+            self._take_endpoint(endpoint)
+
+    def _take_endpoint(self, endpoint: store.ListedEndpoint) -> None:
+        fleet = self._state.fleet
+        if endpoint.leaving:
+            fleet.mark_leaving(endpoint.endpoint_id, endpoint.incarnation)
+        elif endpoint.incarnation:
+            fleet.see_incarnation(endpoint.endpoint_id, endpoint.incarnation)
+
+    # Endpoints.
+
+    async def _run_loads(self) -> None:
+        turn = 0
+        while True:
+            await trio.sleep(1 / LOAD_POLLS_PER_S)
+            engines_known = [
+                endpoint
+                for endpoint in self._state.fleet.list_all()
+                if not endpoint.spec.service
+            ]
+            if not engines_known:
+                continue
+            turn = (turn + 1) % len(engines_known)
+            await self._poll_load(engines_known[turn])
+
+    async def _poll_load(self, endpoint: fleet_lib.EndpointState) -> None:
+        endpoint_id = endpoint.spec.endpoint_id
+        with trio.move_on_after(PROBE_TIMEOUT_S):
+            load = await self._driver.fetch_load(endpoint_id)
+            if load is None:
+                return
+            fleet = self._state.fleet
+            incarnation = load.get('incarnation', '')
+            fleet.see_incarnation(endpoint_id, incarnation)
+            now = trio.current_time()
+            fleet.take_report(endpoint_id, load.get('running', -1), now)
+            if load.get('leaving') and not endpoint.is_leaving:
+                fleet.mark_leaving(endpoint_id, incarnation)
+                await self._peering.tell_leaving(endpoint_id, incarnation)
+
+    async def _run_suspects(self) -> None:
+        while True:
+            await trio.sleep(SUSPECT_PROBE_S)
+            now = trio.current_time()
+            suspects = [
+                endpoint.spec.endpoint_id
+                for endpoint in self._state.fleet.list_all()
+                if endpoint.suspect_until > now
+            ]
+            async with trio.open_nursery() as nursery:
+                for endpoint_id in suspects:
+                    nursery.start_soon(self._probe_suspect, endpoint_id)
+
+    async def _probe_suspect(self, endpoint_id: str) -> None:
+        health = await self._driver.probe(endpoint_id, PROBE_TIMEOUT_S)
+        if isinstance(health, platform_errors.PlatformError):
+            return
+        incarnation = health.get('incarnation', '')
+        self._state.fleet.see_incarnation(endpoint_id, incarnation)
+        self._state.fleet.mark_alive(endpoint_id)
+
+    # Settings.
+
+    async def _run_settings(self) -> None:
+        while True:
+            await trio.sleep(SETTINGS_POLL_S)
+            await self.poll_settings()
+
+    async def poll_settings(self) -> None:
+        """Brings this host to the version in the table, if it is newer."""
+        answer = await self._settings.read_version()
+        now = trio.current_time()
+        if isinstance(answer, result.Ok):
+            self._table_seen_at = now
+            if answer.ok_value > self._state.settings.tree.version:
+                await self._catch_up()
+        self._judge_blindness(now)
+
+    async def _catch_up(self) -> None:
+        tree = self._state.settings.tree
+        steps = await self._settings.read_steps(tree.version)
+        if isinstance(steps, result.Err):
+            return
+        try:
+            newer = settings_store.apply_steps(tree, steps.ok_value)
+            if newer is None:
+                stored = await self._settings.load()
+                if isinstance(stored, result.Ok):
+                    newer = stored.ok_value.tree
+        except settings_errors.SettingsError as exc:
+            logs.get().error(
+                'settings in the table are refused', extra={'error': str(exc)}
+            )
+            return
+        if newer is not None:
+            self._state.settings.apply_tree(newer)
+
+    def _judge_blindness(self, now: float) -> None:
+        """A host without table and peers can't know what was accepted."""
+        limit_s = self._state.number('settings.blind_after_s')
+        members = self._state.membership.list_members()
+        has_peer = bool(self._state.membership.list_alive(now)) or not members
+        table_lost = now - self._table_seen_at > limit_s
+        self._state.is_blind = table_lost and not has_peer
+
+    # Cancels.
+
+    async def _run_cancels(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                now = trio.current_time()
+                for key in self._state.cancels.take_due(now):
+                    nursery.start_soon(self._send_cancel, key)
+                due = self._state.cancels.next_due()
+                self._state.cancels_wanted = trio.Event()
+                with trio.move_on_at(float('inf') if due is None else due):
+                    await self._state.cancels_wanted.wait()
+
+    async def _send_cancel(self, key: typing.Any) -> None:
+        confirmed = await self._driver.cancel(
+            key.endpoint_id, key.request_id, key.attempt
+        )
+        self._state.metrics.count('cancels_sent')
+        if confirmed:
+            self._state.cancels.confirm(key)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small processes that take the place of outside systems in tests."""
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,259 @@
+"""Stand-in of a model engine that holds a range of layers."""
+
+import collections
+import contextlib
+import signal
+import typing
+import uuid
+
+import defopt
+import msgspec
+from sardinebend_router import asgi
+import trio
+
+from standins import stage as stage_lib
+from standins import web
+
+LOAD_LAG_S: typing.Final = 0.5
+CACHE_EVENT_GAP: typing.Final = 7
+
+
+class EngineApp(web.WebApp):
+    """Serves orders over HTTP and hands tokens on to the next stage."""
+
+    def __init__(
+        self, held: stage_lib.Held, checks_fencing: bool = False
+    ) -> None:
+        super().__init__()
+        self.runner = stage_lib.StageRunner(held)
+        self.incarnation = uuid.uuid4().hex
+        self._leaving = False
+        self._checks_fencing = checks_fencing
+        self._fencing = 0
+        self._orders: list[typing.Any] = []
+        self._loads: collections.deque[tuple[float, int]] = collections.deque(
+            maxlen=100
+        )
+        self._kv: dict[str, typing.Any] = {}
+        self.add('POST', '/v1/run', self._run_order)
+        self.add('POST', '/v1/cancel', self._cancel)
+        self.add('POST', '/v1/kv/export', self._export_kv)
+        self.add('POST', '/v1/kv/import', self._import_kv)
+        self.add('POST', '/v1/orders', self._take_order)
+        self.add('GET', '/health', self._health)
+        self.add('GET', '/load', self._load)
+        self.add('GET', '/cache-events', self._list_cache_events)
+        self.add('GET', '/records', self._list_records, faulty=False)
+        self.add('POST', '/run-faults', self._set_run_faults, faulty=False)
+        self.add('POST', '/leave', self._leave, faulty=False)
+
+    async def _run_order(self, req: web.Request) -> None:
+        order = msgspec.convert(req.json(), stage_lib.Order)
+        try:
+            self.runner.check(order)
+        except stage_lib.OrderRefused as exc:
+            await asgi.send_json(req.send, 409, {'refused': str(exc)})
+            return
+        if self._leaving:
+            headers = [(b'retry-after', b'1')]
+            await asgi.send_json(req.send, 429, {'refused': 'leaving'}, headers)
+            return
+        incarnation = (b'x-incarnation', self.incarnation.encode())
+        await asgi.start_reply(
+            req.send, 200, 'application/x-ndjson', [incarnation]
+        )
+        with self.runner.entered(order) as scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_watch_caller, req, scope)
+                await self._stream(req, order)
+                nursery.cancel_scope.cancel()
+        await asgi.send_chunk(req.send, b'', more=False)
+
+    async def _stream(self, req: web.Request, order: stage_lib.Order) -> None:
+        following = None
+        try:
+            await self.runner.prefill(order)
+            following = await self.runner.open_next(order)
+            await self._stream_tokens(req, order, following)
+        except stage_lib.StageLost as exc:
+            await _send_line(req, {'lost': exc.endpoint})
+        finally:
+            if following is not None:
+                with trio.CancelScope(shield=True):
+                    await following.close()
+
+    async def _stream_tokens(
+        self,
+        req: web.Request,
+        order: stage_lib.Order,
+        following: stage_lib.LineStream | None,
+    ) -> None:
+        faults = self.runner.faults
+        count = stage_lib.words.answer_length(
+            order['prompt'], order['max_tokens']
+        )
+        last = count + faults.get('extra_tokens', 0)
+        for index in range(order['start_index'], last):
+            text = await self.runner.step(order, index, following)
+            if index == faults.get('stop_at'):
+                await trio.sleep_forever()
+            if index == faults.get('gap_at'):
+                continue
+            line = {
+                'request': order['request'],
+                'attempt': order['attempt'],
+                'index': index,
+                'text': text,
+            }
+            await _send_line(req, line)
+        if not faults.get('no_final'):
+            await _send_line(req, {'final': True, 'count': count})
+
+    async def _cancel(self, req: web.Request) -> tuple[int, object]:
+        body = req.json()
+        was_running = self.runner.cancel(body['request'], body['attempt'])
+        return 200, {'confirmed': True, 'was_running': was_running}
+
+    async def _export_kv(self, req: web.Request) -> tuple[int, object]:
+        body = req.json()
+        tokens = [
+            record[2]
+            for record in self.runner.records
+            if record[0] == body['request']
+        ]
+        return 200, {'request': body['request'], 'tokens': tokens}
+
+    async def _import_kv(self, req: web.Request) -> tuple[int, object]:
+        body = req.json()
+        self._kv[body['request']] = body['tokens']
+        return 200, None
+
+    async def _take_order(self, req: web.Request) -> tuple[int, object]:
+        order = req.json()
+        if self._checks_fencing and order['fencing'] < self._fencing:
+            return 409, {'refused': 'old fencing number'}
+        self._fencing = max(self._fencing, order['fencing'])
+        self._orders.append(order)
+        if order['kind'] == 'load':
+            self.runner.held = self.runner.held._replace(
+                model=order['model'], model_version=order['model_version']
+            )
+        return 200, {'incarnation': self.incarnation}
+
+    async def _health(self, req: web.Request) -> tuple[int, object]:
+        health = {
+            'incarnation': self.incarnation,
+            'leaving': self._leaving,
+            'hand_on_port': self.runner.hand_on_port,
+            'held': self.runner.held._asdict(),
+        }
+        return 200, health
+
+    async def _load(self, req: web.Request) -> tuple[int, object]:
+        now = trio.current_time()
+        self._loads.append((now, self.runner.running))
+        seen = [n for at, n in self._loads if at <= now - LOAD_LAG_S]
+        answer = {
+            'incarnation': self.incarnation,
+            'running': seen[-1] if seen else 0,
+            'leaving': self._leaving,
+        }
+        return 200, answer
+
+    async def _list_cache_events(self, req: web.Request) -> tuple[int, object]:
+        after = int(req.query.get('after', '0'))
+        events = [
+            {'sequence': i, 'prefix': prefix}
+            for i, prefix in enumerate(self.runner.cache_events, 1)
+            if i > after and i % CACHE_EVENT_GAP
+        ]
+        return 200, events
+
+    async def _list_records(self, req: web.Request) -> tuple[int, object]:
+        records = {
+            'endpoint': self.runner.held.endpoint,
+            'incarnation': self.incarnation,
+            'running': self.runner.running,
+            'runs': self.runner.records,
+            'orders': self._orders,
+        }
+        return 200, records
+
+    async def _set_run_faults(self, req: web.Request) -> tuple[int, object]:
+        self.runner.faults = req.json()
+        return 200, None
+
+    async def _leave(self, req: web.Request) -> tuple[int, object]:
+        self._leaving = True
+        return 200, None
+
+
+async def _send_line(req: web.Request, value: object) -> None:
+    await asgi.send_chunk(req.send, msgspec.json.encode(value) + b'\n')
+
+
+async def _watch_caller(req: web.Request, scope: trio.CancelScope) -> None:
+    while (await req.receive())['type'] != 'http.disconnect':
+        pass
+    scope.cancel()
+
+
+async def _serve_hand_on(
+    app: EngineApp, listeners: list[trio.SocketListener]
+) -> None:
+    await trio.serve_listeners(app.runner.serve_hand_on, listeners)
+
+
+async def run(app: EngineApp, address: str, port: int) -> None:
+    """Serves orders and the hand-on port until SIGTERM or SIGINT."""
+    listeners = await trio.open_tcp_listeners(0, host=address)
+    app.runner.hand_on_port = listeners[0].socket.getsockname()[1]
+    with contextlib.suppress(KeyboardInterrupt):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_serve_hand_on, app, listeners)
+            await web.run(app, address, port)
+            nursery.cancel_scope.cancel()
+
+
+def main(
+    *,
+    endpoint: str,
+    address: str = '127.0.0.1',
+    port: int = 0,
+    model: str = 'tide',
+    model_version: str = '1',
+    first_layer: int = 0,
+    end_layer: int = 12,
+    layer_cost_us: float = 200.0,
+    batch_slots: int = 16,
+    checks_fencing: bool = False,
+) -> None:
+    """Runs the engine.
+
+    Args:
+        endpoint: Name of the endpoint.
+        address: IP address to listen on.
+        port: Port to listen on.
+        model: Model that it holds.
+        model_version: Version of the model.
+        first_layer: First layer that it holds.
+        end_layer: One past the last layer that it holds.
+        layer_cost_us: Time of one layer for one token, in microseconds.
+        batch_slots: Requests that it runs at once without slowing down.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
+    signal.signal(signal.SIGPIPE, signal.SIG_IGN)
+    held = stage_lib.Held(
+        endpoint,
+        model,
+        model_version,
+        first_layer,
+        end_layer,
+        layer_cost_us,
+        batch_slots,
+    )
+    trio.run(run, EngineApp(held, checks_fencing), address, port)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/standins/table.py
@@ -0,0 +1,73 @@
+"""Stand-in of the platform's transactional table service."""
+
+import defopt
+import result
+from sardinebend_platform import errors
+from sardinebend_platform import memory
+from sardinebend_platform import store
+import trio
+
+from standins import web
+
+
+class TableApp(web.WebApp):
+    """Serves a table in memory over HTTP and counts its calls."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.table = memory.MemoryTable()
+        self._counts = {'writes': 0, 'reads': 0}
+        self.add('POST', '/v1/transact', self._transact)
+        self.add('GET', '/v1/rows', self._scan)
+        self.add('GET', '/v1/row', self._read)
+        self.add('GET', '/counts', self._count, faulty=False)
+        self.add('GET', '/records', self._record, faulty=False)
+
+    async def _transact(self, req: web.Request) -> tuple[int, object]:
+        self._counts['writes'] += 1
+        writes = [store.Write(**write) for write in req.json()['writes']]
+        answer = self.table.apply(writes)
+        if isinstance(answer, result.Ok):
+            return 200, answer.ok_value._asdict()
+        if isinstance(answer.err_value, errors.Conflict):
+            rows = answer.err_value.rows
+            return 409, {key: _encode(row) for key, row in rows.items()}
+        return 503, None
+
+    async def _read(self, req: web.Request) -> tuple[int, object]:
+        self._counts['reads'] += 1
+        answer = await self.table.read(req.query['key'])
+        return 200, _encode(answer.unwrap())
+
+    async def _scan(self, req: web.Request) -> tuple[int, object]:
+        self._counts['reads'] += 1
+        query = req.query
+        rows = self.table.select(
+            query['prefix'], query.get('after', ''), int(query['limit'])
+        )
+        return 200, [_encode(row) for row in rows]
+
+    async def _count(self, req: web.Request) -> tuple[int, object]:
+        return 200, self._counts
+
+    async def _record(self, req: web.Request) -> tuple[int, object]:
+        rows = self.table.select(req.query.get('prefix', ''), '', 100_000)
+        return 200, [_encode(row) for row in rows]
+
+
+def _encode(row: store.Row | None) -> object:
+    return None if row is None else row._asdict()
+
+
+def main(*, address: str = '127.0.0.1', port: int = 0) -> None:
+    """Runs the table service.
+
+    Args:
+        address: IP address to listen on.
+        port: Port to listen on.
+    """
+    trio.run(web.run, TableApp(), address, port)
+
+
+if __name__ == '__main__':
+    defopt.run(main)
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,162 @@
+"""What the stand-ins share: a small web application and fault switches."""
+
+import collections.abc
+import signal
+import sys
+import typing
+import urllib.parse
+
+import msgspec
+from sardinebend_platform import connections
+from sardinebend_platform import errors
+from sardinebend_router import asgi
+import trio
+
+MAX_BODY_BYTES: typing.Final = 64 * 1024 * 1024
+
+
+class Faults(typing.TypedDict, total=False):
+    """Faults that a stand-in shows on request.
+
+    Attributes:
+        down: Every call is refused with status 503, without effect.
+        delay_s: Every call waits first.
+        lose_replies: Number of calls whose effect stays and whose reply
+            never comes.
+        late_s: The effect of a call comes this much later than its failure.
+        silent: Calls are taken and never answered.
+        status: Every call is answered with this status, without effect.
+    """
+
+    down: bool
+    delay_s: float
+    lose_replies: int
+    late_s: float
+    silent: bool
+    status: int
+
+
+class Request(typing.NamedTuple):
+    """A request to a stand-in."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    receive: asgi.Receive
+    send: asgi.Send
+
+    def json(self) -> typing.Any:
+        """Returns the body, parsed."""
+        return msgspec.json.decode(self.body)
+
+
+Handler = collections.abc.Callable[
+    [Request], collections.abc.Awaitable[tuple[int, typing.Any] | None]
+]
+
+
+class WebApp:
+    """Dispatches requests by method and first matching path prefix.
+
+    A handler returns status and value, or `None` if it has replied itself.
+    """
+
+    def __init__(self) -> None:
+        self.faults: Faults = {}
+        self.nursery: trio.Nursery | None = None
+        self._routes: list[tuple[str, str, Handler, bool]] = []
+        self.add('POST', '/faults', self._set_faults, faulty=False)
+
+    def add(
+        self, method: str, prefix: str, handler: Handler, faulty: bool = True
+    ) -> None:
+        """Adds a handler; only a `faulty` one shows the faults."""
+        self._routes.append((method, prefix, handler, faulty))
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one ASGI connection."""
+        if scope['type'] == 'lifespan':
+            await asgi.run_lifespan(receive, send)
+            return
+        body = await asgi.read_body(receive, MAX_BODY_BYTES)
+        path = scope['raw_path'].decode().partition('?')[0]
+        query = urllib.parse.parse_qsl(scope['query_string'].decode())
+        headers = {k.decode(): v.decode() for k, v in scope['headers']}
+        req = Request(
+            scope['method'], path, dict(query), headers, body, receive, send
+        )
+        for method, prefix, handler, faulty in self._routes:
+            if method == req.method and path.startswith(prefix):
+                await self._run(handler, req, faulty)
+                return
+        await asgi.send_json(send, 404, {'error': f'no {req.method} {path}'})
+
+    async def _run(self, handler: Handler, req: Request, faulty: bool) -> None:
+        faults = self.faults if faulty else Faults()
+        await trio.sleep(faults.get('delay_s', 0))
+        if faults.get('silent'):
+            await trio.sleep_forever()
+        if faults.get('down') or 'status' in faults:
+            status = faults.get('status', 503)
+            await asgi.send_json(req.send, status, {'error': 'fault'})
+            return
+        if faults.get('lose_replies', 0) > 0:
+            self.faults['lose_replies'] -= 1
+            await self._lose_reply(handler, req)
+            return
+        answer = await handler(req)
+        if answer is not None:
+            await asgi.send_json(req.send, *answer)
+
+    async def _lose_reply(self, handler: Handler, req: Request) -> None:
+        """Lets the effect happen, now or later, and drops the connection."""
+        late_s = self.faults.get('late_s', 0)
+        if late_s and self.nursery is not None:
+            self.nursery.start_soon(self._run_late, handler, req, late_s)
+        else:
+            await handler(req)
+        raise ConnectionAbortedError('reply lost on request')
+
+    async def _run_late(
+        self, handler: Handler, req: Request, late_s: float
+    ) -> None:
+        await trio.sleep(late_s)
+        await handler(req)
+
+    async def _set_faults(self, req: Request) -> tuple[int, typing.Any]:
+        self.faults = msgspec.convert(req.json(), Faults)
+        return 200, self.faults
+
+
+async def run(app: WebApp, address: str, port: int) -> None:
+    """Serves until SIGTERM or SIGINT."""
+    sock = asgi.listen(address, port)
+    print(f'listening on {sock.getsockname()}', file=sys.stderr, flush=True)
+    shutdown = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            app.nursery = nursery
+
+            async def stop() -> None:
+                async for _ in signals:
+                    shutdown.set()
+                    nursery.cancel_scope.cancel()
+
+            nursery.start_soon(stop)
+            await asgi.serve(app, sock, shutdown=shutdown)
+
+
+async def fetch_hand_on_port(url: str) -> int:
+    """Asks an engine on which port it takes tokens from earlier stages."""
+    origin = connections.Origin(url)
+    try:
+        reply = await origin.exchange('GET', '/health', timeout_s=2.0)
+    except errors.PlatformError as exc:
+        raise OSError(str(exc)) from exc
+    finally:
+        await origin.close()
+    return msgspec.json.decode(reply.body)['hand_on_port']
