Keep long answers whole: drop the server's read time-out

Cause: the front set hypercorn's read_timeout to the wait for request bodies (10 s). Reading the server's loop showed that it also runs while a caller reads its answer and sends nothing; the server then reports a disconnect, and the draft was cancelled in the middle as if its caller had left.

The wish behind read_timeout, to end headers that trickle, is met by the keep-alive limit, and the body has its own limit.

Before: an answer of 2 s with waits of 1 s came back empty (test test_an_answer_longer_than_the_waits_for_requests_is_not_cut failed). After: it is whole; a trickled header is closed and a trickled body gets 408.

--- a/packages/sardinebend-admin/src/sardinebend_admin/__init__.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/__init__.py
@@ -1,1 +1,7 @@
 """The operator command."""
+
+from sardinebend_admin import cli
+from sardinebend_admin import client
+from sardinebend_admin import errors
+
+__all__ = ['cli', 'client', 'errors']
--- /dev/null
+++ b/packages/sardinebend-admin/src/sardinebend_admin/cli.py
@@ -0,0 +1,38 @@
+"""The command `sardinebendctl`.
+
+Exit codes: 0 done, 1 refused, 2 bad input, 3 another operator was first,
+4 host or table unavailable, 5 outcome unknown, 6 not confirmed.
+"""
+
+import sys
+
+import defopt
+
+from sardinebend_admin import commands
+from sardinebend_admin import errors
+
+COMMANDS = {
+    'settings': {
+        'get': commands.get,
+        'set': commands.set_node,
+        'remove': commands.remove,
+        'diff': commands.diff,
+        'apply': commands.apply,
+        'history': commands.history,
+        'resolve': commands.resolve,
+    },
+    'hosts': commands.hosts,
+    'endpoints': commands.endpoints,
+    'routes': commands.routes,
+    'requests': commands.requests,
+    'drain': commands.drain,
+}
+
+
+def main() -> None:
+    """Runs the command."""
+    try:
+        defopt.run(COMMANDS)
+    except errors.AdminError as exc:
+        print(f'sardinebendctl: {exc}', file=sys.stderr)
+        sys.exit(exc.exit_code)
--- /dev/null
+++ b/packages/sardinebend-admin/src/sardinebend_admin/client.py
@@ -0,0 +1,91 @@
+"""HTTP client of an entry host's administration interface."""
+
+import typing
+import urllib.parse
+
+import httpcore
+import msgspec
+
+from sardinebend_admin import errors
+
+TIMEOUT_S: typing.Final = 15.0
+CHANGE_TRIES: typing.Final = 3
+
+
+class Client:
+    """Calls one entry host as one operator."""
+
+    def __init__(
+        self, url: str, key: str, pool: httpcore.ConnectionPool | None = None
+    ) -> None:
+        self._url = url.rstrip('/')
+        self._key = key
+        self._pool = pool or httpcore.ConnectionPool(retries=0)
+
+    def get(self, path: str, **query: str) -> typing.Any:
+        """Returns what stands at a path."""
+        wanted = {name: value for name, value in query.items() if value}
+        text = f'?{urllib.parse.urlencode(wanted)}' if wanted else ''
+        return self._call('GET', f'{path}{text}', b'')
+
+    def post(self, path: str, body: typing.Any = None) -> typing.Any:
+        """Sends a value to a path and returns the answer."""
+        data = b'' if body is None else msgspec.json.encode(body)
+        return self._call('POST', path, data)
+
+    def change(self, change: dict[str, typing.Any]) -> typing.Any:
+        """Makes a change; its id makes a repeat after a lost reply safe."""
+        for _ in range(CHANGE_TRIES):
+            try:
+                return self.post('settings/changes', change)
+            except errors.OutcomeUnknown:
+                continue
+        raise errors.OutcomeUnknown(
+            f'the change may be in force; repeat it with --change-id '
+            f'{change["change_id"]}'
+        )
+
+    def _call(self, method: str, path: str, body: bytes) -> typing.Any:
+        timeouts = dict.fromkeys(('connect', 'read', 'write'), TIMEOUT_S)
+        try:
+            response = self._pool.request(
+                method,
+                f'{self._url}/admin/v1/{path}',
+                headers={
+                    'Authorization': f'Bearer {self._key}',
+                    'Content-Type': 'application/json',
+                    'Content-Length': str(len(body)),
+                },
+                content=body,
+                extensions={'timeout': timeouts},
+            )
+        except (httpcore.ConnectError, httpcore.ConnectTimeout) as exc:
+            raise errors.Unavailable(f'{self._url}: {exc}') from exc
+        except (
+            httpcore.NetworkError,
+            httpcore.TimeoutException,
+            httpcore.ProtocolError,
+        ) as exc:
+            raise errors.OutcomeUnknown(f'{self._url}: {exc}') from exc
+        value = _decode(response.content)
+        if response.status < 300:
+            return value
+        raise _make_error(response.status, value)
+
+
+def _decode(data: bytes) -> typing.Any:
+    try:
+        return msgspec.json.decode(data) if data else {}
+    except msgspec.MsgspecError:
+        return {'detail': data[:200].decode('utf-8', 'replace')}
+
+
+def _make_error(status: int, problem: typing.Any) -> errors.AdminError:
+    detail = str(problem.get('detail') or problem)
+    if status == 409:
+        return errors.Conflict(problem)
+    if problem.get('outcome') == 'unknown':
+        return errors.OutcomeUnknown(detail)
+    if status == 503:
+        return errors.Unavailable(detail)
+    return errors.Refused(f'{status}: {detail}')
--- a/packages/sardinebend-router/src/sardinebend_router/asgi.py
+++ b/packages/sardinebend-router/src/sardinebend_router/asgi.py
@@ -4,6 +4,10 @@
 caller that has stopped reading. The listening socket therefore carries
 `TCP_USER_TIMEOUT`, which accepted sockets inherit: the kernel gives such a
 connection up, and hypercorn reports the disconnect.
+
+hypercorn's `read_timeout` stays unset: it also runs while a caller reads its
+answer and sends nothing, and would report a disconnect in mid-answer. Its
+keep-alive limit bounds headers that trickle, `read_body` bounds the body.
 """
 
 import collections.abc
@@ -18,9 +22,10 @@
 from sardinebend_router import errors
 
 BACKLOG: typing.Final = 1024
+SEND_BUFFER_BYTES: typing.Final = 64 * 1024
 MAX_HEADER_BYTES: typing.Final = 16 * 1024
 MAX_STREAMS: typing.Final = 256
-KEEP_ALIVE_S: typing.Final = 30.0
+IDLE_WAIT_S: typing.Final = 30.0
 GRACE_S: typing.Final = 1.0
 
 Scope = dict[str, typing.Any]
@@ -52,6 +57,9 @@
             socket.TCP_USER_TIMEOUT,
             int(write_wait_s * 1000),
         )
+        # The system would grow the buffer to megabytes, and a caller that
+        # reads nothing would be noticed only after its whole answer.
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     sock.bind((address, port))
     sock.listen(BACKLOG)
     return sock
@@ -63,7 +71,7 @@
     *,
     shutdown: trio.Event,
     tls_files: tuple[str, str] | None = None,
-    read_wait_s: int | None = None,
+    idle_wait_s: float = IDLE_WAIT_S,
     task_status: trio.TaskStatus[typing.Any] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serves an ASGI application on a listening socket.
@@ -73,7 +81,7 @@
         sock: The socket; it is closed at the end.
         shutdown: Set to stop taking connections and end.
         tls_files: Certificate and key file; `None` for plain HTTP.
-        read_wait_s: Longest silence within a request that is being read.
+        idle_wait_s: Longest wait for the next request, or for its headers.
         task_status: Told once connections are taken.
     """
     config = hypercorn.config.Config()
@@ -81,13 +89,12 @@
     config.accesslog = None
     config.errorlog = None
     config.include_server_header = False
-    config.keep_alive_timeout = KEEP_ALIVE_S
+    config.keep_alive_timeout = idle_wait_s
     config.keep_alive_max_requests = 1_000_000
     config.h11_max_incomplete_size = MAX_HEADER_BYTES
     config.h2_max_concurrent_streams = MAX_STREAMS
     config.graceful_timeout = GRACE_S
     config.shutdown_timeout = GRACE_S
-    config.read_timeout = read_wait_s
     if tls_files is not None:
         config.certfile, config.keyfile = tls_files
     await hypercorn.trio.serve(
--- a/packages/sardinebend-router/src/sardinebend_router/embedded.py
+++ b/packages/sardinebend-router/src/sardinebend_router/embedded.py
@@ -148,8 +148,26 @@
         return EmbeddedService(self._counts)
 
 
-def make_host(port: int = DEFAULT_PORT) -> host_lib.Host:
-    """Returns a host that needs nothing outside its process."""
+def make_tree(
+    extra: typing.Mapping[str, typing.Mapping[str, typing.Any]],
+) -> dict[str, typing.Any]:
+    """Returns the embedded settings tree with further nodes, by section."""
+    tree = {section: dict(nodes) for section, nodes in _TREE.items()}
+    for section, nodes in extra.items():
+        tree[section] |= nodes
+    return tree
+
+
+def make_host(
+    port: int = DEFAULT_PORT,
+    extra: typing.Mapping[str, typing.Mapping[str, typing.Any]] | None = None,
+) -> host_lib.Host:
+    """Returns a host that needs nothing outside its process.
+
+    Args:
+        port: Port for callers; 0 for any free one.
+        extra: Further nodes of the settings tree, by section.
+    """
     cfg: hostfile.HostFile = {
         'host_id': 'embedded',
         'region': 'local',
@@ -164,5 +182,5 @@
         lambda state: EmbeddedDriver(),
         lambda state: EmbeddedClient(),
     )
-    tree = tree_lib.Tree.from_document(_TREE)
+    tree = tree_lib.Tree.from_document(make_tree(extra or {}))
     return host_lib.Host(cfg, outside, SECRET, tree)
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -220,7 +220,7 @@
             sock,
             shutdown=self._shutdown,
             tls_files=self._tls.files,
-            read_wait_s=int(self.state.number('request.body_wait_s')),
+            idle_wait_s=self.state.number('request.idle_wait_s'),
             task_status=task_status,
         )
 
--- a/packages/sardinebend-router/src/sardinebend_router/operators.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operators.py
@@ -63,7 +63,11 @@
     async def _get_settings(
         self, call: calls.Call, caller: auth.Caller
     ) -> None:
-        """Replies with nodes as the table has them, and their versions."""
+        """Replies with nodes as the table has them, and their versions.
+
+        A removed node is shown with the value `null`: whoever makes it anew
+        has to name its version.
+        """
         prefix = call.query.get('prefix', '')
         loaded = await self._store.load()
         if isinstance(loaded, result.Err):
@@ -71,8 +75,8 @@
             return
         stored = loaded.ok_value
         nodes = {
-            path: {'version': stored.node_versions[path], 'value': value}
-            for path, value in stored.tree.nodes.items()
+            path: {'version': version, 'value': stored.tree.nodes.get(path)}
+            for path, version in stored.node_versions.items()
             if path.startswith(prefix)
         }
         body = {'version': stored.tree.version, 'nodes': nodes}
--- /dev/null
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -0,0 +1,272 @@
+"""The HTTP front of an embedded host: good requests and bad ones."""
+
+import json
+
+import pytest
+import trio
+
+from sardinebend_settings import tree as tree_lib
+from tests.common import embedded_host as eh
+
+CONFIRM = '/v1/services/bookings/confirm'
+LOOKUP = '/v1/services/bookings/lookup'
+
+
+async def test_a_draft_is_answered_whole():
+    async with eh.started() as host:
+        status, headers, body = await eh.ask(host, body=eh.draft())
+    assert status == 200
+    assert headers['x-request-id'] == body['id']
+    assert body['usage'] == {'completion_tokens': 3}
+    assert body['choices'][0]['finish_reason'] == 'length'
+
+
+async def test_a_streamed_draft_ends_with_count_and_done():
+    async with eh.started() as host:
+        _, headers, data = await eh.ask(host, body=eh.draft(stream=True))
+    assert headers['content-type'] == 'text/event-stream'
+    events = data.decode().split('\n\n')
+    assert events[-2] == 'data: [DONE]'
+    last = json.loads(events[-3].removeprefix('data: '))
+    assert last['usage'] == {'completion_tokens': 3}
+
+
+async def test_a_repeated_booking_gets_the_first_answer():
+    async with eh.started() as host:
+        first = await eh.ask(host, CONFIRM, b'{}', idempotency_key='k')
+        again = await eh.ask(host, CONFIRM, b'{}', idempotency_key='k')
+        other = await eh.ask(host, CONFIRM, b'{"x":1}', idempotency_key='k')
+    assert first[0] == 200
+    assert again[2] == first[2]
+    assert other[0] == 422
+    assert other[2]['outcome'] == 'not_run'
+
+
+BAD = {
+    'malformed-json': (400, 'malformed-body', {'body': b'{'}),
+    'not-an-object': (400, 'malformed-body', {'body': b'[]'}),
+    'not-utf-8': (
+        400,
+        'malformed-body',
+        {'body': b'{"model": "assistant", "prompt": "\xff\xfe"}'},
+    ),
+    'deeply-nested': (400, 'malformed-body', {'body': b'[' * 100_000}),
+    'unknown-route': (404, 'not-found', {'body': eh.draft(model='x')}),
+    'too-many-tokens': (
+        400,
+        'malformed-body',
+        {'body': eh.draft(max_tokens=10**9)},
+    ),
+    'no-tokens': (400, 'malformed-body', {'body': eh.draft(max_tokens=0)}),
+    'wrong-key': (401, 'not-authentic', {'body': eh.draft(), 'key': 'x'}),
+    'no-key': (401, 'not-authentic', {'body': eh.draft(), 'key': ''}),
+    'operator-key-for-a-draft': (
+        401,
+        'not-authentic',
+        {'body': eh.draft(), 'key': eh.OPERATOR_KEY},
+    ),
+    'customer-key-for-admin': (
+        401,
+        'not-authentic',
+        {'path': '/admin/v1/hosts', 'method': 'GET'},
+    ),
+    'oversize-body': (413, 'body-too-large', {'body': b'x' * 1_100_000}),
+    'absurd-timeout': (
+        400,
+        'bad-request',
+        {'body': eh.draft(), 'request_timeout': '1e99'},
+    ),
+    'negative-timeout': (
+        400,
+        'bad-request',
+        {'body': eh.draft(), 'request_timeout': '-1'},
+    ),
+    'nan-timeout': (
+        400,
+        'bad-request',
+        {'body': eh.draft(), 'request_timeout': 'nan'},
+    ),
+    'unknown-path': (404, 'not-found', {'path': '/x'}),
+    'wrong-method': (
+        405,
+        'method-not-allowed',
+        {'path': '/v1/completions', 'method': 'GET'},
+    ),
+    'unknown-operation': (
+        404,
+        'not-found',
+        {'path': '/v1/services/bookings/x'},
+    ),
+    'booking-without-key': (400, 'idempotency-key-required', {'path': CONFIRM}),
+    'booking-with-endless-key': (
+        400,
+        'idempotency-key-required',
+        {'path': CONFIRM, 'idempotency_key': 'k' * 300},
+    ),
+    'unknown-request': (
+        404,
+        'not-found',
+        {'path': '/v1/requests/x', 'method': 'DELETE'},
+    ),
+}
+
+
+@pytest.mark.parametrize('name', BAD)
+async def test_a_bad_request_gets_a_typed_error_and_leaves_nothing(name):
+    status, slug, kwargs = BAD[name]
+    async with eh.started() as host:
+        found, headers, problem = await eh.ask(host, **kwargs)
+    assert found == status
+    assert headers['content-type'] == 'application/problem+json'
+    assert problem['type'] == f'urn:sardinebend:problem:{slug}'
+    assert problem['outcome'] == 'not_run'
+    assert problem['request_id'] == headers['x-request-id']
+
+
+@pytest.mark.parametrize(
+    'cut', ['in-header', 'in-body', 'after-body', 'in-stream']
+)
+async def test_a_caller_that_disconnects_leaves_nothing(cut):
+    body = eh.draft(max_tokens=500, stream=True)
+    data = eh.make_request(body=body)
+    ends = {'in-header': 40, 'in-body': len(data) - 10}
+    async with eh.started() as host:
+        stream = await eh.send_raw(host, data[: ends.get(cut, len(data))])
+        if cut == 'in-stream':
+            assert await stream.receive_some(100)
+        elif cut == 'after-body':
+            await eh.wait_until(lambda: host.state.in_flight)
+        await stream.aclose()
+
+
+async def test_a_trickled_header_or_body_is_ended_by_the_host():
+    values = {'request.body_wait_s': 1.0, 'request.idle_wait_s': 1.0}
+    host = eh.embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    data = eh.make_request(body=eh.draft())
+    async with eh.started(host):
+        in_header = await eh.send_raw(host, data[:30])
+        in_body = await eh.send_raw(host, data[:-5])
+        assert await eh.read_all(in_header) == b''
+        answer = await eh.read_all(in_body)
+    assert b' 408 ' in answer.split(b'\r\n')[0]
+
+
+async def test_an_answer_longer_than_the_waits_for_requests_is_not_cut():
+    values = {'request.body_wait_s': 1.0, 'request.idle_wait_s': 1.0}
+    host = eh.embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    async with eh.started(host):
+        _, _, body = await eh.ask(host, body=eh.draft(max_tokens=100))
+    assert body['usage'] == {'completion_tokens': 100}
+
+
+async def test_a_customer_cancels_only_its_own_requests():
+    other = {'customers': {'other': {'key_hashes': [hash_key('other-key')]}}}
+    host = eh.embedded.make_host(port=0, extra=other)
+    body = eh.draft(max_tokens=500, stream=True)
+    async with eh.started(host):
+        stream = await eh.send_raw(host, eh.make_request(body=body))
+        await eh.wait_until(lambda: host.state.in_flight)
+        [request_id] = host.state.in_flight
+        path = f'/v1/requests/{request_id}'
+        foreign = await eh.ask(host, path, method='DELETE', key='other-key')
+        assert foreign[0] == 404
+        assert host.state.in_flight
+        own = await eh.ask(host, path, method='DELETE')
+        assert own[0] == 202
+        await eh.wait_until(lambda: not host.state.in_flight)
+        await stream.aclose()
+
+
+async def test_a_full_queue_refuses_early_and_says_when_to_come_back():
+    values = {'admission.max_running': 1, 'admission.max_queued': 1}
+    host = eh.embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    body = eh.draft(max_tokens=500)
+    async with eh.started(host):
+        first = await eh.send_raw(host, eh.make_request(body=body))
+        await eh.wait_until(lambda: host.state.gate.running == 1)
+        second = await eh.send_raw(host, eh.make_request(body=body))
+        await eh.wait_until(lambda: host.state.gate.waiting == 1)
+        status, headers, problem = await eh.ask(host, body=body)
+        assert status == 429
+        assert problem['type'].endswith('queue-full')
+        assert int(headers['retry-after']) >= 1
+        await second.aclose()
+        await eh.wait_until(lambda: host.state.gate.waiting == 0)
+        await first.aclose()
+
+
+async def test_hosts_health_and_metrics_are_open_to_all():
+    async with eh.started() as host:
+        answers = [
+            await eh.ask(host, path, method='GET', key='')
+            for path in ('/v1/hosts', '/livez', '/readyz', '/metrics')
+        ]
+    assert [status for status, _, _ in answers] == [200] * 4
+    assert answers[0][2]['hosts'][0]['host'] == 'embedded'
+    assert b'sardinebend_settings_version 1' in answers[3][2]
+
+
+async def test_an_operator_outside_its_branches_is_refused():
+    operator = {
+        'key_hashes': [hash_key('narrow-key')],
+        'branches': ['values/fleet/customer:demo'],
+    }
+    host = eh.embedded.make_host(
+        port=0, extra={'operators': {'narrow': operator}}
+    )
+    edit = {'node': 'values/fleet', 'expected_version': 1, 'value': {}}
+    change = {'change_id': 'c', 'why': 'w', 'edits': [edit]}
+    async with eh.started(host):
+        status, _, problem = await eh.ask(
+            host,
+            '/admin/v1/settings/changes',
+            json.dumps(change).encode(),
+            key='narrow-key',
+        )
+    assert status == 403
+    assert problem['type'].endswith('not-allowed')
+
+
+async def test_a_refused_change_is_not_in_the_history():
+    edit = {
+        'node': 'values/fleet',
+        'expected_version': 1,
+        'value': {'draft.max_attempts': 99},
+    }
+    change = {'change_id': 'c', 'why': 'w', 'edits': [edit]}
+    async with eh.started() as host:
+        status, _, problem = await eh.ask(
+            host,
+            '/admin/v1/settings/changes',
+            json.dumps(change).encode(),
+            key=eh.OPERATOR_KEY,
+        )
+        _, _, history = await eh.ask(
+            host,
+            '/admin/v1/settings/history',
+            method='GET',
+            key=eh.OPERATOR_KEY,
+        )
+    assert status == 400
+    assert 'from 1 to 10' in problem['detail']
+    assert [entry['change_id'] for entry in history] == ['initial']
+
+
+def test_the_embedded_tree_is_valid():
+    assert tree_lib.Tree.from_document(eh.embedded.make_tree({})).version == 1
+
+
+async def test_a_planned_stop_lets_a_draft_finish():
+    async with trio.open_nursery() as nursery:
+        host = eh.embedded.make_host(port=0)
+        await nursery.start(host.run)
+        body = eh.draft(max_tokens=20)
+        stream = await eh.send_raw(host, eh.make_request(body=body))
+        await eh.wait_until(lambda: host.state.in_flight)
+        host.begin_drain()
+        data = await eh.read_all(stream)
+    assert b'"completion_tokens":20' in data
+
+
+def hash_key(key):
+    return eh.embedded.auth.hash_key(key)
--- a/packages/sardinebend-settings/src/sardinebend_settings/keys.py
+++ b/packages/sardinebend-settings/src/sardinebend_settings/keys.py
@@ -115,6 +115,15 @@
         'bytes',
         'Largest request body.',
     ),
+    Key(
+        'request.idle_wait_s',
+        30.0,
+        0.5,
+        600.0,
+        's',
+        'Longest wait for the next request, or for its headers, on an open '
+        'connection; read when a host starts.',
+    ),
     Key(
         'request.body_wait_s',
         10.0,
