Measure the policy under load; share the engines' room between hosts

Cause: nothing compared the ways to choose a pipeline, and nothing bounded what the hosts together send to the engines.

Change: the planner weighs an engine's load by the request's share of layers there; each host admits its share of what the engines carry times `admission.headroom`.

Conclusion: default headroom 2; two candidates stay.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of sardinebend: policy under load, and the router's own cost."""
--- /dev/null
+++ b/bench/engines.py
@@ -0,0 +1,219 @@
+"""Engines under a virtual clock: batches, load reports that lag, deaths."""
+
+import collections
+import typing
+
+import trio
+
+from sardinebend_platform import errors as platform_errors
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import orders
+from sardinebend_policy import planners
+from sardinebend_policy import routes
+from sardinebend_router import engines
+
+HOP_S: typing.Final = 0.0005
+LOAD_LAG_S: typing.Final = 1.0
+WARM_SHARE: typing.Final = 0.1
+PREFILL_TOKENS: typing.Final = 4.0
+
+
+class Pool:
+    """All engines of a deployment.
+
+    Attributes:
+        specs: The engines by name.
+        running: Attempts at each engine.
+        active: Tokens that each engine works on.
+        dead: Engines that are down.
+        silent: Engines that answer nothing.
+        tokens_run: Tokens generated in all.
+        wasted: Tokens generated for callers that had left.
+    """
+
+    def __init__(self, specs: list[fleet_lib.EndpointSpec]) -> None:
+        self.specs = {spec.endpoint_id: spec for spec in specs}
+        self.running: collections.Counter[str] = collections.Counter()
+        self.active: collections.Counter[str] = collections.Counter()
+        self.dead: set[str] = set()
+        self.silent: set[str] = set()
+        self.tokens_run = 0
+        self.wasted = 0
+        self.has_left: typing.Callable[[str], bool] = lambda request: False
+        self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self._warm: dict[str, set[str]] = collections.defaultdict(set)
+        self._history: collections.deque[tuple[float, dict[str, int]]] = (
+            collections.deque()
+        )
+
+    async def run_token(
+        self, route: routes.PipelineRoute, domain: str, count: float = 1.0
+    ) -> None:
+        """Takes a number of tokens through all stages.
+
+        An engine works on up to `batch_slots` tokens at full speed, and
+        shares its speed among more.
+        """
+        for stage in route.stages:
+            spec = self.specs[stage.endpoint_id]
+            layers = stage.end_layer - stage.first_layer
+            self.active[stage.endpoint_id] += 1
+            try:
+                active = self.active[stage.endpoint_id]
+                crowd = max(1.0, active / spec.batch_slots)
+                time_us = layers * spec.layer_cost_us * crowd * count
+                time_us += planners.link_cost_us(domain, spec.failure_domain)
+                await trio.sleep(time_us / 1e6)
+            finally:
+                self.active[stage.endpoint_id] -= 1
+            domain = spec.failure_domain
+
+    def report(self, now: float) -> dict[str, int]:
+        """Returns the loads as they were a while ago."""
+        self._history.append((now, dict(self.running)))
+        while (
+            len(self._history) > 1 and self._history[1][0] <= now - LOAD_LAG_S
+        ):
+            self._history.popleft()
+        return self._history[0][1]
+
+    def cancel(self, request_id: str, attempt: int) -> None:
+        """Stops an attempt."""
+        scope = self._scopes.get((request_id, attempt))
+        if scope is not None:
+            scope.cancel()
+
+    async def run(
+        self,
+        order: engines.Order,
+        domain: str,
+        emit: typing.Callable[[msg.Event], None],
+    ) -> None:
+        """Runs an attempt and emits its events."""
+        request, send = order
+        key = (request.request_id, send.attempt)
+        ids = send.route.endpoint_ids
+        limit_s = max(0.0, send.deadline - trio.current_time())
+        with trio.move_on_after(limit_s) as scope:
+            self._scopes[key] = scope
+            self.running.update(ids)
+            try:
+                count = self._count_prefill(order)
+                await self.run_token(send.route, domain, count)
+                await self._run_tokens(order, domain, emit)
+            finally:
+                self.running.subtract(ids)
+                del self._scopes[key]
+
+    def _count_prefill(self, order: engines.Order) -> float:
+        """Prompt and delivered tokens are read again where they aren't warm."""
+        request, send = order
+        ids = send.route.endpoint_ids
+        warm = sum(request.request_id in self._warm[item] for item in ids)
+        cold_share = 1 - (1 - WARM_SHARE) * warm / len(ids)
+        for item in ids:
+            self._warm[item].add(request.request_id)
+        tokens = PREFILL_TOKENS + 0.25 * send.start_index
+        return tokens * cold_share
+
+    async def _run_tokens(
+        self,
+        order: engines.Order,
+        domain: str,
+        emit: typing.Callable[[msg.Event], None],
+    ) -> None:
+        request, send = order
+        ids = set(send.route.endpoint_ids)
+        for index in range(send.start_index, request.max_tokens):
+            await self.run_token(send.route, domain)
+            if ids & self.silent:
+                await trio.sleep_forever()
+            if ids & self.dead:
+                emit(msg.Broken(send.attempt))
+                return
+            self.tokens_run += 1
+            self.wasted += self.has_left(request.request_id)
+            emit(msg.Chunk(send.attempt, index, 't'))
+        emit(msg.Finished(send.attempt, request.max_tokens))
+
+
+class SimDriver(engines.PipelineDriver):
+    """The pool as one host reaches it."""
+
+    def __init__(self, pool: Pool, nursery: trio.Nursery, domain: str) -> None:
+        self._pool = pool
+        self._nursery = nursery
+        self._domain = domain
+
+    async def connect(
+        self, route: routes.PipelineRoute, timeout_s: float
+    ) -> engines.OpenPipeline:
+        """Opens a pipeline."""
+        await trio.sleep(HOP_S)
+        first = route.endpoint_ids[0]
+        if first in self._pool.silent:
+            await trio.sleep(timeout_s)
+            raise platform_errors.ConnectFailed(first)
+        if first in self._pool.dead:
+            raise platform_errors.ConnectFailed(first, True)
+        return SimPipeline(self._pool, self._nursery, self._domain)
+
+    async def cancel(
+        self, endpoint_id: str, request_id: str, attempt: int
+    ) -> bool:
+        """Cancels an attempt."""
+        await trio.sleep(HOP_S)
+        self._pool.cancel(request_id, attempt)
+        return True
+
+    async def probe(
+        self, endpoint_id: str, timeout_s: float
+    ) -> engines.Health | platform_errors.PlatformError:
+        """Asks whether an engine is alive."""
+        await trio.sleep(HOP_S)
+        if endpoint_id in self._pool.silent:
+            await trio.sleep(timeout_s)
+            return platform_errors.ExchangeFailed(endpoint_id)
+        if endpoint_id in self._pool.dead:
+            return platform_errors.ConnectFailed(endpoint_id, True)
+        return {'incarnation': 'i'}
+
+    async def fetch_load(self, endpoint_id: str) -> engines.Load | None:
+        """Has no single reports; the bench feeds all loads at once."""
+        return None
+
+    async def order(
+        self, order: orders.LoadOrder
+    ) -> int | platform_errors.PlatformError:
+        """Takes no orders."""
+        return 409
+
+    async def close(self) -> None:
+        """Has nothing to close."""
+
+
+class SimPipeline(engines.OpenPipeline):
+    """One open pipeline."""
+
+    def __init__(self, pool: Pool, nursery: trio.Nursery, domain: str) -> None:
+        self._pool = pool
+        self._nursery = nursery
+        self._domain = domain
+
+    async def run(
+        self, order: engines.Order, post: typing.Callable[[msg.Event], None]
+    ) -> None:
+        """Runs the order in the pool and reports its events."""
+        ended = trio.Event()
+
+        def emit(event: msg.Event) -> None:
+            post(event)
+            if not isinstance(event, msg.Chunk):
+                ended.set()
+
+        self._nursery.start_soon(self._pool.run, order, self._domain, emit)
+        await ended.wait()
+
+    async def close(self) -> None:
+        """Has nothing to close."""
--- /dev/null
+++ b/bench/load.py
@@ -0,0 +1,255 @@
+"""Callers under a virtual clock, and what they measure."""
+
+import random
+import statistics
+import typing
+
+import trio
+import trio.lowlevel
+
+from bench import deployments
+from bench import engines as bench_engines
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import membership
+from sardinebend_policy import outcomes
+from sardinebend_router import calls
+from sardinebend_router import draft_runner
+from sardinebend_router import state as state_lib
+from sardinebend_router import watching
+from sardinebend_settings import tree as tree_lib
+
+MIN_TOKENS: typing.Final = 20
+MAX_TOKENS: typing.Final = 80
+CANCELLED_SHARE: typing.Final = 0.7
+DEADLINE_S: typing.Final = 20.0
+REPORT_S: typing.Final = 1.0
+
+
+_ROUTE: typing.Final = {
+    'model': deployments.MODEL,
+    'model_version': '1',
+    'layers': deployments.LAYERS,
+}
+
+
+class Sample(typing.NamedTuple):
+    """One request as its caller saw it.
+
+    Attributes:
+        customer: Its customer.
+        at: When it was made.
+        first_s: Time to the first token; `None` without one.
+        gaps_s: Times between tokens.
+        outcome: Its end.
+        cancelled: Whether the caller left before the end.
+        ended_at: When it ended.
+    """
+
+    customer: str
+    at: float
+    first_s: float | None
+    gaps_s: tuple[float, ...]
+    outcome: outcomes.Outcome | None
+    cancelled: bool
+    ended_at: float
+
+
+class Shape(typing.NamedTuple):
+    """How callers come.
+
+    Attributes:
+        tokens_s: Offered rate of tokens, cancels counted out.
+        seconds: How long callers come.
+        customers: Arrival share by customer.
+    """
+
+    tokens_s: float
+    seconds: float
+    customers: dict[str, float]
+
+
+class Site:
+    """A deployment under load.
+
+    Attributes:
+        pool: Its engines.
+        hosts: States of its entry hosts.
+        samples: One sample for each request that has ended.
+        delivered_at: When each token was given to a caller.
+    """
+
+    def __init__(
+        self,
+        deployment: deployments.Deployment,
+        nursery: trio.Nursery,
+        seed: int,
+        values: dict[str, typing.Any],
+    ) -> None:
+        self._nursery = nursery
+        self._rng = random.Random(seed)
+        specs = deployments.make_engines(deployment)
+        self.pool = bench_engines.Pool(specs)
+        self.pool.has_left = self._has_left
+        self.samples: list[Sample] = []
+        self.delivered_at: list[float] = []
+        self.hosts: list[state_lib.HostState] = []
+        self._runners: list[draft_runner.DraftRunner] = []
+        self._left: set[str] = set()
+        self._number = 0
+        for index in range(deployment.hosts):
+            self._add_host(deployment, specs, index, values)
+        nursery.start_soon(self._feed_reports)
+
+    def _add_host(
+        self,
+        deployment: deployments.Deployment,
+        specs: list,
+        index: int,
+        values: dict[str, typing.Any],
+    ) -> None:
+        domains = deployment.failure_domains
+        domain = domains[index % len(domains)]
+        own = membership.Member(f'h{index}', domain, 'http://h', 'h:1')
+        tree = tree_lib.Tree(
+            1, {'values/fleet': values, 'routes/assistant': _ROUTE}
+        )
+        rng = random.Random(self._rng.random())
+        state = state_lib.HostState(own, 'r', tree, b'secret', rng)
+        state.fleet.apply_specs(specs)
+        driver = bench_engines.SimDriver(self.pool, self._nursery, domain)
+
+        async def tell(crashes: object) -> None:
+            await trio.sleep(bench_engines.HOP_S)
+
+        runner = draft_runner.DraftRunner(state, driver, tell)
+        watchers = watching.Watchers(
+            state, *typing.cast(typing.Any, (None, None, driver, None))
+        )
+        self._nursery.start_soon(watchers.run_cancels)
+        self._nursery.start_soon(watchers.run_suspects)
+        self.hosts.append(state)
+        self._runners.append(runner)
+
+    async def _feed_reports(self) -> None:
+        while True:
+            now = trio.current_time()
+            report = self.pool.report(now)
+            for state in self.hosts:
+                for endpoint_id in self.pool.specs:
+                    running = report.get(endpoint_id, 0)
+                    state.fleet.take_report(endpoint_id, running, now)
+                self._meet_all(state, now)
+                state.update_limit()
+            await trio.sleep(REPORT_S)
+
+    def _meet_all(self, state: state_lib.HostState, now: float) -> None:
+        """Gives a host the heartbeats of all others."""
+        others = [host for host in self.hosts if host is not state]
+        state.membership.apply_listing([(host.own, False) for host in others])
+        for host in others:
+            beat = membership.Heartbeat(
+                host.own.host_id, 'i', 1, 0, False, True
+            )
+            state.membership.take_heartbeat(beat, now)
+
+    def _has_left(self, request_id: str) -> bool:
+        return request_id in self._left
+
+    async def offer(self, shape: Shape) -> None:
+        """Makes requests at random times until the shape's time is over."""
+        mean_tokens = (MIN_TOKENS + MAX_TOKENS) / 2
+        # A caller that leaves takes half of its answer on the average.
+        mean_tokens *= 1 - CANCELLED_SHARE / 2
+        rate = shape.tokens_s / mean_tokens
+        names = list(shape.customers)
+        weights = list(shape.customers.values())
+        end = trio.current_time() + shape.seconds
+        while trio.current_time() < end:
+            await trio.sleep(self._rng.expovariate(rate))
+            [customer] = self._rng.choices(names, weights)
+            self._nursery.start_soon(self._request, customer)
+
+    async def _request(self, customer: str) -> None:
+        self._number += 1
+        index = self._rng.randrange(len(self._runners))
+        tokens = self._rng.randint(MIN_TOKENS, MAX_TOKENS)
+        leaves_after = None
+        if self._rng.random() < CANCELLED_SHARE:
+            leaves_after = self._rng.randint(0, tokens - 1)
+        now = trio.current_time()
+        request_id = f'r{self._number}'
+        request = msg.DraftRequest(
+            request_id,
+            customer,
+            request_id,
+            deployments.make_spec(),
+            'p',
+            tokens,
+            now + DEADLINE_S,
+        )
+        runner = self._runners[index]
+        carrier = runner.make_carrier(request, 'assistant')
+        watch = calls.CallerWatch()
+        times: list[float] = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._read, carrier, watch, times, leaves_after, request_id
+            )
+            await runner.run(watch, carrier, request, 'assistant')
+            await trio.lowlevel.checkpoint()
+            nursery.cancel_scope.cancel()
+        self._note(customer, now, times, carrier.answer.outcome, watch)
+
+    async def _read(
+        self,
+        carrier: typing.Any,
+        watch: calls.CallerWatch,
+        times: list[float],
+        leaves_after: int | None,
+        request_id: str,
+    ) -> None:
+        answer = carrier.answer
+        while answer.outcome is None:
+            if leaves_after is not None and len(times) >= leaves_after:
+                # A caller that leaves before its first token waits a while.
+                await trio.sleep(0.0 if times else 0.2)
+                self._left.add(request_id)
+                watch.note_left()
+                return
+            await answer.wait_beyond(len(times))
+            now = trio.current_time()
+            while len(times) < len(answer.tokens):
+                times.append(now)
+                self.delivered_at.append(now)
+
+    def _note(
+        self,
+        customer: str,
+        at: float,
+        times: list[float],
+        outcome: outcomes.Outcome | None,
+        watch: calls.CallerWatch,
+    ) -> None:
+        gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+        first_s = times[0] - at if times else None
+        self.samples.append(
+            Sample(
+                customer,
+                at,
+                first_s,
+                tuple(gaps),
+                outcome,
+                watch.left.is_set(),
+                trio.current_time(),
+            )
+        )
+
+
+def quantile(values: typing.Sequence[float], share: float) -> float:
+    """Returns a quantile; 0 for no values."""
+    if not values:
+        return 0.0
+    if len(values) == 1:
+        return values[0]
+    cuts = statistics.quantiles(values, n=100, method='inclusive')
+    return cuts[min(98, max(0, round(share * 100) - 1))]
--- a/packages/sardinebend-policy/src/sardinebend_policy/admission.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/admission.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+import math
 import typing
 
 from sardinebend_policy import errors
@@ -11,6 +12,27 @@
 SERVICE_TIME_DECAY: typing.Final = 0.1
 
 
+def share_limit(
+    pipelines: float, live_hosts: int, largest: int, headroom: float
+) -> int:
+    """Returns how many requests one host runs at once.
+
+    Each host takes an equal share of what the engines carry, so that the sum
+    holds without any agreement; a host that sees fewer live ones takes more.
+    Without engines to count, the largest number stands.
+
+    Args:
+        pipelines: Requests that all engines carry at full speed.
+        live_hosts: Entry hosts that share them, this one included.
+        largest: Largest number that the settings allow.
+        headroom: Requests admitted per request carried.
+    """
+    if pipelines <= 0:
+        return largest
+    share = math.ceil(pipelines * headroom / max(1, live_hosts))
+    return max(1, min(largest, share))
+
+
 class Verdict(enum.Enum):
     """What becomes of an offered request."""
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/planners.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planners.py
@@ -8,6 +8,7 @@
 from sardinebend_policy import routes
 
 PREFIX_DISCOUNT: typing.Final = 0.5
+CANDIDATES: typing.Final = 2
 OVERLOAD_FACTOR: typing.Final = 4.0
 DEFAULT_LINK_US: typing.Final = 1000.0
 LOCAL_LINK_US: typing.Final = 50.0
@@ -172,7 +173,7 @@
         for state in states:
             if state.spec.endpoint_id in wish.keep:
                 return state
-        drawn = self._rng.sample(states, min(2, len(states)))
+        drawn = self._rng.sample(states, min(CANDIDATES, len(states)))
         if wish.prefix:
             warm = [s for s in states if s.holds_prefix(wish.prefix, now)]
             if warm:
@@ -180,7 +181,7 @@
         return min(drawn, key=lambda state: stage_cost_us(state, wish, now))
 
 
-_PLANNERS: typing.Final[dict[str, type[Planner]]] = {
+PLANNERS: typing.Final[dict[str, type[Planner]]] = {
     'slowest_stage': SlowestStagePlanner,
     'least_loaded': LeastLoadedPlanner,
     'round_robin': RoundRobinPlanner,
@@ -192,7 +193,7 @@
     name: str, fleet: fleet_lib.Fleet, rng: random.Random
 ) -> Planner:
     """Returns the planner that the setting `routing.policy` names."""
-    return _PLANNERS[name](fleet, rng)
+    return PLANNERS[name](fleet, rng)
 
 
 def stage_cost_us(
@@ -202,7 +203,10 @@
     spec = state.spec
     layers = spec.end_layer - spec.first_layer
     running = state.estimate_running(now)
-    load = (running + 1) / spec.batch_slots
+    # A request's tokens come one after another, so it occupies one stage at a
+    # time: this one for about its share of the layers.
+    share = layers / max(1, wish.spec.layers)
+    load = (running + 1) * share / spec.batch_slots
     factor = 1 + load if load <= 1 else 2 + OVERLOAD_FACTOR * (load - 1)
     cost = layers * spec.layer_cost_us * factor
     if wish.prefix and state.holds_prefix(wish.prefix, now):
@@ -210,6 +214,26 @@
     return cost
 
 
+def count_pipelines(
+    fleet: fleet_lib.Fleet, spec: routes.ModelSpec, now: float
+) -> float:
+    """Estimates how many requests all engines carry at full speed.
+
+    Each span of layers carries the sum of its engines' batch slots, divided
+    by the share of time that a request spends there; the scarcest span
+    decides. The spans are taken as they are, also where they overlap.
+    """
+    room: dict[_Range, float] = {}
+    for state in fleet.list_usable(now):
+        item = state.spec
+        if item.service or not state.holds(spec.model, spec.model_version):
+            continue
+        span = (item.first_layer, item.end_layer)
+        share = (item.end_layer - item.first_layer) / spec.layers
+        room[span] = room.get(span, 0.0) + item.batch_slots / share
+    return min(room.values(), default=0.0)
+
+
 def link_cost_us(from_domain: str, to_domain: str) -> float:
     """Estimates the time of one hop between failure domains."""
     return LOCAL_LINK_US if from_domain == to_domain else DEFAULT_LINK_US
--- a/packages/sardinebend-policy/tests/cover/test_policies.py
+++ b/packages/sardinebend-policy/tests/cover/test_policies.py
@@ -105,7 +105,7 @@
 
 @SETTINGS
 @hypothesis.given(
-    SPANS, st.sampled_from(sorted(planners._PLANNERS)), st.integers(0, 99)
+    SPANS, st.sampled_from(sorted(planners.PLANNERS)), st.integers(0, 99)
 )
 def test_a_planned_route_covers_each_layer_once_or_there_is_none(
     spans, name, seed
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sardinebend_policy import admission
 from sardinebend_policy import cancels
 from sardinebend_policy import claims
 from sardinebend_policy import drafts
@@ -14,6 +15,7 @@
 from sardinebend_policy import planners
 from sardinebend_policy import quarantine
 from sardinebend_policy import retries
+from sardinebend_policy import routes
 from sardinebend_policy import stalls
 from sardinebend_router import gate as gate_lib
 from sardinebend_router import metrics as metrics_lib
@@ -110,6 +112,28 @@
         """Returns a textual setting in force at this host."""
         return str(self.settings.tree.resolve(key, self.scopes()).value)
 
+    def update_limit(self) -> None:
+        """Shares what the engines carry with the other live hosts."""
+        now = trio.current_time()
+        routes_known = self.settings.tree.section('routes').values()
+        pipelines = sum(
+            planners.count_pipelines(
+                self.fleet,
+                routes.ModelSpec(
+                    node['model'], node['model_version'], node['layers']
+                ),
+                now,
+            )
+            for node in routes_known
+        )
+        limit = admission.share_limit(
+            pipelines,
+            1 + len(self.membership.list_alive(now)),
+            int(self.number('admission.max_running')),
+            self.number('admission.headroom'),
+        )
+        self.gate.set_max_running(limit)
+
     def want_cancels(self) -> None:
         """Wakes the task that sends cancels."""
         self.cancels_wanted.set()
@@ -151,4 +175,3 @@
             self.text('routing.policy'), self.fleet, self.rng
         )
         self.drafts = self.drafts._replace(planner=planner)
-        self.gate.set_max_running(int(self.number('admission.max_running')))
--- a/packages/sardinebend-router/src/sardinebend_router/watching.py
+++ b/packages/sardinebend-router/src/sardinebend_router/watching.py
@@ -46,14 +46,15 @@
         nursery.start_soon(self._run_list)
         nursery.start_soon(self._run_settings)
         nursery.start_soon(self._run_loads)
-        nursery.start_soon(self._run_suspects)
-        nursery.start_soon(self._run_cancels)
+        nursery.start_soon(self.run_suspects)
+        nursery.start_soon(self.run_cancels)
 
     # The platform's list.
 
     async def _run_list(self) -> None:
         while True:
             await self.poll_list()
+            self._state.update_limit()
             await trio.sleep(LIST_POLL_S)
 
     async def poll_list(self) -> None:
@@ -122,7 +123,8 @@
                 fleet.mark_leaving(endpoint_id, incarnation)
                 await self._peering.tell_leaving(endpoint_id, incarnation)
 
-    async def _run_suspects(self) -> None:
+    async def run_suspects(self) -> None:
+        """Probes suspect endpoints until cancelled."""
         while True:
             await trio.sleep(SUSPECT_PROBE_S)
             now = trio.current_time()
@@ -189,7 +191,8 @@
 
     # Cancels.
 
-    async def _run_cancels(self) -> None:
+    async def run_cancels(self) -> None:
+        """Sends cancels, and repeats them, until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
                 now = trio.current_time()
--- a/packages/sardinebend-settings/src/sardinebend_settings/keys.py
+++ b/packages/sardinebend-settings/src/sardinebend_settings/keys.py
@@ -236,6 +236,14 @@
         'requests',
         'Requests that one entry host runs at once.',
     ),
+    Key(
+        'admission.headroom',
+        2.0,
+        0.1,
+        100.0,
+        '',
+        'Drafts admitted per draft that the engines carry at full speed.',
+    ),
     Key(
         'admission.max_queued',
         512,
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -117,6 +117,7 @@
         )
         self.cache_events: list[str] = []
         self._scopes: dict[tuple[str, int], trio.CancelScope] = {}
+        self._active = 0
         self._next_ports: dict[str, int] = {}
 
     @property
@@ -183,7 +184,8 @@
     async def run_layers(self, order: Order, token: int) -> None:
         """Runs this engine's layers for one token and records it."""
         layers = self.held.end_layer - self.held.first_layer
-        crowd = max(1.0, self.running / self.held.batch_slots)
+        self._active += 1
+        crowd = max(1.0, self._active / self.held.batch_slots)
         self.records.append(
             (
                 order['request'],
@@ -194,7 +196,10 @@
                 time.monotonic(),
             )
         )
-        await trio.sleep(layers * self.held.layer_cost_us * crowd / 1e6)
+        try:
+            await trio.sleep(layers * self.held.layer_cost_us * crowd / 1e6)
+        finally:
+            self._active -= 1
 
     async def open_next(self, order: Order) -> LineStream | None:
         """Connects to the next stage and passes the order; `None` if last."""
--- a/tests/common/draft_world.py
+++ b/tests/common/draft_world.py
@@ -281,7 +281,7 @@
         watchers = watching.Watchers(
             self.host.state, None, None, SimDriver(self), None
         )
-        await self.host.run_until_killed(watchers._run_cancels)
+        await self.host.run_until_killed(watchers.run_cancels)
 
 
 def word(index: int) -> str:
