Convict no innocents when a failure domain goes; find silent stages early

Change: a crash counts by run, once each; before a retry all stages are probed on new connections, dead ones are replaced without counting an attempt; suspects of one crash run apart where there is such a route, and share one where not. Stalls: the wait for a first token and the gap after a repair no longer count as gaps between tokens (a repair of 2 s had made the next stall bound 10 s), and a stream without a first token is looked into early instead of after 5 s.

Ruled out: a larger retry budget (spent once only); more attempts.

Also: a damaged frame could announce a list of two thousand million elements, in which the thrift reader spent over ten minutes (the damaged-frame test hung); sizes are bounded by the frame now, with a test.

--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -6,12 +6,14 @@
 import thriftpy2
 from thriftpy2 import utils as thrift_utils
 from thriftpy2.protocol import compact
+from thriftpy2.transport import memory
 
 from sardinebend_peers import errors
 from sardinebend_peers import messages
 from sardinebend_policy import claims
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
 
 MAX_FRAME_BYTES: typing.Final = 16 * 1024 * 1024
 
@@ -22,6 +24,24 @@
 _PROTOCOL = compact.TCompactProtocolFactory()
 
 
+class _BoundedProtocol(compact.TCompactProtocol):
+    """Refuses sizes that can't fit the frame.
+
+    The library believes the size that stands in front of a list, and would
+    read two thousand million elements out of a frame of thirty bytes.
+    """
+
+    def __init__(self, transport: typing.Any, limit: int) -> None:
+        super().__init__(transport)
+        self._limit = limit
+
+    def _read_size(self) -> int:
+        size = super()._read_size()
+        if size > self._limit:
+            raise errors.MalformedFrame(f'a size of {size} in a frame')
+        return size
+
+
 class Envelope(typing.NamedTuple):
     """A message with the number that pairs a reply with its call."""
 
@@ -44,7 +64,9 @@
         errors.MalformedFrame: The bytes aren't a frame of the protocol.
     """
     try:
-        frame = thrift_utils.deserialize(_IDL.Frame(), data, _PROTOCOL)
+        frame = _IDL.Frame()
+        buffer = memory.TMemoryBuffer(data)
+        _BoundedProtocol(buffer, len(data)).read_struct(frame)
         return Envelope(
             _need(frame.call_id, int),
             _need(frame.is_reply, bool),
@@ -85,7 +107,8 @@
 def _put_crashes(frame: typing.Any, message: messages.CrashNotices) -> None:
     frame.crashes = [
         _IDL.CrashNotice(
-            crash_id=crash.crash_id, fingerprints=sorted(crash.fingerprints)
+            crash_id=crash.crash_id,
+            runs=[_IDL.Run(**run._asdict()) for run in sorted(crash.runs)],
         )
         for crash in message.crashes
     ]
@@ -137,7 +160,8 @@
         return messages.CrashNotices(
             tuple(
                 messages.CrashNotice(
-                    _need(item.crash_id, str), frozenset(item.fingerprints)
+                    _need(item.crash_id, str),
+                    frozenset(_decode_run(run) for run in item.runs),
                 )
                 for item in frame.crashes
             )
@@ -150,6 +174,10 @@
     return _decode_settings(frame)
 
 
+def _decode_run(item: typing.Any) -> quarantine.Run:
+    return quarantine.Run(_need(item.fingerprint, str), _need(item.run_id, str))
+
+
 def _decode_settings(frame: typing.Any) -> messages.Message:
     if frame.settings_question is not None:
         have = _need(frame.settings_question.have_version, int)
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -4,6 +4,7 @@
 
 from sardinebend_policy import claims
 from sardinebend_policy import membership
+from sardinebend_policy import quarantine
 
 
 class Beat(typing.NamedTuple):
@@ -29,7 +30,7 @@
     """The death of an endpoint incarnation and what ran there."""
 
     crash_id: str
-    fingerprints: frozenset[str]
+    runs: frozenset[quarantine.Run]
 
 
 class CrashNotices(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -22,9 +22,14 @@
   4: optional binary body,
 }
 
+struct Run {
+  1: string fingerprint,
+  2: string run_id,
+}
+
 struct CrashNotice {
   1: string crash_id,
-  2: list<string> fingerprints,
+  2: list<Run> runs,
 }
 
 struct LeavingNotice {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -15,6 +15,7 @@
 from sardinebend_policy import claims
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
 
 TEXT = st.text(max_size=20)
 NUMBER = st.integers(0, 2**31 - 1)
@@ -41,7 +42,8 @@
         ),
     ),
 )
-NOTICES = st.builds(messages.CrashNotice, TEXT, st.frozensets(TEXT, max_size=4))
+RUNS = st.builds(quarantine.Run, TEXT, TEXT)
+NOTICES = st.builds(messages.CrashNotice, TEXT, st.frozensets(RUNS, max_size=4))
 MESSAGES = st.one_of(
     st.builds(messages.Beat, HEARTBEATS),
     st.builds(messages.ClaimQuestion, TEXT, TEXT),
@@ -129,3 +131,15 @@
     data = thrift_utils.serialize(frame, compact.TCompactProtocolFactory())
     with pytest.raises(errors.MalformedFrame):
         codec.decode(data)
+
+
+def test_a_list_larger_than_its_frame_is_malformed_at_once():
+    run = quarantine.Run('f', 'r')
+    notice = messages.CrashNotice('c', frozenset({run}))
+    message = messages.CrashNotices((notice,))
+    frame = codec.encode(codec.Envelope(1, False, message))
+    # A list of one struct starts with 0x1c; 0xfc announces a long size.
+    for place in [i for i, byte in enumerate(frame) if byte == 0x1C]:
+        huge = frame[:place] + b'\xfc\xff\xff\xff\xff\x07' + frame[place + 1 :]
+        with pytest.raises(errors.MalformedFrame):
+            codec.decode(huge)
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -19,6 +19,7 @@
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stalls
+from sardinebend_policy import stream_watch
 
 __all__ = [
     'admission',
@@ -40,4 +41,5 @@
     'retries',
     'routes',
     'stalls',
+    'stream_watch',
 ]
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -20,14 +20,16 @@
 from sardinebend_policy import quarantine as quarantine_lib
 from sardinebend_policy import retries
 from sardinebend_policy import routes
-from sardinebend_policy import stalls
+from sardinebend_policy import stream_watch
 
 NO_ROUTE_RETRY_S: typing.Final = 1.0
 BUSY_RETRY_S: typing.Final = 1.0
+MAX_VETTED: typing.Final = 10
 
 
 class _State(enum.Enum):
     IDLE = enum.auto()
+    VETTING = enum.auto()
     CONNECTING = enum.auto()
     STREAMING = enum.auto()
     PROBING = enum.auto()
@@ -36,6 +38,14 @@
     ENDED = enum.auto()
 
 
+_HOLDING: typing.Final = (
+    _State.VETTING,
+    _State.CONNECTING,
+    _State.STREAMING,
+    _State.PROBING,
+)
+
+
 class Shared(typing.NamedTuple):
     """What all sessions of one host have in common."""
 
@@ -43,7 +53,7 @@
     planner: planners.Planner
     quarantine: quarantine_lib.Quarantine
     budgets: retries.BudgetPool
-    gaps: stalls.GapTracker
+    gaps: stream_watch.Gaps
     rng: random.Random
 
 
@@ -76,7 +86,13 @@
         self._delivered: list[str] = []
         self._avoid: set[str] = set()
         self._may_have_run: set[int] = set()
-        self._last_token_at = 0.0
+        self._vetted = 0
+        self._watch = stream_watch.StreamWatch(
+            shared.gaps,
+            cfg.stall_floor_s,
+            cfg.stall_ceiling_s,
+            cfg.first_token_s,
+        )
         self._pause_s = 0.0
         self._retry_after_s = BUSY_RETRY_S
         self._handlers: dict[type, typing.Callable] = {
@@ -94,6 +110,11 @@
             msg.HostStopping: self._on_host_stopping,
         }
 
+    @property
+    def _run(self) -> quarantine_lib.Run:
+        run_id = f'{self.request.request_id}/{self.attempt}'
+        return quarantine_lib.Run(self.request.fingerprint, run_id)
+
     @property
     def delivered(self) -> int:
         """Number of tokens given to the caller."""
@@ -125,26 +146,67 @@
     def _start_attempt(self, now: float) -> list[msg.Action]:
         if now >= self.request.deadline:
             return self._give_up(outcomes.Reason.DEADLINE)
+        route = self._choose_route(now)
+        if route is None:
+            self._retry_after_s = NO_ROUTE_RETRY_S
+            return self._give_up(outcomes.Reason.NO_ROUTE)
+        self.attempt += 1
+        self._route = route
+        for endpoint_id in route.endpoint_ids:
+            self._shared.fleet.begin(endpoint_id, self._run)
+        if self.attempt == 1:
+            self._state = _State.CONNECTING
+            return [msg.Connect(self.attempt, route)]
+        # Where one endpoint died others may have, and this host may not know
+        # yet. A death after this probe is evidence against the request; one
+        # before it is none.
+        self._state = _State.VETTING
+        return [msg.ProbeStages(self.attempt, route.endpoint_ids)]
+
+    def _on_vetted(self, event: msg.Probed, now: float) -> list[msg.Action]:
+        if self._route is None:
+            return []
+        if not event.dead:
+            self._state = _State.CONNECTING
+            return [msg.Connect(self.attempt, self._route)]
+        self._mark_dead(event.dead, now)
+        actions = self._leave_attempt()
+        self._vetted += 1
+        if self._vetted >= MAX_VETTED:
+            return [*actions, *self._give_up(outcomes.Reason.NO_ROUTE)]
+        # Nothing was sent: this counts as no attempt.
+        self.attempt -= 1
+        return [*actions, *self._start_attempt(now)]
+
+    def _mark_dead(
+        self, dead: typing.Iterable[msg.DeadEndpoint], now: float
+    ) -> None:
+        for item in dead:
+            self._shared.fleet.mark_suspect(item.endpoint_id, now)
+            self._avoid.add(item.endpoint_id)
+
+    def _choose_route(self, now: float) -> routes.PipelineRoute | None:
+        """Chooses a route apart from other suspects, if there is one.
+
+        After a whole failure domain is lost, nearly every request is a
+        suspect, and no route is free of them; one that is shared serves the
+        caller, and a crash on it convicts nobody.
+        """
         wish = planners.Wish(
             self.request.spec,
-            frozenset(self._avoid | self._other_suspects_endpoints()),
+            frozenset(self._avoid | self._find_suspects_endpoints()),
             frozenset(self._route.endpoint_ids if self._route else ()),
             self.request.prefix,
             self._cfg.failure_domain,
         )
         route = self._shared.planner.choose(wish, now)
-        if route is None:
-            self._retry_after_s = NO_ROUTE_RETRY_S
-            return self._give_up(outcomes.Reason.NO_ROUTE)
-        self.attempt += 1
-        self._route = route
-        self._state = _State.CONNECTING
-        for endpoint_id in route.endpoint_ids:
-            self._shared.fleet.begin(endpoint_id, self.request.fingerprint)
-        return [msg.Connect(self.attempt, route)]
+        if route is None and wish.avoid != self._avoid:
+            wish = wish._replace(avoid=frozenset(self._avoid))
+            route = self._shared.planner.choose(wish, now)
+        return route
 
-    def _other_suspects_endpoints(self) -> set[str]:
-        """Endpoints that a suspect must not share with another suspect."""
+    def _find_suspects_endpoints(self) -> set[str]:
+        """Endpoints that run another suspect of the same crash."""
         mine = self.request.fingerprint
         if not self._shared.quarantine.is_suspect(mine):
             return set()
@@ -152,8 +214,9 @@
             state.spec.endpoint_id
             for state in self._shared.fleet.list_all()
             if any(
-                other != mine and self._shared.quarantine.is_suspect(other)
-                for other in state.running
+                run.fingerprint != mine
+                and self._shared.quarantine.shares_crash(mine, run.fingerprint)
+                for run in state.running
             )
         }
 
@@ -172,7 +235,6 @@
             return self._fail_attempt(now)
         self._state = _State.STREAMING
         self._may_have_run.add(self.attempt)
-        self._last_token_at = now
         order = msg.SendOrder(
             self.attempt,
             self._route,
@@ -180,8 +242,8 @@
             tuple(self._delivered),
             self.request.deadline,
         )
-        stall_at = now + self._cfg.first_token_s
-        return [order, msg.SetTimer(msg.Timer('stall'), stall_at)]
+        look_at = self._watch.begin(now)
+        return [order, msg.SetTimer(msg.Timer('stall'), look_at)]
 
     def _on_connect_failed(
         self, event: msg.ConnectFailed, now: float
@@ -217,14 +279,10 @@
             # for is whole.
             return self._answer(now)
         self._delivered.append(event.text)
-        self._shared.gaps.record(now - self._last_token_at)
-        self._last_token_at = now
-        bound_s = self._shared.gaps.bound_s(
-            self._cfg.stall_floor_s, self._cfg.stall_ceiling_s
-        )
+        look_at = self._watch.on_token(now)
         return [
             msg.Deliver(event.token_index, event.text),
-            msg.SetTimer(msg.Timer('stall'), now + bound_s),
+            msg.SetTimer(msg.Timer('stall'), look_at),
         ]
 
     def _on_finished(self, event: msg.Finished, now: float) -> list[msg.Action]:
@@ -247,33 +305,34 @@
     def _on_broken(self, event: msg.Broken, now: float) -> list[msg.Action]:
         if self._state is not _State.STREAMING:
             return []
-        return self._probe()
+        self._state = _State.PROBING
+        return [msg.CloseAttempt(self.attempt), *self._probe()]
 
     def _probe(self) -> list[msg.Action]:
         if self._route is None:
             return []
-        self._state = _State.PROBING
-        return [
-            msg.CloseAttempt(self.attempt),
-            msg.ProbeStages(self.attempt, self._route.endpoint_ids),
-        ]
+        return [msg.ProbeStages(self.attempt, self._route.endpoint_ids)]
 
     def _on_probed(self, event: msg.Probed, now: float) -> list[msg.Action]:
-        if self._state is not _State.PROBING or self._route is None:
+        if self._state is _State.VETTING:
+            return self._on_vetted(event, now)
+        if self._state is _State.STREAMING and not event.dead:
+            look_at = self._watch.on_all_alive(now)
+            if look_at is not None:
+                return [msg.SetTimer(msg.Timer('stall'), look_at)]
+        if self._state not in (_State.STREAMING, _State.PROBING):
             return []
-        if not event.dead:
-            # The connection was at fault; the endpoints bear no mark.
-            return self._fail_attempt(now)
-        crashes = tuple(
-            self._record_crash(dead, now) for dead in event.dead if dead.crashed
-        )
-        for dead in event.dead:
-            self._shared.fleet.mark_suspect(dead.endpoint_id, now)
-            self._avoid.add(dead.endpoint_id)
-        if not crashes:
+        # Where nobody is dead, the connection was at fault, and the endpoints
+        # bear no mark.
+        self._mark_dead(event.dead, now)
+        crashed = [dead for dead in event.dead if dead.crashed]
+        if not crashed:
             return self._fail_attempt(now)
+        # One attempt is one crash, however many of its stages are gone: they
+        # fell together, and not to this request one after another.
+        crash = self._record_crash(crashed[0], now)
         actions = self._leave_attempt()
-        tell = msg.TellPeers(crashes)
+        tell = msg.TellPeers((crash,))
         until = self._shared.quarantine.refused_until(
             self.request.fingerprint, now
         )
@@ -295,8 +354,7 @@
         running = frozenset(state.running) if state else frozenset()
         crash = quarantine_lib.Crash(
             f'{dead.endpoint_id}/{dead.incarnation}',
-            running | {self.request.fingerprint},
-            now,
+            running | {self._run},
         )
         self._shared.quarantine.record_crash(crash, now)
         return crash
@@ -383,11 +441,10 @@
 
     def _leave_attempt(self, is_running: bool = True) -> list[msg.Action]:
         """Closes the current attempt, once."""
-        holds = (_State.CONNECTING, _State.STREAMING, _State.PROBING)
-        if self._state not in holds or self._route is None:
+        if self._state not in _HOLDING or self._route is None:
             return []
         for endpoint_id in self._route.endpoint_ids:
-            self._shared.fleet.finish(endpoint_id, self.request.fingerprint)
+            self._shared.fleet.finish(endpoint_id, self._run)
         actions: list[msg.Action] = [msg.CloseAttempt(self.attempt)]
         if is_running and self.attempt in self._may_have_run:
             cancel = msg.CancelAttempt(
--- a/packages/sardinebend-policy/src/sardinebend_policy/fleet.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/fleet.py
@@ -3,6 +3,8 @@
 import collections
 import typing
 
+from sardinebend_policy import quarantine
+
 REPORT_TTL_S: typing.Final = 10.0
 PREFIX_TTL_S: typing.Final = 120.0
 MAX_PREFIXES: typing.Final = 1024
@@ -62,7 +64,9 @@
         self.report = LoadReport(0, 0.0)
         self.sent_since_report = 0
         self.ended_since_report = 0
-        self.running: collections.Counter[str] = collections.Counter()
+        self.running: collections.Counter[quarantine.Run] = (
+            collections.Counter()
+        )
         self.retired: collections.OrderedDict[str, None] = (
             collections.OrderedDict()
         )
@@ -180,22 +184,22 @@
         if state is not None:
             state.suspect_until = 0.0
 
-    def begin(self, endpoint_id: str, fingerprint: str) -> None:
+    def begin(self, endpoint_id: str, run: quarantine.Run) -> None:
         """Counts a request sent to an endpoint."""
         state = self._states.get(endpoint_id)
         if state is not None:
-            state.running[fingerprint] += 1
+            state.running[run] += 1
             state.sent_since_report += 1
 
-    def finish(self, endpoint_id: str, fingerprint: str) -> None:
+    def finish(self, endpoint_id: str, run: quarantine.Run) -> None:
         """Counts the end of a request at an endpoint."""
         state = self._states.get(endpoint_id)
         if state is None:
             return
-        if state.running[fingerprint] > 1:
-            state.running[fingerprint] -= 1
+        if state.running[run] > 1:
+            state.running[run] -= 1
         else:
-            del state.running[fingerprint]
+            del state.running[run]
         state.ended_since_report += 1
 
     def take_report(self, endpoint_id: str, running: int, now: float) -> None:
--- a/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
@@ -1,8 +1,10 @@
 """Finds requests that crash endpoints, and refuses them.
 
 When an endpoint dies, each request that it ran is a suspect. A request is
-convicted when it was the only common suspect of two separate crashes. Suspects
-are kept apart in between, so that the second crash points at one of them.
+convicted when it was the only common suspect of two crashes in two separate
+runs. Suspects are kept apart in between, so that the second crash points at one
+of them. A run uses several endpoints, one for each stage; when a failure domain
+goes, several of them die under one run, which is no evidence against it.
 """
 
 import collections
@@ -13,19 +15,29 @@
 MAX_RECORDS: typing.Final = 10_000
 
 
+class Run(typing.NamedTuple):
+    """One attempt of a request, as a suspect.
+
+    Attributes:
+        fingerprint: The request.
+        run_id: The attempt; unique in the fleet.
+    """
+
+    fingerprint: str
+    run_id: str
+
+
 class Crash(typing.NamedTuple):
     """The death of one endpoint incarnation and what it was running.
 
     Attributes:
         crash_id: Endpoint and incarnation; two hosts that saw the same death
             use the same id, so that it counts once.
-        fingerprints: Requests that ran there, as the reporting host knows.
-        at: When it was noticed, in seconds of the reporting host's clock.
+        runs: What ran there, as the reporting host knows.
     """
 
     crash_id: str
-    fingerprints: frozenset[str]
-    at: float
+    runs: frozenset[Run]
 
 
 class Quarantine:
@@ -33,10 +45,10 @@
 
     def __init__(self, hold_s: float) -> None:
         self._hold_s = hold_s
-        self._crashes: collections.OrderedDict[str, set[str]] = (
+        self._crashes: collections.OrderedDict[str, set[Run]] = (
             collections.OrderedDict()
         )
-        self._crashes_of: dict[str, set[str]] = {}
+        self._crashes_of: dict[str, dict[str, str]] = {}
         self._convicted: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
@@ -44,10 +56,10 @@
     def record_crash(self, crash: Crash, now: float) -> frozenset[str]:
         """Takes in a crash and returns the fingerprints that it convicts."""
         known = self._crashes.setdefault(crash.crash_id, set())
-        known |= crash.fingerprints
-        for fingerprint in crash.fingerprints:
-            of = self._crashes_of.setdefault(fingerprint, set())
-            of.add(crash.crash_id)
+        known |= crash.runs
+        for run in crash.runs:
+            crash_by_run = self._crashes_of.setdefault(run.fingerprint, {})
+            crash_by_run.setdefault(run.run_id, crash.crash_id)
         self._trim()
         convicted = self._find_guilty(crash.crash_id)
         for fingerprint in convicted:
@@ -73,31 +85,36 @@
         """Tells whether a crash is on record for a fingerprint."""
         return bool(self._crashes_of.get(fingerprint))
 
+    def shares_crash(self, fingerprint: str, other: str) -> bool:
+        """Tells whether two requests are suspects of the same crash."""
+        mine = self._crashes_of.get(fingerprint, {})
+        theirs = self._crashes_of.get(other, {})
+        return not set(mine.values()).isdisjoint(theirs.values())
+
     def clear(self, fingerprint: str) -> None:
         """Drops the suspicion of a request that ended well."""
-        for crash_id in self._crashes_of.pop(fingerprint, set()):
-            suspects = self._crashes.get(crash_id)
-            if suspects is not None:
-                suspects.discard(fingerprint)
+        for crash_id in self._crashes_of.pop(fingerprint, {}).values():
+            runs = self._crashes.get(crash_id, set())
+            runs -= {run for run in runs if run.fingerprint == fingerprint}
 
     def _find_guilty(self, crash_id: str) -> frozenset[str]:
         repeated = {
-            fingerprint
-            for fingerprint in self._crashes[crash_id]
-            if len(self._crashes_of[fingerprint]) >= 2
+            run.fingerprint
+            for run in self._crashes.get(crash_id, ())
+            if len(set(self._crashes_of[run.fingerprint].values())) >= 2
         }
-        # Two common suspects ran side by side in both crashes (a rack went,
-        # for instance); neither is convicted, and both go on apart.
+        # Two common suspects ran side by side in both crashes; neither is
+        # convicted, and both go on apart.
         return frozenset(repeated) if len(repeated) == 1 else frozenset()
 
     def _trim(self) -> None:
         while len(self._crashes) > MAX_RECORDS:
-            crash_id, fingerprints = self._crashes.popitem(last=False)
-            for fingerprint in fingerprints:
-                of = self._crashes_of.get(fingerprint, set())
-                of.discard(crash_id)
-                if not of:
-                    self._crashes_of.pop(fingerprint, None)
+            _, runs = self._crashes.popitem(last=False)
+            for run in runs:
+                crash_by_run = self._crashes_of.get(run.fingerprint, {})
+                crash_by_run.pop(run.run_id, None)
+                if not crash_by_run:
+                    self._crashes_of.pop(run.fingerprint, None)
 
 
 def make_fingerprint(
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -14,6 +14,7 @@
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stalls
+from sardinebend_policy import stream_watch
 
 SPEC = routes.ModelSpec('tide', '1', 4)
 MAX_TOKENS = 4
@@ -42,7 +43,7 @@
         planners.SlowestStagePlanner(fleet, rng),
         quarantine.Quarantine(600.0),
         retries.BudgetPool(0.2, budget_floor),
-        stalls.GapTracker(),
+        stream_watch.Gaps(stalls.GapTracker(), stalls.GapTracker()),
         rng,
     )
 
@@ -61,6 +62,11 @@
     session.handle(msg.Connected(session.attempt), now)
 
 
+def reach_second_order(session, now):
+    session.handle(msg.Probed(2, ()), now)
+    session.handle(msg.Connected(2), now)
+
+
 ATTEMPTS = st.integers(1, 4)
 ENDPOINTS = st.sampled_from(['e0a', 'e0b', 'e2a'])
 DEAD = st.builds(
@@ -149,7 +155,7 @@
     session.handle(msg.Broken(1), 0.2)
     session.handle(msg.Probed(1, ()), 0.3)
     assert session.attempt == 2
-    session.handle(msg.Connected(2), 0.4)
+    reach_second_order(session, 0.4)
     assert session.handle(msg.Chunk(1, 1, 'late'), 0.5) == []
     [deliver, _] = session.handle(msg.Chunk(2, 1, 't'), 0.6)
     assert deliver == msg.Deliver(1, 't')
@@ -184,7 +190,9 @@
     actions = session.handle(msg.Probed(1, (dead,)), 1.1)
     assert any(isinstance(action, msg.TellPeers) for action in actions)
     assert not any(isinstance(action, msg.Connect) for action in actions)
-    [connect] = session.handle(msg.PeersTold(), 1.2)
+    [probe] = session.handle(msg.PeersTold(), 1.2)
+    assert isinstance(probe, msg.ProbeStages)
+    [connect] = session.handle(msg.Probed(2, ()), 1.3)
     assert isinstance(connect, msg.Connect)
 
 
@@ -197,6 +205,7 @@
         dead = msg.DeadEndpoint(endpoint, 'i', crashed=True)
         session.handle(msg.Probed(attempt, (dead,)), 1.1)
         session.handle(msg.PeersTold(), 1.2)
+        session.handle(msg.Probed(attempt + 1, ()), 1.25)
         session.handle(msg.Connected(attempt + 1), 1.3)
     assert session.outcome.reason is outcomes.Reason.QUARANTINED
     again = make_session(shared, 'poison')
@@ -218,7 +227,7 @@
         session.handle(msg.Probed(1, (dead,)), 1.1)
     for session in (poison, innocent):
         session.handle(msg.PeersTold(), 1.2)
-        session.handle(msg.Connected(2), 1.3)
+        reach_second_order(session, 1.3)
     apart = set(poison._route.endpoint_ids) & set(innocent._route.endpoint_ids)
     assert not apart
     for index in range(MAX_TOKENS):
@@ -245,3 +254,72 @@
     session.handle(msg.Probed(1, ()), 1.1)
     assert session.outcome.reason is outcomes.Reason.RETRY_BUDGET
     assert session.outcome.retry_after_s
+
+
+def test_an_endpoint_found_dead_before_a_retry_is_no_evidence():
+    shared = make_shared()
+    session = make_session(shared)
+    reach_streaming(session)
+    session.handle(msg.Broken(1), 1.0)
+    first = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    session.handle(msg.Probed(1, (first,)), 1.1)
+    session.handle(msg.PeersTold(), 1.2)
+    second = msg.DeadEndpoint('e2a', 'i', crashed=True)
+    [_, probe] = session.handle(msg.Probed(2, (second,)), 1.3)
+    assert isinstance(probe, msg.ProbeStages)
+    assert session.attempt == 2
+    assert shared.quarantine.refused_until('f', 1.4) is None
+
+
+def test_stages_that_die_together_under_one_attempt_convict_nobody():
+    shared = make_shared()
+    sessions = [make_session(shared, name) for name in ('x', 'y')]
+    for session in sessions:
+        reach_streaming(session)
+    dead = tuple(
+        msg.DeadEndpoint(name, 'i', crashed=True)
+        for name in sessions[0]._route.endpoint_ids
+    )
+    for session in sessions:
+        session.handle(msg.Broken(1), 1.0)
+        session.handle(msg.Probed(1, dead), 1.1)
+        assert session.outcome is None
+    assert shared.quarantine.refused_until('x', 1.2) is None
+
+
+def test_suspects_share_a_route_where_there_is_no_other():
+    shared = make_shared()
+    sessions = [make_session(shared, f'f{number}') for number in range(5)]
+    for session in sessions:
+        reach_streaming(session)
+    dead = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    for session in sessions:
+        session.handle(msg.Broken(1), 1.0)
+        session.handle(msg.Probed(1, (dead,)), 1.1)
+    for session in sessions:
+        [probe] = session.handle(msg.PeersTold(), 1.2)
+        assert isinstance(probe, msg.ProbeStages)
+
+
+def test_a_silent_first_stage_is_found_before_the_first_token_is_due():
+    session = make_session(first_token_s=60.0)
+    session.handle(msg.Started(), 0.0)
+    [_, timer] = session.handle(msg.Connected(1), 0.0)
+    assert timer.at == 1.0
+    [probe] = session.handle(msg.TimerDue(timer.timer), 1.0)
+    assert isinstance(probe, msg.ProbeStages)
+    [again] = session.handle(msg.Probed(1, ()), 1.1)
+    assert again == msg.SetTimer(msg.Timer('stall'), 3.1)
+    assert session.attempt == 1
+
+
+def test_a_repair_does_not_make_later_stalls_more_patient():
+    shared = make_shared()
+    session = make_session(shared)
+    reach_streaming(session)
+    session.handle(msg.Chunk(1, 0, 't'), 0.1)
+    session.handle(msg.Broken(1), 5.0)
+    session.handle(msg.Probed(1, ()), 5.1)
+    reach_second_order(session, 9.0)
+    [_, timer] = session.handle(msg.Chunk(2, 1, 't'), 9.5)
+    assert timer.at == 9.5 + 0.5
--- a/packages/sardinebend-policy/tests/cover/test_policies.py
+++ b/packages/sardinebend-policy/tests/cover/test_policies.py
@@ -77,9 +77,10 @@
 def test_a_report_is_corrected_by_what_was_sent_since():
     fleet = make_fleet([(0, 6)])
     fleet.take_report('e0-6a', 5, 0.0)
-    fleet.begin('e0-6a', 'f')
-    fleet.begin('e0-6a', 'g')
-    fleet.finish('e0-6a', 'f')
+    first, second = quarantine.Run('f', '1'), quarantine.Run('g', '1')
+    fleet.begin('e0-6a', first)
+    fleet.begin('e0-6a', second)
+    fleet.finish('e0-6a', first)
     assert fleet.get('e0-6a').estimate_running(1.0) == 6
 
 
@@ -325,14 +326,16 @@
 # Quarantine.
 
 
-def crash(crash_id, *fingerprints):
-    return quarantine.Crash(crash_id, frozenset(fingerprints), 0.0)
+def crash(crash_id, *runs):
+    """Makes a crash; a run is written fingerprint/attempt."""
+    found = frozenset(quarantine.Run(run.split('/')[0], run) for run in runs)
+    return quarantine.Crash(crash_id, found)
 
 
 def test_the_common_suspect_of_two_crashes_is_convicted():
     found = quarantine.Quarantine(60.0)
-    assert not found.record_crash(crash('e1/i', 'bad', 'x', 'y'), 0.0)
-    assert found.record_crash(crash('e2/i', 'bad', 'z'), 1.0) == {'bad'}
+    assert not found.record_crash(crash('e1/i', 'bad/1', 'x/1', 'y/1'), 0.0)
+    assert found.record_crash(crash('e2/i', 'bad/2', 'z/1'), 1.0) == {'bad'}
     assert found.refused_until('bad', 2.0) == 61.0
     assert found.refused_until('bad', 61.0) is None
     assert found.refused_until('x', 2.0) is None
@@ -340,15 +343,31 @@
 
 def test_one_crash_told_by_two_hosts_counts_once():
     found = quarantine.Quarantine(60.0)
-    found.record_crash(crash('e1/i', 'x'), 0.0)
-    found.record_crash(crash('e1/i', 'x', 'y'), 0.0)
+    found.record_crash(crash('e1/i', 'x/1'), 0.0)
+    found.record_crash(crash('e1/i', 'x/1', 'x/2'), 0.0)
     assert found.refused_until('x', 1.0) is None
 
 
 def test_two_that_fell_side_by_side_twice_are_not_convicted():
     found = quarantine.Quarantine(60.0)
-    found.record_crash(crash('e1/i', 'x', 'y'), 0.0)
-    assert not found.record_crash(crash('e2/i', 'x', 'y'), 0.0)
+    found.record_crash(crash('e1/i', 'x/1', 'y/1'), 0.0)
+    assert not found.record_crash(crash('e2/i', 'x/2', 'y/2'), 0.0)
+
+
+def test_two_stages_that_die_under_one_run_are_no_evidence():
+    found = quarantine.Quarantine(60.0)
+    found.record_crash(crash('e1/i', 'x/1'), 0.0)
+    assert not found.record_crash(crash('e2/i', 'x/1'), 0.0)
+    assert found.refused_until('x', 1.0) is None
+
+
+def test_a_request_that_ended_well_is_cleared():
+    found = quarantine.Quarantine(60.0)
+    found.record_crash(crash('e1/i', 'x/1', 'y/1'), 0.0)
+    found.clear('x')
+    assert not found.is_suspect('x')
+    assert not found.record_crash(crash('e2/i', 'x/2'), 0.0)
+    assert found.record_crash(crash('e3/i', 'y/2'), 0.0) == {'y'}
 
 
 # Membership.
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -12,6 +12,7 @@
 from sardinebend_policy import bookings
 from sardinebend_policy import claims
 from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
 from sardinebend_router import carrier
 from sardinebend_router import logs
 from sardinebend_router import services
@@ -137,15 +138,16 @@
     async def _send(self) -> None:
         if self._open is None:
             return
-        mark = self._session.request.request_id
-        self._state.fleet.begin(self._endpoint_id, mark)
+        request_id = self._session.request.request_id
+        run = quarantine.Run(request_id, request_id)
+        self._state.fleet.begin(self._endpoint_id, run)
         try:
             reply = await self._open.send(self._plan.call)
         except platform_errors.PlatformError:
             self.post(msg.ReplyLost())
             return
         finally:
-            self._state.fleet.finish(self._endpoint_id, mark)
+            self._state.fleet.finish(self._endpoint_id, run)
         content_type = reply.headers.get('content-type', '')
         self.post(msg.Replied(reply.status, content_type, reply.body))
 
--- a/packages/sardinebend-router/src/sardinebend_router/lookup.py
+++ b/packages/sardinebend-router/src/sardinebend_router/lookup.py
@@ -5,6 +5,7 @@
 from sardinebend_platform import errors as platform_errors
 from sardinebend_policy import lookups
 from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
 from sardinebend_router import booking
 from sardinebend_router import services
 from sardinebend_router import state as state_lib
@@ -57,8 +58,9 @@
             now = trio.current_time()
             fleet.mark_suspect(endpoint_id, now)
             return self._session.on_connect_failed(endpoint_id, now)
-        mark = self._plan.call.request_id
-        fleet.begin(endpoint_id, mark)
+        request_id = self._plan.call.request_id
+        run = quarantine.Run(request_id, request_id)
+        fleet.begin(endpoint_id, run)
         self._session.note_sent()
         try:
             with trio.fail_after(self._reply_s):
@@ -67,7 +69,7 @@
             now = trio.current_time()
             return self._session.on_reply_lost(endpoint_id, now)
         finally:
-            fleet.finish(endpoint_id, mark)
+            fleet.finish(endpoint_id, run)
             await opened.close()
         content_type = reply.headers.get('content-type', '')
         answer = outcomes.Answered(0, reply.status, content_type, reply.body)
--- a/packages/sardinebend-router/src/sardinebend_router/peering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/peering.py
@@ -67,7 +67,7 @@
     def _on_crashes(self, message: messages.CrashNotices) -> messages.Message:
         now = trio.current_time()
         for notice in message.crashes:
-            crash = quarantine.Crash(notice.crash_id, notice.fingerprints, now)
+            crash = quarantine.Crash(notice.crash_id, notice.runs)
             self._state.drafts.quarantine.record_crash(crash, now)
         return messages.Ack()
 
@@ -197,7 +197,7 @@
         """
         notices = messages.CrashNotices(
             tuple(
-                messages.CrashNotice(crash.crash_id, crash.fingerprints)
+                messages.CrashNotice(crash.crash_id, crash.runs)
                 for crash in crashes
             )
         )
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -17,6 +17,7 @@
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stalls
+from sardinebend_policy import stream_watch
 from sardinebend_router import gate as gate_lib
 from sardinebend_router import metrics as metrics_lib
 from sardinebend_router import settings_state
@@ -150,7 +151,7 @@
                 self.number('retry.budget_ratio'),
                 int(self.number('retry.budget_floor')),
             ),
-            stalls.GapTracker(),
+            stream_watch.Gaps(stalls.GapTracker(), stalls.GapTracker()),
             self.rng,
         )
 
