Route around stages that don't hold a version yet, without charging attempts

Cause: rolling a version over a route of separate processes ended one draft as incomplete. Its host's knowledge of what engines hold was up to a second old; a later stage refused the order, which reached the host as a broken stream with all stages alive, and three such attempts were spent within that second.

Change: a stage's refusal is an event of its own, named by the first stage; the engine isn't asked for that version again until it reports what it holds, and neither attempts nor the retry budget are charged, up to ten refusals.

Ruled out: faster polls (a second less staleness, at 1% of a core for each ten polls a second); vetting the first attempt too (one exchange with every stage on each request's path).

--- a/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
@@ -78,6 +78,20 @@
     retry_after_s: float
 
 
+class StageRefused(typing.NamedTuple):
+    """A stage doesn't hold what the order names; it ran none of it.
+
+    Attributes:
+        attempt: The attempt.
+        endpoint_id: The stage that refused.
+        may_have_run: Whether stages before it may have run a part.
+    """
+
+    attempt: int
+    endpoint_id: str
+    may_have_run: bool
+
+
 class Chunk(typing.NamedTuple):
     """A token's text from an engine."""
 
@@ -151,6 +165,7 @@
     | Connected
     | ConnectFailed
     | Refused
+    | StageRefused
     | Chunk
     | Finished
     | Broken
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -25,6 +25,7 @@
 NO_ROUTE_RETRY_S: typing.Final = 1.0
 BUSY_RETRY_S: typing.Final = 1.0
 MAX_VETTED: typing.Final = 10
+MAX_REFUSALS: typing.Final = 10
 
 
 class _State(enum.Enum):
@@ -87,6 +88,7 @@
         self._avoid: set[str] = set()
         self._may_have_run: set[int] = set()
         self._vetted = 0
+        self._refusals = 0
         self._watch = stream_watch.StreamWatch(
             shared.gaps,
             cfg.stall_floor_s,
@@ -100,6 +102,7 @@
             msg.Connected: self._on_connected,
             msg.ConnectFailed: self._on_connect_failed,
             msg.Refused: self._on_refused,
+            msg.StageRefused: self._on_stage_refused,
             msg.Chunk: self._on_chunk,
             msg.Finished: self._on_finished,
             msg.Broken: self._on_broken,
@@ -264,6 +267,29 @@
             *self._retry(outcomes.Reason.ENDPOINT_REFUSED, now),
         ]
 
+    def _on_stage_refused(
+        self, event: msg.StageRefused, now: float
+    ) -> list[msg.Action]:
+        if self._state is not _State.STREAMING:
+            return []
+        if not event.may_have_run:
+            self._may_have_run.discard(self.attempt)
+        spec = self.request.spec
+        self._shared.fleet.note_refused(
+            event.endpoint_id, spec.model, spec.model_version
+        )
+        self._avoid.add(event.endpoint_id)
+        actions = self._leave_attempt()
+        self._refusals += 1
+        if self._refusals >= MAX_REFUSALS:
+            return [
+                *actions,
+                *self._give_up(outcomes.Reason.ENDPOINT_REFUSED),
+            ]
+        # The settings ran ahead of a load, or behind it. Nothing has failed,
+        # so neither the attempts nor the retry budget are charged.
+        return [*actions, *self._start_attempt(now)]
+
     # Reading the stream.
 
     def _on_chunk(self, event: msg.Chunk, now: float) -> list[msg.Action]:
@@ -376,7 +402,8 @@
         if len(self._delivered) == self.request.max_tokens:
             # Only the final marker is missing: there can be no further token.
             return self._answer(now)
-        if self.attempt >= self._cfg.max_attempts:
+        failed = self.attempt - self._refusals
+        if failed >= self._cfg.max_attempts:
             return self._give_up(reason)
         until = self._shared.quarantine.refused_until(
             self.request.fingerprint, now
@@ -387,7 +414,7 @@
         budget = self._shared.budgets.get(self.request.customer)
         if not budget.try_spend(now):
             return self._give_up(outcomes.Reason.RETRY_BUDGET)
-        if self.attempt == 1:
+        if failed <= 1:
             # The first retry goes out at once: it decides the recovery time,
             # and the budget bounds how many of them there are.
             return self._start_attempt(now)
--- a/packages/sardinebend-policy/src/sardinebend_policy/fleet.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/fleet.py
@@ -60,6 +60,7 @@
         self.spec = spec
         self.incarnation = ''
         self.held: tuple[str, str] | None = None
+        self.refused: tuple[str, str] | None = None
         self.suspect_until = 0.0
         self.report = LoadReport(0, 0.0)
         self.sent_since_report = 0
@@ -79,9 +80,11 @@
 
         What it said itself goes before the settings: a new version stands in
         the settings before it is loaded, and until then the engine serves
-        the old one.
+        the old one. A refusal is newer than any report.
         """
         wanted = (model, model_version)
+        if wanted == self.refused:
+            return False
         known = self.held or (self.spec.model, self.spec.model_version)
         return known == wanted
 
@@ -237,11 +240,20 @@
         state = self._states.get(endpoint_id)
         if state is None or not model:
             return
+        state.refused = None
         is_other = model != (state.held or (state.spec.model,))[0]
         state.held = (model, model_version)
         if is_other:
             self._index()
 
+    def note_refused(
+        self, endpoint_id: str, model: str, model_version: str
+    ) -> None:
+        """Takes in that an engine refused a model, until its next report."""
+        state = self._states.get(endpoint_id)
+        if state is not None:
+            state.refused = (model, model_version)
+
     def note_prefix(self, endpoint_id: str, prefix: str, now: float) -> None:
         """Remembers that an endpoint's cache holds a prompt prefix."""
         state = self._states.get(endpoint_id)
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -76,6 +76,7 @@
     st.builds(msg.Connected, ATTEMPTS),
     st.builds(msg.ConnectFailed, ATTEMPTS, ENDPOINTS),
     st.builds(msg.Refused, ATTEMPTS, ENDPOINTS, st.just(1.0)),
+    st.builds(msg.StageRefused, ATTEMPTS, ENDPOINTS, st.booleans()),
     st.builds(msg.Chunk, ATTEMPTS, st.integers(0, 5), st.just('t')),
     st.builds(msg.Finished, ATTEMPTS, st.integers(0, 6)),
     st.builds(msg.Broken, ATTEMPTS),
@@ -104,6 +105,8 @@
         now += pause_s
         if isinstance(event, msg.Refused) and event.attempt == session.attempt:
             refused.add(event.attempt)
+        if isinstance(event, msg.StageRefused) and not event.may_have_run:
+            refused.add(event.attempt)
         for action in session.handle(event, now):
             assert not ends, 'an action after the end'
             if isinstance(action, msg.Deliver):
@@ -323,3 +326,28 @@
     reach_second_order(session, 9.0)
     [_, timer] = session.handle(msg.Chunk(2, 1, 't'), 9.5)
     assert timer.at == 9.5 + 0.5
+
+
+def test_stages_that_do_not_hold_a_version_yet_cost_no_attempts():
+    shared = make_shared(budget_floor=0)
+    session = make_session(shared)
+    reach_streaming(session)
+    for attempt in (1, 2):
+        refusing = session._route.endpoint_ids[1]
+        session.handle(msg.StageRefused(attempt, refusing, True), 0.1)
+        session.handle(msg.Probed(attempt + 1, ()), 0.2)
+        session.handle(msg.Connected(attempt + 1), 0.2)
+        assert not shared.fleet.get(refusing).holds('tide', '1')
+    assert session.attempt == 3
+    for index in range(MAX_TOKENS):
+        session.handle(msg.Chunk(3, index, 't'), 0.3)
+    session.handle(msg.Finished(3, MAX_TOKENS), 0.4)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_refusal_is_forgotten_with_the_next_report():
+    shared = make_shared()
+    shared.fleet.note_refused('e0a', 'tide', '1')
+    assert not shared.fleet.get('e0a').holds('tide', '1')
+    shared.fleet.note_held('e0a', 'tide', '1')
+    assert shared.fleet.get('e0a').holds('tide', '1')
--- a/packages/sardinebend-router/src/sardinebend_router/engines.py
+++ b/packages/sardinebend-router/src/sardinebend_router/engines.py
@@ -15,7 +15,8 @@
 
 CANCEL_TIMEOUT_S: typing.Final = 2.0
 MAX_LINE_BYTES: typing.Final = 256 * 1024
-REFUSAL_STATUSES: typing.Final = (409, 429)
+STATUS_NOT_HELD: typing.Final = 409
+STATUS_BUSY: typing.Final = 429
 
 _JSON = ((b'content-type', b'application/json'),)
 
@@ -54,6 +55,7 @@
     final: bool = False
     count: int = -1
     lost: str = ''
+    refused: str = ''
 
 
 class OpenPipeline(abc.ABC):
@@ -134,8 +136,10 @@
             async with self._conn.stream(
                 'POST', '/v1/run', _JSON, body
             ) as response:
-                if response.status in REFUSAL_STATUSES:
-                    first = order.send.route.endpoint_ids[0]
+                first = order.send.route.endpoint_ids[0]
+                if response.status == STATUS_NOT_HELD:
+                    post(msg.StageRefused(attempt, first, False))
+                elif response.status == STATUS_BUSY:
                     post(msg.Refused(attempt, first, 1.0))
                 elif response.status == 200:
                     await self._read_lines(response, order, post)
@@ -307,6 +311,8 @@
         return msg.Broken(attempt)
     if item.lost:
         return msg.Broken(attempt, item.lost)
+    if item.refused:
+        return msg.StageRefused(attempt, item.refused, True)
     if item.final:
         return msg.Finished(attempt, item.count)
     if item.request != order.request.request_id or item.index < 0:
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -77,6 +77,8 @@
             await self._stream_tokens(req, order, following)
         except stage_lib.StageLost as exc:
             await _send_line(req, {'lost': exc.endpoint})
+        except stage_lib.OrderRefused as exc:
+            await _send_line(req, {'refused': exc.endpoint})
         finally:
             if following is not None:
                 with trio.CancelScope(shield=True):
--- a/standins/stage.py
+++ b/standins/stage.py
@@ -66,7 +66,15 @@
 
 
 class OrderRefused(Exception):
-    """Raised when an order doesn't fit what the engine holds."""
+    """Raised when an order doesn't fit what an engine holds.
+
+    Attributes:
+        endpoint: The engine that refused.
+    """
+
+    def __init__(self, endpoint: str, why: str = '') -> None:
+        self.endpoint = endpoint
+        super().__init__(f'{endpoint}: {why}')
 
 
 class LineStream:
@@ -137,7 +145,8 @@
         expected = 0
         for stage in order['route']:
             if stage['first_layer'] != expected:
-                raise OrderRefused(f'layers {expected} and on are not covered')
+                why = f'layers {expected} and on are not covered'
+                raise OrderRefused(self.held.endpoint, why)
             expected = stage['end_layer']
         own = order['route'][order['position']]
         held = (
@@ -153,7 +162,8 @@
             own['end_layer'],
         )
         if expected != order['layers'] or held != wanted:
-            raise OrderRefused(f'holds {held}; the order wants {wanted}')
+            why = f'holds {held}; the order wants {wanted}'
+            raise OrderRefused(self.held.endpoint, why)
 
     @contextlib.contextmanager
     def entered(
@@ -235,6 +245,8 @@
             raise StageLost(next_id) from exc
         if answer is None:
             raise StageLost(next_id)
+        if 'refused' in answer:
+            raise OrderRefused(answer['refused'])
         if 'lost' in answer:
             raise StageLost(answer['lost'])
         return answer['text']
@@ -257,7 +269,10 @@
         except StageLost as exc:
             with contextlib.suppress(trio.BrokenResourceError):
                 await lines.send({'lost': exc.endpoint})
-        except (OrderRefused, trio.BrokenResourceError, OSError):
+        except OrderRefused as exc:
+            with contextlib.suppress(trio.BrokenResourceError):
+                await lines.send({'refused': exc.endpoint})
+        except (trio.BrokenResourceError, OSError):
             pass
         finally:
             with trio.CancelScope(shield=True):
