--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -1,6 +1,7 @@
 """The decisions of an entry host, without I/O, clocks or global randomness."""
 
 from sardinebend_policy import admission
+from sardinebend_policy import attempts
 from sardinebend_policy import booking_messages
 from sardinebend_policy import bookings
 from sardinebend_policy import cancels
@@ -23,6 +24,7 @@
 
 __all__ = [
     'admission',
+    'attempts',
     'booking_messages',
     'bookings',
     'cancels',
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/attempts.py
@@ -0,0 +1,156 @@
+"""The attempts of one draft: routes, avoided endpoints, suspicion."""
+
+import random
+import typing
+
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import planners
+from sardinebend_policy import quarantine as quarantine_lib
+from sardinebend_policy import retries
+from sardinebend_policy import routes
+from sardinebend_policy import stream_watch
+
+
+class Shared(typing.NamedTuple):
+    """What all sessions of one host have in common."""
+
+    fleet: fleet_lib.Fleet
+    planner: planners.Planner
+    quarantine: quarantine_lib.Quarantine
+    budgets: retries.BudgetPool
+    gaps: stream_watch.Gaps
+    rng: random.Random
+
+
+class Attempts:
+    """Chooses a route for each attempt, and accounts for it while it lasts.
+
+    Attributes:
+        number: Number of the current attempt, from 1; 0 before the first.
+        route: Route of the current or the last attempt.
+        may_have_run: Attempts whose order may have reached an endpoint.
+        refusals: Attempts that a stage refused, which aren't failures.
+    """
+
+    def __init__(
+        self, request: msg.DraftRequest, failure_domain: str, shared: Shared
+    ) -> None:
+        self.number = 0
+        self.route: routes.PipelineRoute | None = None
+        self.may_have_run: set[int] = set()
+        self.refusals = 0
+        self._request = request
+        self._failure_domain = failure_domain
+        self._shared = shared
+        self._avoid: set[str] = set()
+        self._is_open = False
+
+    @property
+    def failed(self) -> int:
+        """Number of attempts that count against the limit."""
+        return self.number - self.refusals
+
+    @property
+    def run(self) -> quarantine_lib.Run:
+        """The current attempt, as a suspect."""
+        run_id = f'{self._request.request_id}/{self.number}'
+        return quarantine_lib.Run(self._request.fingerprint, run_id)
+
+    def open(self, now: float) -> routes.PipelineRoute | None:
+        """Starts an attempt; returns its route, or `None` if there is none."""
+        route = self._choose(now)
+        if route is None:
+            return None
+        self.number += 1
+        self.route = route
+        self._is_open = True
+        for endpoint_id in route.endpoint_ids:
+            self._shared.fleet.begin(endpoint_id, self.run)
+        return route
+
+    def close(self) -> bool:
+        """Ends the accounts of the current attempt; false if it has ended."""
+        if not self._is_open or self.route is None:
+            return False
+        self._is_open = False
+        for endpoint_id in self.route.endpoint_ids:
+            self._shared.fleet.finish(endpoint_id, self.run)
+        return True
+
+    def take_back(self) -> None:
+        """Makes a closed attempt of which nothing was sent not count."""
+        self.number -= 1
+
+    def is_usable(self, now: float) -> bool:
+        """Tells whether all stages may still get new work."""
+        return self.route is not None and all(
+            self._shared.fleet.is_usable(endpoint_id, now)
+            for endpoint_id in self.route.endpoint_ids
+        )
+
+    def avoid(self, endpoint_id: str) -> None:
+        """Keeps this request from an endpoint."""
+        self._avoid.add(endpoint_id)
+
+    def mark_dead(self, endpoint_ids: typing.Iterable[str], now: float) -> None:
+        """Keeps all requests from endpoints for a while."""
+        for endpoint_id in endpoint_ids:
+            self._shared.fleet.mark_suspect(endpoint_id, now)
+            self._avoid.add(endpoint_id)
+
+    def note_refused(self, endpoint_id: str) -> None:
+        """Takes in that an endpoint doesn't hold the model's version."""
+        spec = self._request.spec
+        self._shared.fleet.note_refused(
+            endpoint_id, spec.model, spec.model_version
+        )
+        self._avoid.add(endpoint_id)
+        self.refusals += 1
+
+    def record_crash(
+        self, dead: msg.DeadEndpoint, now: float
+    ) -> quarantine_lib.Crash:
+        """Makes all that ran at an endpoint suspects of its crash."""
+        state = self._shared.fleet.get(dead.endpoint_id)
+        running = frozenset(state.running) if state else frozenset()
+        crash = quarantine_lib.Crash(
+            f'{dead.endpoint_id}/{dead.incarnation}', running | {self.run}
+        )
+        self._shared.quarantine.record_crash(crash, now)
+        return crash
+
+    def _choose(self, now: float) -> routes.PipelineRoute | None:
+        """Chooses a route apart from other suspects, if there is one.
+
+        After a whole failure domain is lost, nearly every request is a
+        suspect, and no route is free of them; one that is shared serves the
+        caller, and a crash on it convicts nobody.
+        """
+        wish = planners.Wish(
+            self._request.spec,
+            frozenset(self._avoid | self._find_suspects_endpoints()),
+            frozenset(self.route.endpoint_ids if self.route else ()),
+            self._request.prefix,
+            self._failure_domain,
+        )
+        route = self._shared.planner.choose(wish, now)
+        if route is None and wish.avoid != self._avoid:
+            wish = wish._replace(avoid=frozenset(self._avoid))
+            route = self._shared.planner.choose(wish, now)
+        return route
+
+    def _find_suspects_endpoints(self) -> set[str]:
+        """Endpoints that run another suspect of the same crash."""
+        mine = self._request.fingerprint
+        if not self._shared.quarantine.is_suspect(mine):
+            return set()
+        return {
+            state.spec.endpoint_id
+            for state in self._shared.fleet.list_all()
+            if any(
+                run.fingerprint != mine
+                and self._shared.quarantine.shares_crash(mine, run.fingerprint)
+                for run in state.running
+            )
+        }
--- a/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
@@ -355,7 +355,12 @@
     ) -> list[msg.Action]:
         if self._state is not _State.RECORDING:
             return []
-        return self._finish()
+        state, answer = self._pending
+        if answer is None:
+            return self._finish()
+        # The row has the answer now; this host need not keep its body.
+        done = msg.SetClaimState(claims.ClaimantState.DONE)
+        return [done, *self._finish()]
 
     def _on_outcome_not_written(
         self, event: msg.OutcomeNotWritten, now: float
--- a/packages/sardinebend-policy/src/sardinebend_policy/claims.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/claims.py
@@ -7,7 +7,7 @@
 
 from sardinebend_policy import outcomes
 
-MAX_REMEMBERED: typing.Final = 50_000
+MAX_REMEMBERED: typing.Final = 20_000
 MAX_INLINE_BODY_BYTES: typing.Final = 16 * 1024
 
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -9,15 +9,12 @@
 """
 
 import enum
-import random
 import typing
 
+from sardinebend_policy import attempts
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import errors
-from sardinebend_policy import fleet as fleet_lib
 from sardinebend_policy import outcomes
-from sardinebend_policy import planners
-from sardinebend_policy import quarantine as quarantine_lib
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stream_watch
@@ -39,31 +36,11 @@
     ENDED = enum.auto()
 
 
-_HOLDING: typing.Final = (
-    _State.VETTING,
-    _State.CONNECTING,
-    _State.STREAMING,
-    _State.PROBING,
-)
-
-
-class Shared(typing.NamedTuple):
-    """What all sessions of one host have in common."""
-
-    fleet: fleet_lib.Fleet
-    planner: planners.Planner
-    quarantine: quarantine_lib.Quarantine
-    budgets: retries.BudgetPool
-    gaps: stream_watch.Gaps
-    rng: random.Random
-
-
 class DraftSession:
     """Carries one draft to one typed end.
 
     Attributes:
         request: The request.
-        attempt: Number of the current attempt, from 1; 0 before the first.
         outcome: The end, once there is one.
     """
 
@@ -71,24 +48,21 @@
         self,
         request: msg.DraftRequest,
         cfg: msg.DraftConfig,
-        shared: Shared,
+        shared: attempts.Shared,
     ) -> None:
         if request.max_tokens < 1:
             raise errors.InvalidArgument(
                 'max_tokens', request.max_tokens, '1 or more'
             )
         self.request = request
-        self.attempt = 0
         self.outcome: outcomes.Outcome | None = None
         self._cfg = cfg
         self._shared = shared
         self._state = _State.IDLE
-        self._route: routes.PipelineRoute | None = None
+        self._attempts = attempts.Attempts(request, cfg.failure_domain, shared)
         self._delivered: list[str] = []
-        self._avoid: set[str] = set()
-        self._may_have_run: set[int] = set()
         self._vetted = 0
-        self._refusals = 0
+        self._is_checking = False
         self._watch = stream_watch.StreamWatch(
             shared.gaps,
             cfg.stall_floor_s,
@@ -114,9 +88,14 @@
         }
 
     @property
-    def _run(self) -> quarantine_lib.Run:
-        run_id = f'{self.request.request_id}/{self.attempt}'
-        return quarantine_lib.Run(self.request.fingerprint, run_id)
+    def attempt(self) -> int:
+        """Number of the current attempt, from 1; 0 before the first."""
+        return self._attempts.number
+
+    @property
+    def route(self) -> routes.PipelineRoute | None:
+        """Route of the current or the last attempt."""
+        return self._attempts.route
 
     @property
     def delivered(self) -> int:
@@ -149,14 +128,10 @@
     def _start_attempt(self, now: float) -> list[msg.Action]:
         if now >= self.request.deadline:
             return self._give_up(outcomes.Reason.DEADLINE)
-        route = self._choose_route(now)
+        route = self._attempts.open(now)
         if route is None:
             self._retry_after_s = NO_ROUTE_RETRY_S
             return self._give_up(outcomes.Reason.NO_ROUTE)
-        self.attempt += 1
-        self._route = route
-        for endpoint_id in route.endpoint_ids:
-            self._shared.fleet.begin(endpoint_id, self._run)
         if self.attempt == 1:
             self._state = _State.CONNECTING
             return [msg.Connect(self.attempt, route)]
@@ -167,80 +142,36 @@
         return [msg.ProbeStages(self.attempt, route.endpoint_ids)]
 
     def _on_vetted(self, event: msg.Probed, now: float) -> list[msg.Action]:
-        if self._route is None:
+        if self.route is None:
             return []
         if not event.dead:
             self._state = _State.CONNECTING
-            return [msg.Connect(self.attempt, self._route)]
-        self._mark_dead(event.dead, now)
+            return [msg.Connect(self.attempt, self.route)]
+        dead = [item.endpoint_id for item in event.dead]
+        self._attempts.mark_dead(dead, now)
         actions = self._leave_attempt()
         self._vetted += 1
         if self._vetted >= MAX_VETTED:
             return [*actions, *self._give_up(outcomes.Reason.NO_ROUTE)]
         # Nothing was sent: this counts as no attempt.
-        self.attempt -= 1
+        self._attempts.take_back()
         return [*actions, *self._start_attempt(now)]
 
-    def _mark_dead(
-        self, dead: typing.Iterable[msg.DeadEndpoint], now: float
-    ) -> None:
-        for item in dead:
-            self._shared.fleet.mark_suspect(item.endpoint_id, now)
-            self._avoid.add(item.endpoint_id)
-
-    def _choose_route(self, now: float) -> routes.PipelineRoute | None:
-        """Chooses a route apart from other suspects, if there is one.
-
-        After a whole failure domain is lost, nearly every request is a
-        suspect, and no route is free of them; one that is shared serves the
-        caller, and a crash on it convicts nobody.
-        """
-        wish = planners.Wish(
-            self.request.spec,
-            frozenset(self._avoid | self._find_suspects_endpoints()),
-            frozenset(self._route.endpoint_ids if self._route else ()),
-            self.request.prefix,
-            self._cfg.failure_domain,
-        )
-        route = self._shared.planner.choose(wish, now)
-        if route is None and wish.avoid != self._avoid:
-            wish = wish._replace(avoid=frozenset(self._avoid))
-            route = self._shared.planner.choose(wish, now)
-        return route
-
-    def _find_suspects_endpoints(self) -> set[str]:
-        """Endpoints that run another suspect of the same crash."""
-        mine = self.request.fingerprint
-        if not self._shared.quarantine.is_suspect(mine):
-            return set()
-        return {
-            state.spec.endpoint_id
-            for state in self._shared.fleet.list_all()
-            if any(
-                run.fingerprint != mine
-                and self._shared.quarantine.shares_crash(mine, run.fingerprint)
-                for run in state.running
-            )
-        }
-
     def _on_connected(
         self, event: msg.Connected, now: float
     ) -> list[msg.Action]:
-        if self._state is not _State.CONNECTING or self._route is None:
+        if self._state is not _State.CONNECTING or self.route is None:
             return []
         # The process may have been paused since the connection was opened.
         if now >= self.request.deadline:
             return self._give_up(outcomes.Reason.DEADLINE)
-        if not all(
-            self._shared.fleet.is_usable(endpoint_id, now)
-            for endpoint_id in self._route.endpoint_ids
-        ):
+        if not self._attempts.is_usable(now):
             return self._fail_attempt(now)
         self._state = _State.STREAMING
-        self._may_have_run.add(self.attempt)
+        self._attempts.may_have_run.add(self.attempt)
         order = msg.SendOrder(
             self.attempt,
-            self._route,
+            self.route,
             len(self._delivered),
             tuple(self._delivered),
             self.request.deadline,
@@ -251,16 +182,15 @@
     def _on_connect_failed(
         self, event: msg.ConnectFailed, now: float
     ) -> list[msg.Action]:
-        self._shared.fleet.mark_suspect(event.endpoint_id, now)
-        self._avoid.add(event.endpoint_id)
+        self._attempts.mark_dead([event.endpoint_id], now)
         return [
             *self._leave_attempt(),
             *self._retry(outcomes.Reason.NO_ROUTE, now),
         ]
 
     def _on_refused(self, event: msg.Refused, now: float) -> list[msg.Action]:
-        self._may_have_run.discard(self.attempt)
-        self._avoid.add(event.endpoint_id)
+        self._attempts.may_have_run.discard(self.attempt)
+        self._attempts.avoid(event.endpoint_id)
         self._retry_after_s = event.retry_after_s
         return [
             *self._leave_attempt(),
@@ -273,15 +203,10 @@
         if self._state is not _State.STREAMING:
             return []
         if not event.may_have_run:
-            self._may_have_run.discard(self.attempt)
-        spec = self.request.spec
-        self._shared.fleet.note_refused(
-            event.endpoint_id, spec.model, spec.model_version
-        )
-        self._avoid.add(event.endpoint_id)
+            self._attempts.may_have_run.discard(self.attempt)
         actions = self._leave_attempt()
-        self._refusals += 1
-        if self._refusals >= MAX_REFUSALS:
+        self._attempts.note_refused(event.endpoint_id)
+        if self._attempts.refusals >= MAX_REFUSALS:
             return [
                 *actions,
                 *self._give_up(outcomes.Reason.ENDPOINT_REFUSED),
@@ -305,6 +230,7 @@
             # for is whole.
             return self._answer(now)
         self._delivered.append(event.text)
+        self._is_checking = False
         look_at = self._watch.on_token(now)
         return [
             msg.Deliver(event.token_index, event.text),
@@ -335,14 +261,17 @@
         return [msg.CloseAttempt(self.attempt), *self._probe()]
 
     def _probe(self) -> list[msg.Action]:
-        if self._route is None:
+        if self.route is None:
             return []
-        return [msg.ProbeStages(self.attempt, self._route.endpoint_ids)]
+        return [msg.ProbeStages(self.attempt, self.route.endpoint_ids)]
 
     def _on_probed(self, event: msg.Probed, now: float) -> list[msg.Action]:
         if self._state is _State.VETTING:
             return self._on_vetted(event, now)
         if self._state is _State.STREAMING and not event.dead:
+            if not self._is_checking:
+                # A token came while the stages were probed.
+                return []
             look_at = self._watch.on_all_alive(now)
             if look_at is not None:
                 return [msg.SetTimer(msg.Timer('stall'), look_at)]
@@ -350,13 +279,14 @@
             return []
         # Where nobody is dead, the connection was at fault, and the endpoints
         # bear no mark.
-        self._mark_dead(event.dead, now)
-        crashed = [dead for dead in event.dead if dead.crashed]
+        dead = [item.endpoint_id for item in event.dead]
+        self._attempts.mark_dead(dead, now)
+        crashed = [item for item in event.dead if item.crashed]
         if not crashed:
             return self._fail_attempt(now)
         # One attempt is one crash, however many of its stages are gone: they
         # fell together, and not to this request one after another.
-        crash = self._record_crash(crashed[0], now)
+        crash = self._attempts.record_crash(crashed[0], now)
         actions = self._leave_attempt()
         tell = msg.TellPeers((crash,))
         until = self._shared.quarantine.refused_until(
@@ -373,18 +303,6 @@
         told_by = now + self._cfg.suspicion_wait_s
         return [*actions, tell, msg.SetTimer(msg.Timer('told'), told_by)]
 
-    def _record_crash(
-        self, dead: msg.DeadEndpoint, now: float
-    ) -> quarantine_lib.Crash:
-        state = self._shared.fleet.get(dead.endpoint_id)
-        running = frozenset(state.running) if state else frozenset()
-        crash = quarantine_lib.Crash(
-            f'{dead.endpoint_id}/{dead.incarnation}',
-            running | {self._run},
-        )
-        self._shared.quarantine.record_crash(crash, now)
-        return crash
-
     def _on_peers_told(
         self, event: msg.PeersTold, now: float
     ) -> list[msg.Action]:
@@ -402,8 +320,7 @@
         if len(self._delivered) == self.request.max_tokens:
             # Only the final marker is missing: there can be no further token.
             return self._answer(now)
-        failed = self.attempt - self._refusals
-        if failed >= self._cfg.max_attempts:
+        if self._attempts.failed >= self._cfg.max_attempts:
             return self._give_up(reason)
         until = self._shared.quarantine.refused_until(
             self.request.fingerprint, now
@@ -414,7 +331,7 @@
         budget = self._shared.budgets.get(self.request.customer)
         if not budget.try_spend(now):
             return self._give_up(outcomes.Reason.RETRY_BUDGET)
-        if failed <= 1:
+        if self._attempts.failed <= 1:
             # The first retry goes out at once: it decides the recovery time,
             # and the budget bounds how many of them there are.
             return self._start_attempt(now)
@@ -432,6 +349,7 @@
         if name == 'deadline':
             return self._give_up(outcomes.Reason.DEADLINE)
         if name == 'stall' and self._state is _State.STREAMING:
+            self._is_checking = True
             return self._probe()
         if name == 'told' and self._state is _State.TELLING:
             return self._retry(outcomes.Reason.ENDPOINT_ERROR, now)
@@ -458,7 +376,7 @@
         )
         retry_after_s = None if no_repeat else self._retry_after_s
         outcome: outcomes.Outcome
-        if self._may_have_run or self._delivered:
+        if self._attempts.may_have_run or self._delivered:
             outcome = outcomes.Incomplete(
                 reason, len(self._delivered), retry_after_s
             )
@@ -468,14 +386,12 @@
 
     def _leave_attempt(self, is_running: bool = True) -> list[msg.Action]:
         """Closes the current attempt, once."""
-        if self._state not in _HOLDING or self._route is None:
+        if not self._attempts.close() or self.route is None:
             return []
-        for endpoint_id in self._route.endpoint_ids:
-            self._shared.fleet.finish(endpoint_id, self._run)
         actions: list[msg.Action] = [msg.CloseAttempt(self.attempt)]
-        if is_running and self.attempt in self._may_have_run:
+        if is_running and self.attempt in self._attempts.may_have_run:
             cancel = msg.CancelAttempt(
-                self.attempt, self._route.endpoint_ids, self.request.deadline
+                self.attempt, self.route.endpoint_ids, self.request.deadline
             )
             actions.append(cancel)
         self._state = _State.IDLE
--- a/packages/sardinebend-policy/src/sardinebend_policy/membership.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/membership.py
@@ -110,10 +110,11 @@
 
     def list_alive(self, now: float) -> list[Member]:
         """Returns the other members that were heard of lately."""
+        limit_s = self._silence_limit_s()
         return [
             seen.member
             for seen in self._seen.values()
-            if now - seen.heard_at <= DEAD_AFTER_S
+            if now - seen.heard_at <= limit_s
         ]
 
     def highest_version(self) -> int:
@@ -127,6 +128,14 @@
             default=0,
         )
 
+    def _silence_limit_s(self) -> float:
+        """Returns the silence after which a member isn't called alive.
+
+        Beyond the full mesh a member is heard of once in as many rounds as
+        it takes to draw everyone.
+        """
+        return DEAD_AFTER_S * max(1.0, len(self._seen) / PEERS_PER_ROUND)
+
     def draw_round(self, rng: random.Random) -> list[Member]:
         """Returns the peers of one heartbeat round.
 
@@ -151,11 +160,12 @@
         """
         if limit < 1:
             raise errors.InvalidArgument('limit', limit, '1 or more')
+        limit_s = self._silence_limit_s()
         members = [
             seen.member
             for seen in self._seen.values()
             if not seen.is_leaving
-            and now - seen.heard_at <= DEAD_AFTER_S
+            and now - seen.heard_at <= limit_s
             and seen.heartbeat is not None
             and seen.heartbeat.is_ready
         ]
--- a/packages/sardinebend-policy/tests/cover/test_bookings.py
+++ b/packages/sardinebend-policy/tests/cover/test_bookings.py
@@ -180,3 +180,24 @@
         registry.set_state(f'n{number}', claims.ClaimantState.VOID)
     assert registry.describe('n0').state is claims.ClaimantState.UNKNOWN
     assert registry.describe('n1').state is claims.ClaimantState.VOID
+
+
+def test_a_host_keeps_no_body_once_it_is_recorded():
+    session = make_session()
+    reach_claiming(session)
+    session.handle(msg.ClaimWritten(1), 0.0)
+    session.handle(msg.Replied(200, 't', b'C1'), 0.1)
+    [state, _] = session.handle(msg.OutcomeWritten(), 0.2)
+    assert state == msg.SetClaimState(claims.ClaimantState.DONE, None)
+
+
+def test_a_claimant_that_is_done_without_a_body_is_read_from_the_row():
+    session = make_session()
+    reach_claiming(session)
+    session.handle(msg.ClaimConflict(make_row(), 1), 0.0)
+    done = claims.ClaimantAnswer(claims.ClaimantState.DONE)
+    assert session.handle(msg.ClaimantSaid('other', done), 0.1) == [
+        msg.ReadRow()
+    ]
+    actions = session.handle(msg.RowRead(make_row(state='done'), 2), 0.2)
+    assert any(isinstance(action, msg.ReplayAnswer) for action in actions)
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -5,6 +5,7 @@
 import hypothesis
 from hypothesis import strategies as st
 
+from sardinebend_policy import attempts
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import drafts
 from sardinebend_policy import fleet as fleet_lib
@@ -38,7 +39,7 @@
         for replica in 'abc'
     )
     rng = random.Random(1)
-    return drafts.Shared(
+    return attempts.Shared(
         fleet,
         planners.SlowestStagePlanner(fleet, rng),
         quarantine.Quarantine(600.0),
@@ -231,7 +232,7 @@
     for session in (poison, innocent):
         session.handle(msg.PeersTold(), 1.2)
         reach_second_order(session, 1.3)
-    apart = set(poison._route.endpoint_ids) & set(innocent._route.endpoint_ids)
+    apart = set(poison.route.endpoint_ids) & set(innocent.route.endpoint_ids)
     assert not apart
     for index in range(MAX_TOKENS):
         innocent.handle(msg.Chunk(2, index, 't'), 1.4)
@@ -281,7 +282,7 @@
         reach_streaming(session)
     dead = tuple(
         msg.DeadEndpoint(name, 'i', crashed=True)
-        for name in sessions[0]._route.endpoint_ids
+        for name in sessions[0].route.endpoint_ids
     )
     for session in sessions:
         session.handle(msg.Broken(1), 1.0)
@@ -333,7 +334,7 @@
     session = make_session(shared)
     reach_streaming(session)
     for attempt in (1, 2):
-        refusing = session._route.endpoint_ids[1]
+        refusing = session.route.endpoint_ids[1]
         session.handle(msg.StageRefused(attempt, refusing, True), 0.1)
         session.handle(msg.Probed(attempt + 1, ()), 0.2)
         session.handle(msg.Connected(attempt + 1), 0.2)
@@ -351,3 +352,13 @@
     assert not shared.fleet.get('e0a').holds('tide', '1')
     shared.fleet.note_held('e0a', 'tide', '1')
     assert shared.fleet.get('e0a').holds('tide', '1')
+
+
+def test_a_token_that_comes_while_the_stages_are_probed_ends_the_check():
+    session = make_session()
+    reach_streaming(session)
+    session.handle(msg.Chunk(1, 0, 't'), 0.1)
+    session.handle(msg.TimerDue(msg.Timer('stall')), 0.7)
+    session.handle(msg.Chunk(1, 1, 't'), 0.75)
+    assert session.handle(msg.Probed(1, ()), 0.8) == []
+    assert session.attempt == 1
--- a/packages/sardinebend-policy/tests/cover/test_policies.py
+++ b/packages/sardinebend-policy/tests/cover/test_policies.py
@@ -421,6 +421,14 @@
     assert order(make_view(), now=100.0) == ['h0']
 
 
+def test_silence_is_judged_by_how_often_a_member_is_heard():
+    assert len(make_view(9).list_alive(3.0)) == 8
+    assert make_view(9).list_alive(3.1) == []
+    large = make_view(361)
+    assert len(large.list_alive(130.0)) == 360
+    assert large.list_alive(136.0) == []
+
+
 def test_heartbeats_cost_the_same_in_a_large_fleet():
     rng = random.Random(1)
     assert len(make_view(8).draw_round(rng)) == 7
--- a/packages/sardinebend-router/src/sardinebend_router/draft_runner.py
+++ b/packages/sardinebend-router/src/sardinebend_router/draft_runner.py
@@ -2,7 +2,6 @@
 
 import trio
 
-from sardinebend_policy import admission
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import drafts
 from sardinebend_router import calls
@@ -34,12 +33,8 @@
         """Lets a draft wait for its turn and runs it to its typed end."""
         state = self._state
         customer = request.customer
-        ticket = admission.Ticket(
-            request.request_id,
-            customer,
-            state.number('admission.weight', customer),
-            int(state.number('admission.max_queued', customer)),
-            request.deadline,
+        ticket = state.make_ticket(
+            request.request_id, customer, request.deadline
         )
         start = trio.current_time()
         state.in_flight[request.request_id] = state_lib.InFlight(
--- a/packages/sardinebend-router/src/sardinebend_router/operations.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operations.py
@@ -5,7 +5,6 @@
 
 import trio
 
-from sardinebend_policy import admission
 from sardinebend_policy import booking_messages as booking_msg
 from sardinebend_policy import bookings
 from sardinebend_policy import claims
@@ -97,13 +96,7 @@
     async def _run(self, call: calls.Call, ask: _Ask) -> outcomes.Outcome:
         state = self._state
         customer = ask.customer
-        ticket = admission.Ticket(
-            call.request_id,
-            customer,
-            state.number('admission.weight', customer),
-            int(state.number('admission.max_queued', customer)),
-            ask.deadline,
-        )
+        ticket = state.make_ticket(call.request_id, customer, ask.deadline)
         start = trio.current_time()
         outcome: outcomes.Outcome | None = None
         try:
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -7,9 +7,9 @@
 import trio
 
 from sardinebend_policy import admission
+from sardinebend_policy import attempts
 from sardinebend_policy import cancels
 from sardinebend_policy import claims
-from sardinebend_policy import drafts
 from sardinebend_policy import fleet as fleet_lib
 from sardinebend_policy import membership as membership_lib
 from sardinebend_policy import planners
@@ -113,6 +113,18 @@
         """Returns a textual setting in force at this host."""
         return str(self.settings.tree.resolve(key, self.scopes()).value)
 
+    def make_ticket(
+        self, request_id: str, customer: str, deadline: float
+    ) -> admission.Ticket:
+        """Returns a request's place in the queue."""
+        return admission.Ticket(
+            request_id,
+            customer,
+            self.number('admission.weight', customer),
+            int(self.number('admission.max_queued', customer)),
+            deadline,
+        )
+
     def update_limit(self) -> None:
         """Shares what the engines carry with the other live hosts."""
         now = trio.current_time()
@@ -139,11 +151,11 @@
         """Wakes the task that sends cancels."""
         self.cancels_wanted.set()
 
-    def _make_drafts(self) -> drafts.Shared:
+    def _make_drafts(self) -> attempts.Shared:
         planner = planners.make_planner(
             self.text('routing.policy'), self.fleet, self.rng
         )
-        return drafts.Shared(
+        return attempts.Shared(
             self.fleet,
             planner,
             quarantine.Quarantine(self.number('quarantine.hold_s')),
--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import secrets
 import socket
 import subprocess
@@ -19,6 +20,7 @@
 REGION: typing.Final = 'viti-west'
 LAYERS: typing.Final = 12
 STAGES: typing.Final = 3
+PORT_RANGE: typing.Final = (15_000, 32_000)
 READY_TIMEOUT_S: typing.Final = 30.0
 STOP_TIMEOUT_S: typing.Final = 10.0
 CUSTOMER_KEYS: typing.Final = {'vanua': 'vanua-key', 'nile': 'nile-key'}
@@ -332,10 +334,21 @@
 
 
 def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        ports = []
-        for _ in range(count):
-            sock = stack.enter_context(socket.socket())
-            sock.bind(('127.0.0.1', 0))
-            ports.append(sock.getsockname()[1])
-        return ports
+    """Returns ports on which nothing listens.
+
+    They are below the range from which the system takes the ports of outgoing
+    connections, one of which could otherwise take a port before its process
+    has started.
+    """
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(*PORT_RANGE)
+        if port in ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+        ports.append(port)
+    return ports
--- a/tests/common/booking_world.py
+++ b/tests/common/booking_world.py
@@ -340,14 +340,7 @@
             if carrier is not None:
                 carrier.post(msg.CallerLeft())
         case _:
-            mode = {
-                'table_down': 'down',
-                'table_slow': 'slow',
-                'table_reply_lost': 'lost',
-                'table_effect_late': 'late',
-            }[fault]
-            world.faults.mode = mode
-            world.later(OUTAGE_S, lambda: setattr(world.faults, 'mode', 'up'))
+            world.fail_table(fault, OUTAGE_S)
 
 
 async def _run(faults, session_type) -> Record:
--- a/tests/common/draft_world.py
+++ b/tests/common/draft_world.py
@@ -309,7 +309,7 @@
 def inject(world: DraftWorld, fault: str) -> None:
     """Brings a fault about."""
     host = world.host
-    route = world.carrier._session._route
+    route = world.carrier._session.route
     ids = route.endpoint_ids if route else ('e1a', 'e2a', 'e3a')
     positions = {
         'first_stage_dies': 0,
--- a/tests/common/orders_world.py
+++ b/tests/common/orders_world.py
@@ -189,14 +189,7 @@
             for sim in world.hosts.values():
                 sim.state.settings.apply_tree(make_tree(3, '3'))
         case _:
-            mode = {
-                'table_down': 'down',
-                'table_slow': 'slow',
-                'table_reply_lost': 'lost',
-                'table_effect_late': 'late',
-            }[fault]
-            world.faults.mode = mode
-            world.later(OUTAGE_S, lambda: setattr(world.faults, 'mode', 'up'))
+            world.fail_table(fault, OUTAGE_S)
 
 
 async def _run(faults, ordering_type) -> Record:
--- a/tests/common/settings_world.py
+++ b/tests/common/settings_world.py
@@ -270,15 +270,8 @@
         case 'new_host':
             world.nursery.start_soon(world.add_host, f'n{len(world.injected)}')
         case _:
-            mode = {
-                'table_down': 'down',
-                'table_slow': 'slow',
-                'table_reply_lost': 'lost',
-                'table_effect_late': 'late',
-            }[fault]
-            world.faults.mode = mode
             world.table_back = trio.current_time() + OUTAGE_S
-            world.later(OUTAGE_S, lambda: setattr(world.faults, 'mode', 'up'))
+            world.fail_table(fault, OUTAGE_S)
 
 
 def make_value(attempts: int) -> dict[str, typing.Any]:
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -22,6 +22,14 @@
 SLOW_S = 1.0
 
 
+TABLE_MODES = {
+    'table_down': 'down',
+    'table_slow': 'slow',
+    'table_reply_lost': 'lost',
+    'table_effect_late': 'late',
+}
+
+
 class TableFaults:
     """How the table behaves: up, down, slow, lost or late."""
 
@@ -137,6 +145,11 @@
                 self.injected.append((step, fault))
                 self.plan.inject(self, fault)
 
+    def fail_table(self, fault: str, seconds: float) -> None:
+        """Brings about a fault of the table for a time."""
+        self.faults.mode = TABLE_MODES[fault]
+        self.later(seconds, lambda: setattr(self.faults, 'mode', 'up'))
+
     def later(self, delay_s: float, function: typing.Callable) -> None:
         async def run() -> None:
             await trio.sleep(delay_s)
