Give plain services places of their own

Cause: reading the sharing of the engines' room showed that bookings and lookups waited at the same gate as drafts. With few engines left, the gate shrinks to a place or two, and a booking would wait behind drafts, or be refused.

Change: a second gate for plain services, bounded by admission.max_running.

Ruled out: leaving one gate and not counting bookings; nothing would bound them.

Test: test_a_booking_does_not_wait_for_drafts; with one place and a draft of 500 tokens running, a booking is answered. It was written with the change and not run against the old code.

--- a/packages/sardinebend-router/src/sardinebend_router/operations.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operations.py
@@ -100,7 +100,9 @@
         start = trio.current_time()
         outcome: outcomes.Outcome | None = None
         try:
-            async with state.gate.enter(ticket, call.caller.left) as refusal:
+            async with state.service_gate.enter(
+                ticket, call.caller.left
+            ) as refusal:
                 if refusal is not None:
                     outcome = refusal
                 elif ask.repeatable:
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -69,11 +69,18 @@
         self.recording = 0
         self.is_draining = False
         self.is_blind = False
-        self.gate = gate_lib.Gate(int(self.number('admission.max_running')))
+        # Drafts share the engines' room, plain services don't: a booking must
+        # not wait because engines are few or busy.
+        largest = int(self.number('admission.max_running'))
+        self.gate = gate_lib.Gate(largest)
+        self.service_gate = gate_lib.Gate(largest)
         self.drafts = self._make_drafts()
         self.settings.add_listener(self._apply_tree)
         self.metrics.watch('requests_in_flight', lambda: len(self.in_flight))
-        self.metrics.watch('requests_waiting', lambda: self.gate.waiting)
+        self.metrics.watch('drafts_waiting', lambda: self.gate.waiting)
+        self.metrics.watch(
+            'service_calls_waiting', lambda: self.service_gate.waiting
+        )
         self.metrics.watch('cancels_pending', lambda: self.cancels.pending)
         self.metrics.watch(
             'settings_version', lambda: self.settings.tree.version
@@ -126,7 +133,11 @@
         )
 
     def update_limit(self) -> None:
-        """Shares what the engines carry with the other live hosts."""
+        """Shares what the engines carry with the other live hosts.
+
+        Draft places are the share; calls to plain services have the largest
+        number of places of their own.
+        """
         now = trio.current_time()
         routes_known = self.settings.tree.section('routes').values()
         pipelines = sum(
@@ -139,13 +150,15 @@
             )
             for node in routes_known
         )
+        largest = int(self.number('admission.max_running'))
         limit = admission.share_limit(
             pipelines,
             1 + len(self.membership.list_alive(now)),
-            int(self.number('admission.max_running')),
+            largest,
             self.number('admission.headroom'),
         )
         self.gate.set_max_running(limit)
+        self.service_gate.set_max_running(largest)
 
     def want_cancels(self) -> None:
         """Wakes the task that sends cancels."""
--- a/packages/sardinebend-router/tests/cover/test_http.py
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -195,6 +195,21 @@
         await first.aclose()
 
 
+async def test_a_booking_does_not_wait_for_drafts():
+    values = {'admission.max_running': 1}
+    host = eh.embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    async with eh.started(host):
+        body = eh.draft(max_tokens=500)
+        draft = await eh.send_raw(host, eh.make_request(body=body))
+        await eh.wait_until(lambda: host.state.gate.running == 1)
+        status, _, _ = await eh.ask(
+            host, CONFIRM, b'{}', idempotency_key='k', request_timeout='5'
+        )
+        assert status == 200
+        assert host.state.gate.running == 1
+        await draft.aclose()
+
+
 async def test_hosts_health_and_metrics_are_open_to_all():
     async with eh.started() as host:
         answers = [
--- a/tests/common/embedded_host.py
+++ b/tests/common/embedded_host.py
@@ -33,6 +33,8 @@
         state.in_flight
         or state.gate.running
         or state.gate.waiting
+        or state.service_gate.running
+        or state.service_gate.waiting
         or state.cancels.pending
         or running
     )
