List every setting in the reference; bound what a stream of lines may hold

Cause: the reference page named the inheritable keys only; the host file and the nodes stood in prose. An engine's stream had no test of its own for lines that break its protocol, and the cost of a crashing request sent to all hosts at once was not measured.

Change: the page is written from the typed shapes and their docstrings, and a test refuses a key without a meaning. Tests of an engine's lines: cut, foreign, negative, without end, refused.

The code needed no change for them.

--- /dev/null
+++ b/packages/sardinebend-router/tests/cover/test_engines.py
@@ -0,0 +1,92 @@
+"""What an engine's stream may hold, and what it may not."""
+
+import pytest
+
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import fleet as fleet_lib
+from sardinebend_policy import routes
+from sardinebend_router import engines
+
+SPEC = routes.ModelSpec('tide', '1', 2)
+ROUTE = routes.PipelineRoute(SPEC, (routes.Stage('e', 0, 2),))
+REQUEST = msg.DraftRequest('r', 'vanua', 'f', SPEC, 'p', 4, 100.0)
+ORDER = engines.Order(REQUEST, msg.SendOrder(2, ROUTE, 0, (), 100.0))
+CHUNK = b'{"request": "r", "attempt": 2, "index": 0, "text": "t"}'
+
+
+@pytest.mark.parametrize(
+    ('line', 'event'),
+    [
+        (CHUNK, msg.Chunk(2, 0, 't')),
+        (CHUNK.replace(b'2', b'1'), msg.Chunk(1, 0, 't')),
+        (b'{"final": true, "count": 9}', msg.Finished(2, 9)),
+        (b'{"lost": "e2"}', msg.Broken(2, 'e2')),
+        (b'{"refused": "e2"}', msg.StageRefused(2, 'e2', True)),
+        (CHUNK.replace(b'"r"', b'"other"'), msg.Broken(2)),
+        (CHUNK.replace(b'0', b'-1'), msg.Broken(2)),
+        (CHUNK.replace(b'0', b'"0"'), msg.Broken(2)),
+        (b'{"text": 3}', msg.Broken(2)),
+        (b'\xff\xfe', msg.Broken(2)),
+        (b'', msg.Broken(2)),
+    ],
+)
+def test_each_line_is_an_event_or_breaks_the_stream(line, event):
+    assert engines.decode_line(line, ORDER) == event
+
+
+class FakeConnection:
+    """An engine that answers with given pieces."""
+
+    def __init__(self, pieces, status=200):
+        self.pieces = pieces
+        self.status = status
+
+    def stream(self, method, path, headers, body):
+        return self
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        return False
+
+    async def aiter_stream(self):
+        for piece in self.pieces:
+            yield piece
+
+
+async def run(pieces, status=200):
+    events = []
+    pipeline = engines.HandOnPipeline(
+        FakeConnection(pieces, status), fleet_lib.Fleet()
+    )
+    await pipeline.run(ORDER, events.append)
+    return events
+
+
+async def test_lines_cut_into_pieces_are_put_together():
+    pieces = [CHUNK[:9], CHUNK[9:] + b'\n' + CHUNK, b'\n{"final": true}\n']
+    events = await run(pieces)
+    assert events[:2] == [msg.Chunk(2, 0, 't')] * 2
+    assert isinstance(events[2], msg.Finished)
+
+
+async def test_a_line_without_end_breaks_the_stream():
+    pieces = [b'x' * 65536] * 1000
+    assert await run(pieces) == [msg.Broken(2)]
+
+
+async def test_a_stream_that_ends_early_is_broken():
+    assert await run([CHUNK + b'\n']) == [msg.Chunk(2, 0, 't'), msg.Broken(2)]
+
+
+@pytest.mark.parametrize(
+    ('status', 'event'),
+    [
+        (409, msg.StageRefused(2, 'e', False)),
+        (429, msg.Refused(2, 'e', 1.0)),
+        (503, msg.Broken(2)),
+    ],
+)
+async def test_only_declared_statuses_are_refusals(status, event):
+    assert (await run([], status))[0] == event
--- a/packages/sardinebend-settings/src/sardinebend_settings/hostfile.py
+++ b/packages/sardinebend-settings/src/sardinebend_settings/hostfile.py
@@ -8,14 +8,25 @@
 
 
 class Listen(typing.TypedDict):
-    """An address on which the process listens."""
+    """An address on which the process listens.
+
+    Attributes:
+        address: IP address.
+        port: Port; 0 for any free one, in trials only.
+    """
 
     address: str
     port: int
 
 
 class Platform(typing.TypedDict):
-    """Where the platform's services are."""
+    """Where the platform's services are.
+
+    Attributes:
+        table_url: The table service.
+        object_url: The object store.
+        host_list_url: The host list.
+    """
 
     table_url: str
     object_url: str
@@ -23,7 +34,13 @@
 
 
 class Tls(typing.TypedDict, total=False):
-    """Files for TLS; `ca_file` verifies the other entry hosts."""
+    """Files for TLS, in PEM.
+
+    Attributes:
+        cert_file: This host's certificate chain.
+        key_file: Its key.
+        ca_file: Authority that verifies the other entry hosts.
+    """
 
     cert_file: typing.Required[str]
     key_file: typing.Required[str]
--- a/packages/sardinebend-settings/src/sardinebend_settings/reference.py
+++ b/packages/sardinebend-settings/src/sardinebend_settings/reference.py
@@ -1,6 +1,24 @@
-"""Writes the reference page of all inheritable keys."""
+"""Writes the reference page of all settings."""
 
+import inspect
+import typing
+
+from sardinebend_settings import hostfile
 from sardinebend_settings import keys
+from sardinebend_settings import tree
+
+_SHAPES: typing.Final = (
+    ('Host file', hostfile.HostFile),
+    ('Host file: `callers`, `peers`', hostfile.Listen),
+    ('Host file: `platform`', hostfile.Platform),
+    ('Host file: `tls`', hostfile.Tls),
+    ('Node `customers/NAME`', tree.Customer),
+    ('Node `operators/NAME`', tree.Operator),
+    ('Node `routes/NAME`', tree.Route),
+    ('Node `services/NAME`', tree.Service),
+    ('Node `services/NAME`: each of `operations`', tree.Operation),
+    ('Node `endpoints/NAME`', tree.Endpoint),
+)
 
 
 def render_reference() -> str:
@@ -8,22 +26,77 @@
     lines = [
         '# Settings reference',
         '',
-        'Written by `make reference` from the declarations in',
-        '`sardinebend_settings.keys`. Every key can be set at any scope; a',
-        'value is inherited by the scopes below unless one sets its own.',
+        'Written by `make reference` from the declarations in the package',
+        '`sardinebend_settings`.',
+        '',
+        '## Inheritable keys: nodes `values/SCOPE`',
+        '',
+        'Every key can be set at any scope; a value is inherited by the scopes',
+        'below unless one sets its own.',
         '',
         '| key | default | allowed | unit | purpose |',
         '| --- | --- | --- | --- | --- |',
     ]
-    for key in sorted(keys.KEYS.values()):
-        if key.choices:
-            allowed = ', '.join(key.choices)
-        elif isinstance(key.default, bool):
-            allowed = 'true, false'
-        else:
-            allowed = f'{key.low:g} to {key.high:g}'
+    lines += [_render_key(key) for key in sorted(keys.KEYS.values())]
+    for title, shape in _SHAPES:
+        lines += ['', f'## {title}', '', *_render_shape(shape)]
+    return '\n'.join(lines) + '\n'
+
+
+def _render_key(key: keys.Key) -> str:
+    if key.choices:
+        allowed = ', '.join(key.choices)
+    elif isinstance(key.default, bool):
+        allowed = 'true, false'
+    else:
+        allowed = f'{key.low:g} to {key.high:g}'
+    return (
+        f'| `{key.name}` | {key.default} | {allowed} | {key.unit} '
+        f'| {key.purpose} |'
+    )
+
+
+def _render_shape(shape: typing.Any) -> list[str]:
+    """Returns the keys of a typed dict, and what its docstring says of them."""
+    summary, _, rest = (inspect.getdoc(shape) or '').partition('\n\n')
+    notes = _parse_attributes(rest)
+    lines = [
+        ' '.join(summary.split()),
+        '',
+        '| key | type | required | meaning |',
+        '| --- | --- | --- | --- |',
+    ]
+    for name, hint in typing.get_type_hints(shape).items():
+        required = 'yes' if name in shape.__required_keys__ else 'no'
+        kind = _render_type(hint)
         lines.append(
-            f'| `{key.name}` | {key.default} | {allowed} | {key.unit} '
-            f'| {key.purpose} |'
+            f'| `{name}` | {kind} | {required} | {notes.get(name, "")} |'
         )
-    return '\n'.join(lines) + '\n'
+    return lines
+
+
+def _parse_attributes(text: str) -> dict[str, str]:
+    """Returns the entries of a docstring's section `Attributes`."""
+    notes: dict[str, str] = {}
+    name = ''
+    for line in text.splitlines()[1:]:
+        if line.startswith('    ') and not line.startswith('     '):
+            name, _, note = line.strip().partition(': ')
+            notes[name] = note
+        elif name:
+            notes[name] += f' {line.strip()}'
+    return notes
+
+
+def _render_type(hint: typing.Any) -> str:
+    origin, args = typing.get_origin(hint), typing.get_args(hint)
+    if origin is typing.Literal:
+        return ' or '.join(f'`{item}`' for item in args)
+    if origin is list:
+        return f'list of {_render_type(args[0])}'
+    if origin is dict:
+        return f'object of {_render_type(args[1])}'
+    if typing.is_typeddict(hint):
+        return 'object'
+    names = {str: 'text', int: 'whole number', float: 'number', bool: 'bool'}
+    return names.get(hint, str(hint))
--- a/packages/sardinebend-settings/src/sardinebend_settings/tree.py
+++ b/packages/sardinebend-settings/src/sardinebend_settings/tree.py
@@ -28,20 +28,36 @@
 
 
 class Customer(typing.TypedDict, total=False):
-    """A customer; its keys are stored as SHA-256 hex digests."""
+    """A customer.
+
+    Attributes:
+        key_hashes: SHA-256 of each of its keys, in hexadecimal.
+    """
 
     key_hashes: list[str]
 
 
 class Operator(typing.TypedDict, total=False):
-    """An operator, and the node path prefixes that it may change."""
+    """An operator.
+
+    Attributes:
+        key_hashes: SHA-256 of each of its keys, in hexadecimal.
+        branches: Node path prefixes that it may change; `hosts/NAME` allows
+            the planned stop of a host, and an empty text allows all.
+    """
 
     key_hashes: list[str]
     branches: list[str]
 
 
 class Route(typing.TypedDict):
-    """A model that callers can ask for, with its number of layers."""
+    """A model that callers can ask for.
+
+    Attributes:
+        model: The model.
+        model_version: Its version.
+        layers: Its number of layers.
+    """
 
     model: str
     model_version: str
@@ -62,13 +78,32 @@
 
 
 class Service(typing.TypedDict):
-    """A plain service and its operations."""
+    """A plain service.
+
+    Attributes:
+        operations: Its operations by name.
+    """
 
     operations: dict[str, Operation]
 
 
 class Endpoint(typing.TypedDict, total=False):
-    """A back end: a model engine with a layer range, or a plain service."""
+    """A back end: a model engine with a layer range, or a plain service.
+
+    Attributes:
+        url: Its address.
+        failure_domain: Where it is.
+        role: What it is.
+        service: The plain service; only for one.
+        model: The model that an engine shall hold.
+        model_version: Version of that model.
+        first_layer: First layer that an engine holds.
+        end_layer: One past the last layer.
+        accelerator: Kind of its accelerators; for people.
+        layer_cost_us: Time of one layer for one token, in microseconds.
+        batch_slots: Tokens that an engine works on at full speed.
+        checks_fencing: Whether it refuses orders with an old fencing number.
+    """
 
     url: typing.Required[str]
     failure_domain: typing.Required[str]
--- a/packages/sardinebend-settings/tests/cover/test_settings.py
+++ b/packages/sardinebend-settings/tests/cover/test_settings.py
@@ -269,5 +269,8 @@
 
 def test_the_reference_page_names_every_key(snapshot):
     page = reference.render_reference()
-    assert all(f'`{name}`' in page for name in keys.KEYS)
+    names = [*keys.KEYS, *hostfile.HostFile.__annotations__]
+    names += tree_lib.Endpoint.__annotations__
+    assert all(f'| `{name}` |' in page for name in names)
+    assert ' |  |\n' not in page, 'a key without a meaning'
     assert page == snapshot
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -15,9 +15,9 @@
 
 
 @contextlib.contextmanager
-def deployed(folder: pathlib.Path, **values):
+def deployed(folder: pathlib.Path, replicas=2, **values):
     """Yields a running deployment with settings for the whole fleet."""
-    deployment = launcher.Deployment(folder)
+    deployment = launcher.Deployment(folder, replicas)
     deployment.values.update(values)
     with deployment:
         yield deployment
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -253,6 +253,35 @@
         assert draft.error['outcome'] == 'not_run'
 
 
+def test_a_crashing_request_at_all_hosts_at_once_costs_two_for_each(tmp_path):
+    poison = 'Crash it [100 tokens]'
+    values = {**VALUES, 'retry.budget_floor': 100}
+    with processes.deployed(tmp_path, 8, **values) as deployment:
+        for engine in deployment.engines.values():
+            processes.set_run_faults(engine, crash_on='Crash it')
+        callers = processes.make_callers(deployment)
+        trio.run(send_to_all, callers, poison)
+        at_once = count_dead(deployment)
+        trio.run(send_to_all, callers, poison)
+        after = count_dead(deployment)
+    print(f'{at_once} engines lost at once, {after - at_once} to the resends')
+    assert at_once <= 2 * len(callers)
+    assert after == at_once
+
+
+async def send_to_all(callers, prompt):
+    async with trio.open_nursery() as nursery:
+        for caller in callers:
+            nursery.start_soon(caller.draft, prompt, 100)
+
+
+def count_dead(deployment):
+    return sum(
+        engine.popen.poll() is not None
+        for engine in deployment.engines.values()
+    )
+
+
 def test_a_caller_that_stops_reading_is_cancelled(deployment):
     body = json.dumps(
         {
