Let a planned stop wait for requests whose body is on its way

Cause: reading the stop as a newcomer: a request counts as in flight once its body was read. One that had passed the door when the stop began, with its body still arriving, was cut off without an answer when nothing else was in flight.

Change: exchanges are counted from their headers on, and the stop waits for them too; body and write waits bound them.

Before: test_a_planned_stop_waits_for_a_body_that_is_on_its_way failed against the code before (the connection ended without an answer). After: it passes; router tests 58 pass.

--- a/packages/sardinebend-router/src/sardinebend_router/front.py
+++ b/packages/sardinebend-router/src/sardinebend_router/front.py
@@ -37,7 +37,6 @@
         self._drafts = drafts
         self._plain = plain
         self._admin = admin
-        self._open = 0
         self._fixed: dict[tuple[str, str], _Handler] = {
             ('POST', '/v1/completions'): self._serve_draft,
             ('GET', '/v1/hosts'): self._serve_hosts,
@@ -56,11 +55,11 @@
         if scope['type'] != 'http':
             return
         call = calls.Call(scope, receive, send)
-        self._open += 1
+        self._state.open_calls += 1
         try:
             await self._serve(call)
         finally:
-            self._open -= 1
+            self._state.open_calls -= 1
 
     async def _serve(self, call: calls.Call) -> None:
         try:
@@ -113,7 +112,7 @@
 
     async def _refuse_new(self, call: calls.Call) -> bool:
         """Refuses a new request if this host takes none."""
-        if self._state.is_ready and self._open <= MAX_OPEN_CALLS:
+        if self._state.is_ready and self._state.open_calls <= MAX_OPEN_CALLS:
             return False
         reason = outcomes.Reason.SETTINGS_STALE
         if self._state.is_draining:
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -252,12 +252,20 @@
             await self._wait_empty(LAST_RECORD_S)
 
     async def _wait_empty(self, limit_s: float) -> bool:
+        """Waits until no exchange is open and no outcome unrecorded.
+
+        An exchange counts from its headers on: one whose body is still on its
+        way is not in flight yet, and must not be cut off either.
+        """
         deadline = trio.current_time() + limit_s
-        while self.state.in_flight and not self._hurry.is_set():
+        while self._is_busy() and not self._hurry.is_set():
             if trio.current_time() >= deadline:
                 break
             await trio.sleep(DRAIN_STEP_S)
-        return not self.state.in_flight
+        return not self._is_busy()
+
+    def _is_busy(self) -> bool:
+        return bool(self.state.in_flight or self.state.open_calls)
 
 
 def make_tls(cfg: hostfile.HostFile) -> Tls:
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -66,7 +66,7 @@
         self.cancels_wanted = trio.Event()
         self.claims = claims.ClaimRegistry()
         self.in_flight: dict[str, InFlight] = {}
-        self.recording = 0
+        self.open_calls = 0
         self.is_draining = False
         self.is_blind = False
         # Drafts share the engines' room, plain services don't: a booking must
--- a/packages/sardinebend-router/tests/cover/test_http.py
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -283,5 +283,19 @@
     assert b'"completion_tokens":20' in data
 
 
+async def test_a_planned_stop_waits_for_a_body_that_is_on_its_way():
+    async with trio.open_nursery() as nursery:
+        host = eh.embedded.make_host(port=0)
+        await nursery.start(host.run)
+        data = eh.make_request(body=eh.draft(max_tokens=5))
+        stream = await eh.send_raw(host, data[:-10])
+        await eh.wait_until(lambda: host.state.open_calls)
+        host.begin_drain()
+        await trio.sleep(1.0)
+        await stream.send_all(data[-10:])
+        answer = await eh.read_all(stream)
+    assert b'"completion_tokens":5' in answer
+
+
 def hash_key(key):
     return eh.embedded.auth.hash_key(key)
