Ask in one place whether a draft is quarantined

Cause: the last read found the same five lines three times in the draft's session: look up the conviction, note until when it holds, give up.

Change: one method tells it and notes the time. No behaviour changes, no check was touched.

--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -116,15 +116,21 @@
     def _on_started(self, event: msg.Started, now: float) -> list[msg.Action]:
         if self.attempt:
             raise errors.UnexpectedEvent('the session was started before')
-        until = self._shared.quarantine.refused_until(
-            self.request.fingerprint, now
-        )
-        if until is not None:
-            self._retry_after_s = until - now
+        if self._is_quarantined(now):
             return self._give_up(outcomes.Reason.QUARANTINED)
         timer = msg.SetTimer(msg.Timer('deadline'), self.request.deadline)
         return [timer, *self._start_attempt(now)]
 
+    def _is_quarantined(self, now: float) -> bool:
+        """Tells whether the request is refused, and notes until when."""
+        until = self._shared.quarantine.refused_until(
+            self.request.fingerprint, now
+        )
+        if until is None:
+            return False
+        self._retry_after_s = until - now
+        return True
+
     def _start_attempt(self, now: float) -> list[msg.Action]:
         if now >= self.request.deadline:
             return self._give_up(outcomes.Reason.DEADLINE)
@@ -289,11 +295,7 @@
         crash = self._attempts.record_crash(crashed[0], now)
         actions = self._leave_attempt()
         tell = msg.TellPeers((crash,))
-        until = self._shared.quarantine.refused_until(
-            self.request.fingerprint, now
-        )
-        if until is not None:
-            self._retry_after_s = until - now
+        if self._is_quarantined(now):
             return [
                 *actions,
                 tell,
@@ -322,11 +324,7 @@
             return self._answer(now)
         if self._attempts.failed >= self._cfg.max_attempts:
             return self._give_up(reason)
-        until = self._shared.quarantine.refused_until(
-            self.request.fingerprint, now
-        )
-        if until is not None:
-            self._retry_after_s = until - now
+        if self._is_quarantined(now):
             return self._give_up(outcomes.Reason.QUARANTINED)
         budget = self._shared.budgets.get(self.request.customer)
         if not budget.try_spend(now):
