Tell hosts of each other's life and of what the store said

Hosts that the store refused had no other source.

Change: life signs as datagrams (thrift), at second hand in large fleets; a relay answers peers from the tables that a host follows, with the age of its evidence counted from the question; before a peer is known, the seeds are asked. Callers keep an address for 1 s.

Ruled out: a heartbeat in the store (a write a host and second is dear).

--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
@@ -0,0 +1,131 @@
+"""Life signs between hosts, as datagrams."""
+
+import socket
+import typing
+
+import trio
+
+from sardinebend_gateway import clocks
+from sardinebend_gateway import events
+from sardinebend_gateway import members as members_lib
+from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import state as state_lib
+from sardinebend_peers import codec
+from sardinebend_peers import errors as peer_errors
+from sardinebend_peers import messages
+from sardinebend_policy import inflight as inflight_lib
+
+MAX_DATAGRAM_BYTES: typing.Final = 65536
+# Loads beyond these would make a datagram that links split up.
+MAX_LOADS: typing.Final = 40
+
+
+class Beats:
+    """Sends this host's life signs and takes in those of others."""
+
+    def __init__(
+        self,
+        state: state_lib.State,
+        members: members_lib.Members,
+        address: settings_lib.Address,
+        incarnation: str,
+    ) -> None:
+        self._state = state
+        self._members = members
+        self._address = address
+        self._incarnation = incarnation
+
+    async def run(self) -> None:
+        """Runs until cancelled."""
+        with trio.socket.socket(type=socket.SOCK_DGRAM) as sock:
+            await sock.bind((self._address.ip, self._address.port))
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._receive, sock)
+                nursery.start_soon(self._send, sock)
+
+    async def _send(self, sock: trio.socket.SocketType) -> None:
+        liveness = self._members.liveness
+        while True:
+            peers = self._members.peers()
+            data = self._encode()
+            for name in liveness.choose_peers(sorted(peers)):
+                address = settings_lib.Address.parse(peers[name]['beats'])
+                try:
+                    await sock.sendto(data, (address.ip, address.port))
+                except OSError as exc:
+                    # Nobody there, or the way is cut; silence tells as much.
+                    self._state.metrics.count(
+                        'beats_unsent', reason=type(exc).__name__
+                    )
+            await trio.sleep(liveness.beat_every_s(len(peers)))
+
+    def _encode(self) -> bytes:
+        now = clocks.now()
+        inflight = self._state.inflight
+        largest = sorted(
+            inflight.token_layers, key=inflight.token_layers.__getitem__
+        )[-MAX_LOADS:]
+        beat = messages.HostBeat(
+            self._state.cfg.name,
+            self._incarnation,
+            self._state.is_stopping,
+            tuple(
+                messages.EndpointLoad(
+                    name,
+                    inflight.requests.get(name, 0),
+                    inflight.token_layers[name],
+                )
+                for name in largest
+            ),
+            tuple(
+                messages.HeardHost(
+                    name, sign.incarnation, int((now - sign.at) * 1000)
+                )
+                for name, sign in self._members.liveness.digest(now)
+            ),
+        )
+        return codec.encode(codec.Envelope(0, False, beat))
+
+    async def _receive(self, sock: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                data = await sock.recv(MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                # An earlier datagram met a closed port.
+                self._state.metrics.count(
+                    'beats_refused', reason=type(exc).__name__
+                )
+                continue
+            try:
+                message = codec.decode(data).message
+            except peer_errors.MalformedFrame as exc:
+                self._state.audit.log(
+                    events.ENTRY_SKIPPED,
+                    table='beats',
+                    key='',
+                    reason=str(exc),
+                )
+                continue
+            if isinstance(message, messages.HostBeat):
+                self._take(message)
+
+    def _take(self, beat: messages.HostBeat) -> None:
+        now = clocks.now()
+        if beat.host == self._state.cfg.name:
+            return
+        liveness = self._members.liveness
+        liveness.hear(beat.host, beat.incarnation, now)
+        for heard in beat.heard:
+            if heard.host != self._state.cfg.name:
+                at = now - heard.age_ms / 1000
+                liveness.hear(heard.host, heard.incarnation, at)
+        if beat.is_leaving:
+            self._members.mark_leaving(beat.host, beat.incarnation)
+        self._state.inflight.hear(
+            beat.host,
+            inflight_lib.PeerCounts(
+                now,
+                {load.endpoint_id: load.requests for load in beat.loads},
+                {load.endpoint_id: load.token_layers for load in beat.loads},
+            ),
+        )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sardinebend_gateway import beats
 from sardinebend_gateway import calls
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
@@ -14,6 +15,7 @@
 from sardinebend_gateway import http_server
 from sardinebend_gateway import keeper
 from sardinebend_gateway import members
+from sardinebend_gateway import relay
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
@@ -27,7 +29,20 @@
 LINGER_S: typing.Final = 3.0
 # Left at the end of the grace period for closing.
 EXIT_MARGIN_S: typing.Final = 0.6
-POLL_S: typing.Final = 0.05
+
+
+class PeerAddresses(typing.NamedTuple):
+    """How this host and its peers reach each other.
+
+    Attributes:
+        beats: Where this host takes life signs.
+        relay: Where it answers peers.
+        seeds: Relays to ask before any peer is known; may be stale.
+    """
+
+    beats: settings_lib.Address
+    relay: settings_lib.Address
+    seeds: tuple[settings_lib.Address, ...]
 
 
 class Gateway:
@@ -42,7 +57,7 @@
         self,
         cfg: settings_lib.HostSettings,
         edges: edges_lib.Edges,
-        peers_address: settings_lib.Address,
+        addresses: PeerAddresses,
     ) -> None:
         self.incarnation = uuid.uuid4().hex[:12]
         self.state = state_lib.State(
@@ -55,7 +70,8 @@
         )
         row: shared_table.HostRow = {
             'callers': str(cfg.callers),
-            'peers': str(peers_address),
+            'beats': str(addresses.beats),
+            'relay': str(addresses.relay),
             'domain': cfg.domain,
             'incarnation': self.incarnation,
             'is_leaving': False,
@@ -65,6 +81,12 @@
         self._shared = watch.Follower(
             self.state, shared_table.TABLE, self._take_shared, SHARED_WAIT_S
         )
+        self._catalog = watch.CatalogWatch(self.state)
+        self._endpoints = watch.EndpointWatch(self.state)
+        self._beats = beats.Beats(
+            self.state, self.members, addresses.beats, self.incarnation
+        )
+        self._addresses = addresses
         self._stop_asked = trio.Event()
 
     async def run(self) -> None:
@@ -75,9 +97,11 @@
         )
         async with trio.open_nursery() as nursery:
             await self.server.start(nursery, cfg.callers.ip, cfg.callers.port)
-            nursery.start_soon(watch.CatalogWatch(self.state).run)
-            nursery.start_soon(watch.EndpointWatch(self.state).run)
+            self._start_relay(nursery)
+            nursery.start_soon(self._catalog.run)
+            nursery.start_soon(self._endpoints.run)
             nursery.start_soon(self._shared.run)
+            nursery.start_soon(self._beats.run)
             nursery.start_soon(self.keeper.run)
             nursery.start_soon(self.members.publish, False)
             await self._stop_asked.wait()
@@ -85,6 +109,22 @@
             await self._drain()
             nursery.cancel_scope.cancel()
 
+    def _start_relay(self, nursery: trio.Nursery) -> None:
+        seeds = [s for s in self._addresses.seeds if s != self._addresses.relay]
+        client = relay.RelayClient(self.state, self.members, seeds, nursery)
+        followers = {
+            follower.table: follower
+            for follower in (
+                self._catalog.follower,
+                self._endpoints.follower,
+                self._shared,
+            )
+        }
+        for follower in followers.values():
+            follower.fallback = client
+        server = relay.RelayServer(followers)
+        nursery.start_soon(server.run, self._addresses.relay)
+
     def begin_stop(self) -> None:
         """Begins a planned stop; `run` returns when it is complete."""
         if self.state.is_stopping:
@@ -106,14 +146,13 @@
         return state.catalog_age_s() < state.cfg.revoke_s
 
     async def _drain(self) -> None:
+        """Ends once no request is under way, or the grace period is over."""
         started = clocks.now()
-        end = started + self.state.cfg.grace_s - EXIT_MARGIN_S
-        while clocks.now() < min(started + LINGER_S, end):
-            await trio.sleep(POLL_S)
-        self._forwarder.is_refusing = True
-        self.server.close_idle()
-        while self.server.in_flight and clocks.now() < end:
-            await trio.sleep(POLL_S)
+        with trio.move_on_after(self.state.cfg.grace_s - EXIT_MARGIN_S):
+            await trio.sleep(LINGER_S)
+            self._forwarder.is_refusing = True
+            self.server.close_idle()
+            await self.server.wait_idle()
         self.server.close()
         self.state.audit.log(
             events.STOPPED,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -159,7 +159,7 @@
             responder.closes = self._server.is_stopping
             await self._handle(req, responder)
         finally:
-            self._server.in_flight -= 1
+            self._server.end_one()
         if not responder.is_finished:
             raise errors.CallerGone('the answer was broken off')
         return (
@@ -305,6 +305,7 @@
         self.handler = handler
         self.limits = limits
         self._closing_idle = trio.Event()
+        self._ended = trio.Event()
         self._socket: trio.socket.SocketType | None = None
 
     async def start(self, nursery: trio.Nursery, ip: str, port: int) -> None:
@@ -325,6 +326,17 @@
         """Closes connections on which no request is under way."""
         self._closing_idle.set()
 
+    def end_one(self) -> None:
+        """Notes that a request is no longer under way."""
+        self.in_flight -= 1
+        self._ended.set()
+        self._ended = trio.Event()
+
+    async def wait_idle(self) -> None:
+        """Waits until no request is under way."""
+        while self.in_flight:
+            await self._ended.wait()
+
     def close(self) -> None:
         """Stops accepting connections."""
         if self._socket is not None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -5,11 +5,13 @@
 import result
 import trio
 
+from sardinebend_gateway import clocks
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
+from sardinebend_policy import liveness as liveness_lib
 from sardinebend_store import feeds
 
 RETRY_S: typing.Final = 0.4
@@ -20,12 +22,36 @@
 
 
 class Members:
-    """Hosts by name, this one included."""
+    """The other hosts by name.
+
+    Attributes:
+        liveness: Their life signs.
+    """
 
     def __init__(self, state: state_lib.State, row: shared_table.HostRow):
         self._state = state
         self._own = row
         self._rows: dict[str, shared_table.HostRow] = {}
+        self.liveness = liveness_lib.Liveness(state.rng)
+
+    def mark_leaving(self, name: str, incarnation: str) -> None:
+        """Takes in from a host itself that it is leaving."""
+        row = self._rows.get(name)
+        if row is not None and row['incarnation'] == incarnation:
+            row['is_leaving'] = True
+
+    def live_peers(self) -> dict[str, shared_table.HostRow]:
+        """Returns the rows of the other hosts that are taken to live."""
+        peers = self.peers()
+        now = clocks.now()
+        return {
+            name: row
+            for name, row in peers.items()
+            if not row['is_leaving']
+            and self.liveness.is_alive(
+                name, row['incarnation'], now, len(peers)
+            )
+        }
 
     def take(self, row: feeds.FeedRow) -> None:
         """Takes in a host's row."""
@@ -34,7 +60,9 @@
             self._rows.pop(name, None)
             return
         try:
-            self._rows[name] = shared_table.decode_host(row.value)
+            host = shared_table.decode_host(row.value)
+            if name != self._state.cfg.name:
+                self._rows[name] = host
             self._state.set_host_count(len(self.peers()) + 1)
         except errors.Malformed as exc:
             self._state.audit.log(
@@ -58,12 +86,11 @@
 
     def peers(self) -> dict[str, shared_table.HostRow]:
         """Returns the rows of all other hosts."""
-        own = self._state.cfg.name
-        return {k: v for k, v in self._rows.items() if k != own}
+        return dict(self._rows)
 
     def addresses(self, domain: str) -> list[settings_lib.Address]:
         """Returns where callers of a failure domain may connect."""
-        open_rows = [r for r in self.peers().values() if not r['is_leaving']]
+        open_rows = list(self.live_peers().values())
         if not self._state.is_stopping:
             open_rows.append(self._own)
         near = [r for r in open_rows if r['domain'] == domain]
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -39,11 +39,13 @@
             end, reason, newest = await self._attempt(endpoint)
             reply = newest or reply
             step = exchange.ledger.next_step(end, exchange.time_left_s())
-            if step is forwarding.Step.RETRY and end is not (
-                forwarding.End.UNREACHED
+            is_repeat = end is not forwarding.End.UNREACHED
+            if (
+                step is forwarding.Step.RETRY
+                and is_repeat
+                and not exchange.may_spend_retry()
             ):
-                if not exchange.may_spend_retry():
-                    step, reason = exchange.ledger.final_step(end), 'no_budget'
+                step, reason = exchange.ledger.final_step(end), 'no_budget'
             if step is not forwarding.Step.RETRY:
                 break
         if step is forwarding.Step.PASS_ON and reply is not None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -53,7 +53,7 @@
     leave_s: float = 2.0
     retry_ratio: float = 0.2
     extra_retries: int = 50
-    answer_life_s: float = 2.0
+    answer_life_s: float = 1.0
     stall_s: float = 3.0
 
     def check(self) -> 'HostSettings':
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -20,14 +20,16 @@
 
     Attributes:
         callers: Its address for callers, `ip:port`.
-        peers: Its address for peers, `ip:port`.
+        beats: Where it takes life signs, `ip:port`.
+        relay: Where it answers peers, `ip:port`.
         domain: Its failure domain.
         incarnation: Changes with each start of its process.
         is_leaving: Whether a planned stop has begun.
     """
 
     callers: str
-    peers: str
+    beats: str
+    relay: str
     domain: str
     incarnation: str
     is_leaving: bool
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -100,10 +100,13 @@
                 return
             step = exchange.ledger.next_step(end, exchange.time_left_s())
             is_repeat = end is not forwarding.End.UNREACHED
-            if step is forwarding.Step.RETRY and is_repeat:
-                if not exchange.may_spend_retry():
-                    self._reason += ', no retry budget'
-                    step = exchange.ledger.final_step(end)
+            if (
+                step is forwarding.Step.RETRY
+                and is_repeat
+                and not exchange.may_spend_retry()
+            ):
+                self._reason += ', no retry budget'
+                step = exchange.ledger.final_step(end)
             if step is not forwarding.Step.RETRY:
                 await self._end(step, self._reason, reply)
                 return
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -1,5 +1,6 @@
 """Follows tables of the platform's store and keeps the age of what it knows."""
 
+import abc
 import typing
 
 import result
@@ -25,12 +26,40 @@
 OUTAGE_S: typing.Final = 1.0
 
 
+class Relayed(typing.NamedTuple):
+    """What a peer knows of a table.
+
+    Attributes:
+        changes: Rows and the version up to which they speak.
+        age_s: Age of the peer's evidence when it answered.
+        is_whole: Whether the rows are the whole table.
+    """
+
+    changes: feeds.Changes
+    age_s: float
+    is_whole: bool
+
+
+class Fallback(abc.ABC):
+    """Where a table's rows come from while the store doesn't answer."""
+
+    @abc.abstractmethod
+    async def ask(
+        self, table: str, after: int
+    ) -> result.Result[Relayed, store_errors.Unavailable]:
+        """Returns rows changed since a version; all of them for -1."""
+
+
 class Follower:
     """Follows one table.
 
     Attributes:
-        evidence_at: When the last answered question was asked.
-        is_lost: Whether the last question went unanswered.
+        table: The table.
+        evidence_at: When the question was asked whose answer last confirmed
+            the rows.
+        is_lost: Whether the store left the last question unanswered.
+        regained_at: When the store answered again after an outage.
+        fallback: Whom to ask while the store doesn't answer, if anyone.
     """
 
     def __init__(
@@ -40,16 +69,37 @@
         on_rows: typing.Callable[[typing.Iterable[feeds.FeedRow]], None],
         wait_s: float = FEED_WAIT_S,
     ) -> None:
+        self.table = table
         self.evidence_at = state_lib.NEVER
         self.is_lost = False
         self.regained_at = state_lib.NEVER
+        self.fallback: Fallback | None = None
         self._state = state
-        self._table = table
         self._on_rows = on_rows
         self._wait_s = wait_s
-        self._version: int | None = None
-        self._newest = 0
-        self._versions: dict[str, int] = {}
+        self._must_reread = True
+        self._rows: dict[str, feeds.FeedRow] = {}
+        self._changed = trio.Event()
+        self.version = -1
+
+    @property
+    def has_rows(self) -> bool:
+        """Whether the table has been read at all."""
+        return self.version >= 0
+
+    def evidence_age_s(self) -> float:
+        """Returns how long ago the rows are known to have been in force."""
+        return clocks.now() - self.evidence_at
+
+    def rows_since(self, version: int) -> list[feeds.FeedRow]:
+        """Returns rows changed since a version, removed ones included."""
+        changed = [row for row in self._rows.values() if row.version > version]
+        return sorted(changed, key=lambda row: row.version)
+
+    async def wait_beyond(self, version: int) -> None:
+        """Waits until the table holds something newer than a version."""
+        while self.version <= version:
+            await self._changed.wait()
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -59,68 +109,89 @@
             if isinstance(answer, result.Err):
                 await self._take_failure(answer.err_value)
                 continue
-            self._take_answer(answer.ok_value, asked_at)
-            if answer.ok_value.rows:
+            changes = answer.ok_value
+            if changes.version < self.version:
+                # An answer from before one already taken in.
+                self._must_reread = True
+                await trio.sleep(RETRY_S)
+                continue
+            self._note_contact(asked_at)
+            self._take(changes, asked_at, self._must_reread)
+            self._must_reread = False
+            if changes.rows:
                 await trio.sleep(GATHER_S)
 
     async def _ask(
         self,
     ) -> result.Result[feeds.Changes, feeds.FollowError]:
         store = self._state.edges.store
-        if self._version is None:
-            return await store.read_all(self._table)
-        return await store.follow(self._table, self._version, self._wait_s)
+        if self._must_reread:
+            return await store.read_all(self.table)
+        return await store.follow(self.table, self.version, self._wait_s)
 
     async def _take_failure(self, exc: Exception) -> None:
-        self._state.metrics.count('store_failures', table=self._table)
+        self._state.metrics.count('store_failures', table=self.table)
         if isinstance(exc, store_errors.HistoryLost):
-            self._version = None
+            self._must_reread = True
             return
         if not self.is_lost:
             self.is_lost = True
             self._state.audit.log(
                 events.STORE_LOST,
-                table=self._table,
+                table=self.table,
                 reason=str(exc),
-                evidence_age_s=round(clocks.now() - self.evidence_at, 3),
+                evidence_age_s=round(self.evidence_age_s(), 3),
             )
+        await self._ask_fallback()
         await trio.sleep(RETRY_S * self._state.rng.uniform(0.7, 1.3))
 
-    def _take_answer(self, answer: feeds.Changes, asked_at: float) -> None:
-        if answer.version < self._newest:
-            # An answer from before one already taken in.
-            self._version = None
+    async def _ask_fallback(self) -> None:
+        if self.fallback is None:
             return
-        if self.is_lost:
-            away_s = asked_at - self.evidence_at
-            self._state.audit.log(
-                events.STORE_REGAINED,
-                table=self._table,
-                after_s=round(away_s, 3),
-            )
-            self.is_lost = False
-            if away_s > OUTAGE_S:
-                self.regained_at = clocks.now()
-        rows = list(answer.rows)
-        if self._version is None:
+        asked_at = clocks.now()
+        answer = await self.fallback.ask(self.table, self.version)
+        if isinstance(answer, result.Err):
+            return
+        relayed = answer.ok_value
+        evidence_at = asked_at - relayed.age_s
+        is_newer = relayed.changes.version >= self.version
+        if is_newer and evidence_at > self.evidence_at:
+            self._take(relayed.changes, evidence_at, relayed.is_whole)
+
+    def _note_contact(self, asked_at: float) -> None:
+        if not self.is_lost:
+            return
+        away_s = asked_at - self.evidence_at
+        self._state.audit.log(
+            events.STORE_REGAINED, table=self.table, after_s=round(away_s, 3)
+        )
+        self.is_lost = False
+        if away_s > OUTAGE_S:
+            self.regained_at = clocks.now()
+
+    def _take(
+        self, changes: feeds.Changes, evidence_at: float, is_whole: bool
+    ) -> None:
+        rows = list(changes.rows)
+        if is_whole:
             present = {row.key for row in rows}
             rows += [
-                feeds.FeedRow(key, answer.version, None)
-                for key in self._versions
-                if key not in present
+                feeds.FeedRow(key, changes.version, None)
+                for key, row in self._rows.items()
+                if key not in present and row.value is not None
             ]
-        self._version = self._newest = answer.version
-        self.evidence_at = asked_at
-        self._on_rows([row for row in rows if self._is_newer(row)])
+        self.evidence_at = max(self.evidence_at, evidence_at)
+        newer = [row for row in rows if self._is_newer(row)]
+        self._rows.update((row.key, row) for row in newer)
+        self.version = changes.version
+        self._on_rows(newer)
+        if newer:
+            self._changed.set()
+            self._changed = trio.Event()
 
     def _is_newer(self, row: feeds.FeedRow) -> bool:
-        if row.version < self._versions.get(row.key, 0):
-            return False
-        if row.value is None:
-            self._versions.pop(row.key, None)
-        else:
-            self._versions[row.key] = row.version
-        return True
+        known = self._rows.get(row.key)
+        return known is None or row.version > known.version
 
 
 class CatalogWatch:
@@ -129,11 +200,11 @@
     def __init__(self, state: state_lib.State) -> None:
         self._state = state
         table = state.edges.state.catalog_table
-        self._follower = Follower(state, table, self._take)
+        self.follower = Follower(state, table, self._take)
 
     async def run(self) -> None:
         """Runs until cancelled."""
-        await self._follower.run()
+        await self.follower.run()
 
     def _take(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         codec = self._state.edges.state
@@ -149,9 +220,13 @@
                 # What is in force may be outdated: its evidence must age.
                 return
         if self._state.catalog is not None:
-            at = max(self._state.catalog_at, self._follower.evidence_at)
+            at = max(self._state.catalog_at, self.follower.evidence_at)
             self._state.catalog_at = at
-            self._state.catalog_heard_at = clocks.now()
+            self._state.catalog_heard_at = (
+                self.follower.evidence_at
+                if self.follower.is_lost
+                else clocks.now()
+            )
 
 
 class EndpointWatch:
@@ -162,12 +237,12 @@
         self._skipped: dict[str, int] = {}
         self._lapsed: dict[str, float] = {}
         table = state.edges.state.endpoint_table
-        self._follower = Follower(state, table, self._take)
+        self.follower = Follower(state, table, self._take)
 
     async def run(self) -> None:
         """Runs until cancelled."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._follower.run)
+            nursery.start_soon(self.follower.run)
             nursery.start_soon(self._drop_lapsed)
 
     def _take(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
@@ -187,7 +262,7 @@
                 self._skipped[row.key] = row.version
                 self._state.audit.log(
                     events.ENTRY_SKIPPED,
-                    table=self._follower._table,
+                    table=self.follower.table,
                     key=row.key,
                     reason=str(exc),
                 )
@@ -222,9 +297,9 @@
 
     def _lapse(self, row: feeds.FeedRow) -> bool:
         """Takes in that a listing is missing."""
-        since_return = clocks.now() - self._follower.regained_at
+        since_return = clocks.now() - self.follower.regained_at
         if since_return < RETURN_S:
-            self._lapsed[row.key] = self._follower.regained_at + RETURN_S
+            self._lapsed[row.key] = self.follower.regained_at + RETURN_S
             return False
         return self._remove(row.key)
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -130,6 +130,31 @@
     frame.settings_reply = _IDL.SettingsReply(**message._asdict())
 
 
+def _put_host_beat(frame: typing.Any, message: messages.HostBeat) -> None:
+    frame.host_beat = _IDL.HostBeat(
+        host=message.host,
+        incarnation=message.incarnation,
+        is_leaving=message.is_leaving,
+        loads=[_IDL.EndpointLoad(**load._asdict()) for load in message.loads],
+        heard=[_IDL.HeardHost(**item._asdict()) for item in message.heard],
+    )
+
+
+def _put_feed_question(
+    frame: typing.Any, message: messages.FeedQuestion
+) -> None:
+    frame.feed_question = _IDL.FeedQuestion(**message._asdict())
+
+
+def _put_feed_reply(frame: typing.Any, message: messages.FeedReply) -> None:
+    frame.feed_reply = _IDL.FeedReply(
+        version=message.version,
+        age_ms=message.age_ms,
+        is_whole=message.is_whole,
+        rows=[_IDL.FeedRow(**row._asdict()) for row in message.rows],
+    )
+
+
 def _put_ack(frame: typing.Any, message: messages.Ack) -> None:
     """Leaves the frame empty; a frame without a body is an `Ack`."""
 
@@ -142,6 +167,9 @@
     messages.LeavingNotice: _put_leaving,
     messages.SettingsQuestion: _put_settings_question,
     messages.SettingsReply: _put_settings_reply,
+    messages.HostBeat: _put_host_beat,
+    messages.FeedQuestion: _put_feed_question,
+    messages.FeedReply: _put_feed_reply,
     messages.Ack: _put_ack,
 }
 
@@ -189,9 +217,59 @@
             _need(item.base_version, int),
             _need(item.nodes, bytes),
         )
+    return _decode_between_gateways(frame)
+
+
+def _decode_between_gateways(frame: typing.Any) -> messages.Message:
+    if frame.host_beat is not None:
+        return _decode_host_beat(frame.host_beat)
+    if frame.feed_question is not None:
+        question = frame.feed_question
+        return messages.FeedQuestion(
+            _need(question.table, str),
+            _need(question.after, int),
+            _need(question.wait_ms, int),
+        )
+    if frame.feed_reply is not None:
+        reply = frame.feed_reply
+        return messages.FeedReply(
+            _need(reply.version, int),
+            _need(reply.age_ms, int),
+            _need(reply.is_whole, bool),
+            tuple(_decode_row(row) for row in reply.rows),
+        )
     return messages.Ack()
 
 
+def _decode_row(row: typing.Any) -> messages.FeedRow:
+    value = None if row.value is None else _need(row.value, bytes)
+    return messages.FeedRow(_need(row.key, str), _need(row.version, int), value)
+
+
+def _decode_host_beat(item: typing.Any) -> messages.HostBeat:
+    return messages.HostBeat(
+        _need(item.host, str),
+        _need(item.incarnation, str),
+        _need(item.is_leaving, bool),
+        tuple(
+            messages.EndpointLoad(
+                _need(load.endpoint_id, str),
+                _need(load.requests, int),
+                _need(load.token_layers, int),
+            )
+            for load in item.loads
+        ),
+        tuple(
+            messages.HeardHost(
+                _need(heard.host, str),
+                _need(heard.incarnation, str),
+                _need(heard.age_ms, int),
+            )
+            for heard in item.heard
+        ),
+    )
+
+
 def _decode_heartbeat(item: typing.Any) -> membership.Heartbeat:
     return membership.Heartbeat(
         _need(item.host_id, str),
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -67,6 +67,77 @@
     nodes: bytes
 
 
+class EndpointLoad(typing.NamedTuple):
+    """What a host has running at an endpoint.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        requests: Requests that run through it.
+        token_layers: Memory they take, in tokens x layers.
+    """
+
+    endpoint_id: str
+    requests: int
+    token_layers: int
+
+
+class HeardHost(typing.NamedTuple):
+    """How long ago a host's life sign reached the sender, over any way."""
+
+    host: str
+    incarnation: str
+    age_ms: int
+
+
+class HostBeat(typing.NamedTuple):
+    """A life sign with what the sender has running; not answered."""
+
+    host: str
+    incarnation: str
+    is_leaving: bool
+    loads: tuple[EndpointLoad, ...]
+    heard: tuple[HeardHost, ...]
+
+
+class FeedRow(typing.NamedTuple):
+    """A row of a table; without a value it has been removed."""
+
+    key: str
+    version: int
+    value: bytes | None
+
+
+class FeedQuestion(typing.NamedTuple):
+    """Asks for the rows of a table that changed since a version.
+
+    Attributes:
+        table: The table.
+        after: The version; -1 for all rows.
+        wait_ms: How long to wait for a change.
+    """
+
+    table: str
+    after: int
+    wait_ms: int
+
+
+class FeedReply(typing.NamedTuple):
+    """Answers a `FeedQuestion` from what the sender knows.
+
+    Attributes:
+        version: Up to which the rows speak; negative if the sender knows
+            nothing.
+        age_ms: Age of the sender's own evidence for that.
+        is_whole: Whether the rows are the whole table.
+        rows: The rows.
+    """
+
+    version: int
+    age_ms: int
+    is_whole: bool
+    rows: tuple[FeedRow, ...]
+
+
 class Ack(typing.NamedTuple):
     """Confirms that a message was taken in."""
 
@@ -79,5 +150,8 @@
     | LeavingNotice
     | SettingsQuestion
     | SettingsReply
+    | HostBeat
+    | FeedQuestion
+    | FeedReply
     | Ack
 )
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -47,6 +47,45 @@
   3: binary nodes,
 }
 
+struct EndpointLoad {
+  1: string endpoint_id,
+  2: i32 requests,
+  3: i64 token_layers,
+}
+
+struct HeardHost {
+  1: string host,
+  2: string incarnation,
+  3: i32 age_ms,
+}
+
+struct HostBeat {
+  1: string host,
+  2: string incarnation,
+  3: bool is_leaving,
+  4: list<EndpointLoad> loads,
+  5: list<HeardHost> heard,
+}
+
+struct FeedRow {
+  1: string key,
+  2: i64 version,
+  3: optional binary value,
+}
+
+struct FeedQuestion {
+  1: string table,
+  2: i64 after,
+  3: i32 wait_ms,
+}
+
+struct FeedReply {
+  1: i64 version,
+  2: i64 age_ms,
+  3: bool is_whole,
+  4: list<FeedRow> rows,
+}
+
 struct Frame {
   1: i64 call_id,
   2: bool is_reply,
@@ -57,4 +96,7 @@
   7: optional LeavingNotice leaving,
   8: optional SettingsQuestion settings_question,
   9: optional SettingsReply settings_reply,
+  10: optional HostBeat host_beat,
+  11: optional FeedQuestion feed_question,
+  12: optional FeedReply feed_reply,
 }
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -16,6 +16,7 @@
 from sardinebend_policy import forwarding
 from sardinebend_policy import inflight
 from sardinebend_policy import lease
+from sardinebend_policy import liveness
 from sardinebend_policy import lookups
 from sardinebend_policy import membership
 from sardinebend_policy import orders
@@ -47,6 +48,7 @@
     'forwarding',
     'inflight',
     'lease',
+    'liveness',
     'lookups',
     'membership',
     'orders',
--- a/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
@@ -54,9 +54,9 @@
         for path in self._paths:
             _add_load(assumed, path, tokens)
         for _ in range(MIXED_PATHS):
-            path = self._finder.with_loads(assumed).find(tokens)
-            self._keep(path)
-            _add_load(assumed, path or (), tokens)
+            mixed = self._finder.with_loads(assumed).find(tokens)
+            self._keep(mixed)
+            _add_load(assumed, mixed or (), tokens)
 
     def _keep(self, path: paths.Path | None) -> None:
         if path is not None and path not in self._paths:
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -67,7 +67,7 @@
         self.cost = cost
         self.part = part
         self.before = before
-        self.depth = before.depth + 1 if before else 0
+        self.depth: int = before.depth + 1 if before else 0
 
     def path(self) -> Path:
         parts = []
