Keep memory for requests, close gaps within a domain, resume with patience

A 421 that named a part of a path made its first engine count as gone. Headers that came in one read could be larger than the limit.

Change: three tenths of a card are kept for requests; spare cards back up the largest parts of their own domain, and move into its gaps; a begun stream waits 1.2 s for a path, a new request an eighth of its target; headers are measured; an endpoint counts as another only if it says so.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
@@ -47,6 +47,7 @@
         liveness = self._members.liveness
         while True:
             peers = self._members.peers()
+            self._state.live_count = len(self._members.live_peers()) + 1
             data = self._encode()
             for name in liveness.choose_peers(sorted(peers)):
                 address = settings_lib.Address.parse(peers[name]['beats'])
@@ -78,6 +79,7 @@
                 for name in largest
             ),
             self._members.liveness.digest(now, len(self._members.peers())),
+            int(inflight.crossings.read(now)),
         )
         return codec.encode(codec.Envelope(0, False, beat))
 
@@ -118,5 +120,6 @@
                 now,
                 {load.endpoint_id: load.requests for load in beat.loads},
                 {load.endpoint_id: load.token_layers for load in beat.loads},
+                beat.crossing_tokens,
             ),
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -107,9 +107,12 @@
         )
 
     def log_send(
-        self, endpoint: endpoints_lib.Endpoint, parts: int = 1
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        parts: int = 1,
+        **inputs: typing.Any,
     ) -> None:
-        """Logs that the request is sent to an endpoint."""
+        """Logs that the request is sent to an endpoint, and why there."""
         self.state.audit.log(
             events.REQUEST_SENT,
             request=self.admitted.facts.request_id,
@@ -118,6 +121,8 @@
             parts=parts,
             attempt=len(self.ledger.sent_to),
             time_left_s=round(self.time_left_s(), 3),
+            after_s=self.took_s(),
+            **inputs,
         )
 
     def log_attempt(
@@ -207,7 +212,7 @@
     """Tells what an endpoint's answer means for the request."""
     facts = reply.facts
     if facts.was_not_run:
-        if reply.status == 421:
+        if facts.answered_by not in (None, endpoint.endpoint_id):
             # Another endpoint has the address: the listing is outdated.
             state.endpoints.mark_left(endpoint)
             state.audit.log(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -207,7 +207,7 @@
         with trio.move_on_after(limits.header_timeout_s):
             event = await self._next_event()
             if isinstance(event, h11.Request):
-                _check_framing(event)
+                _check_head(event, limits.max_header_bytes)
                 return event
             return None
         raise errors.BadRequest(408, 'the headers took too long')
@@ -277,8 +277,12 @@
         )
 
 
-def _check_framing(req: h11.Request) -> None:
-    """Refuses a request whose end could be read in two ways."""
+def _check_head(req: h11.Request, max_bytes: int) -> None:
+    """Refuses headers that are too large or leave two ways to read on."""
+    size = len(req.method) + len(req.target)
+    size += sum(len(name) + len(value) + 4 for name, value in req.headers)
+    if size > max_bytes:
+        raise errors.BadRequest(431, 'the headers are too large')
     names = [name for name, _ in req.headers]
     has_length = b'content-length' in names
     if has_length and b'transfer-encoding' in names:
@@ -308,6 +312,11 @@
         self._ended = trio.Event()
         self._socket: trio.socket.SocketType | None = None
 
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+        return self._socket.getsockname()[1] if self._socket else 0
+
     async def start(self, nursery: trio.Nursery, ip: str, port: int) -> None:
         """Binds and begins to accept connections."""
         sock = trio.socket.socket()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
@@ -33,6 +33,8 @@
 # An order without an answer may be carried out seconds later; its effect is
 # awaited this long before the engine gets another.
 UNANSWERED_S: typing.Final = 3.0
+# Moves count as done when ordered, so that the next sees the gap that's left.
+MOVE_EVERY_S: typing.Final = 0.5
 # Listings show the effect of an order after a heartbeat.
 SHOWN_S: typing.Final = 2.5
 
@@ -62,6 +64,7 @@
         self._ordered: dict[tuple[str, int], _Ordered] = {}
         self._last_new_at = clocks.now()
         self._known: set[str] = set()
+        self._move_after = float('-inf')
 
     @property
     def holds_lease(self) -> bool:
@@ -177,13 +180,24 @@
             if held is None and ordered is not None:
                 held = ordered.span
                 again[endpoint.endpoint_id] = ordered.span
+            elif ordered is not None and now < ordered.until:
+                # On its way to other layers.
+                held = ordered.span
             capacity = placement.capacity_of(engine, endpoint.card)
             cards.append(
                 placement.Card(
-                    endpoint.endpoint_id, endpoint.domain, capacity, held
+                    endpoint.endpoint_id,
+                    endpoint.domain,
+                    capacity,
+                    held,
+                    placement.capacity_of(
+                        engine, endpoint.card, placement.TIGHT_SHARE
+                    ),
                 )
             )
         plan = placement.make_plan(engine.layers, cards)
+        if not plan and not again and now >= self._move_after:
+            plan = self._move(engine.layers, cards, now)
         if plan:
             self._state.audit.log(
                 events.PLAN_MADE,
@@ -193,6 +207,15 @@
             )
         return {**again, **plan}
 
+    def _move(
+        self, layers: int, cards: list[placement.Card], now: float
+    ) -> dict[str, endpoints_lib.Span]:
+        move = placement.find_move(layers, cards)
+        if move is None:
+            return {}
+        self._move_after = now + MOVE_EVERY_S
+        return {move.endpoint_id: move.span}
+
     def _may_order(self, endpoint: endpoints_lib.Endpoint, now: float) -> bool:
         ordered = self._ordered.get(endpoint.incarnation)
         return ordered is None or now >= ordered.until
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -25,6 +25,9 @@
 NEVER: typing.Final = float('-inf')
 
 
+DeathWatcher = typing.Callable[[str], None]
+
+
 class State:
     """The beliefs of one host, shared by its parts.
 
@@ -38,6 +41,8 @@
             for a while.
         endpoints: All known endpoints.
         is_stopping: Whether a planned stop has begun.
+        host_count: Hosts that are listed, among which budgets are shared.
+        live_count: Hosts that are taken to live.
     """
 
     def __init__(
@@ -59,9 +64,10 @@
         self.inflight = inflight_lib.InFlight()
         self.is_stopping = False
         self.host_count = 1
+        self.live_count = 1
         self._books: dict[str, pathbook.PathBook] = {}
         self._budgets: dict[str, retries.RetryBudget] = {}
-        self._death_watchers: set[typing.Callable[[str], None]] = set()
+        self._death_watchers: set[DeathWatcher] = set()
         self.endpoints_changed = trio.Event()
 
     def catalog_age_s(self) -> float:
@@ -107,7 +113,17 @@
 
     def loads(self) -> dict[str, paths_lib.Load]:
         """Returns the load of each endpoint, over all hosts."""
-        return self.inflight.loads(clocks.now(), self.host_count)
+        return self.inflight.loads(clocks.now(), self.live_count)
+
+    def link_use(self, engine: catalog_lib.EngineModel) -> float:
+        """Returns the share of the links between domains that is taken.
+
+        Each pair of domains has a link; their use is taken to be even.
+        """
+        tokens = self.inflight.crossing_tokens(clocks.now(), self.live_count)
+        domains = max(2, self.endpoints.count_domains())
+        links = domains * (domains - 1) / 2
+        return tokens * paths_lib.crossing_ms(engine) / 1000 / links
 
     def budget_of(self, service: str) -> retries.RetryBudget:
         """Returns this host's share of a service's retry budget."""
@@ -172,11 +188,11 @@
         self.endpoints_changed.set()
         self.endpoints_changed = trio.Event()
 
-    def watch_deaths(self, watcher: typing.Callable[[str], None]) -> None:
-        """Calls a function with the name of each endpoint that has died."""
+    def watch_deaths(self, watcher: DeathWatcher) -> None:
+        """Calls a function with the name of each endpoint that dies."""
         self._death_watchers.add(watcher)
 
-    def unwatch_deaths(self, watcher: typing.Callable[[str], None]) -> None:
+    def unwatch_deaths(self, watcher: DeathWatcher) -> None:
         """Stops calling a function."""
         self._death_watchers.discard(watcher)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -11,6 +11,7 @@
 
 import trio
 
+from sardinebend_gateway import admission
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
@@ -20,6 +21,7 @@
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
+from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import paths as paths_lib
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
@@ -32,9 +34,11 @@
 # by then is moved while one is still there to see it.
 GIVE_UP_SHARE: typing.Final = 2.2
 MAX_REPAIRS: typing.Final = 6
-# Waiting for room longer than this part of the target makes a later refusal
-# worse for the caller than an early one.
+# A new request that finds no path waits for this part of its target: longer
+# waits fill the engines with requests whose callers have left.
 WAIT_SHARE: typing.Final = 1 / 8
+# Callers leave a begun stream 2 s after the last event.
+RESUME_WAIT_S: typing.Final = 1.2
 POLL_S: typing.Final = 0.02
 NO_PATH_RETRY_S: typing.Final = 1.0
 
@@ -47,6 +51,17 @@
     MOVE = 'move'
 
 
+def _expect_tokens(admitted: admission.Admitted) -> int:
+    """Returns how many tokens a request is expected to reach."""
+    facts = admitted.facts
+    answer: float = facts.answer_tokens
+    if facts.expected_tokens is not None:
+        answer = facts.expected_tokens
+    elif admitted.service.engine is not None:
+        answer = min(answer, admitted.service.engine.usual_answer)
+    return facts.prompt_tokens + int(answer)
+
+
 class StreamRun:
     """One streamed request, over as many attempts as it takes."""
 
@@ -61,9 +76,7 @@
         self._last_id = exchange.admitted.facts.resume_after
         self._avoid: set[str] = set()
         self._reason = ''
-        facts = exchange.admitted.facts
-        expected = facts.expected_tokens or facts.answer_tokens
-        self._tokens = facts.prompt_tokens + expected
+        self._tokens = _expect_tokens(exchange.admitted)
 
     async def run(self) -> None:
         """Has the request served and answers its caller."""
@@ -134,6 +147,8 @@
         """Returns a path with room, waiting for one for a short while."""
         exchange = self._exchange
         wait_s = exchange.admitted.route.target_s * WAIT_SHARE
+        if exchange.out.is_started:
+            wait_s = RESUME_WAIT_S
         with trio.move_on_after(wait_s):
             while True:
                 path = self._find_path()
@@ -147,8 +162,16 @@
         if not service.has_layers:
             return self._find_single()
         book = self._state.book_of(service)
-        loads = self._state.loads()
-        return book.choose(self._tokens, loads, self._avoid)
+        assert service.engine is not None
+        path = book.choose(
+            self._tokens,
+            self._state.loads(),
+            self._avoid,
+            self._state.link_use(service.engine),
+        )
+        if path is not None:
+            self._state.inflight.crossings.add(path, self._tokens, clocks.now())
+        return path
 
     def _find_single(self) -> paths_lib.Path | None:
         """Returns one endpoint that holds the whole model."""
@@ -165,6 +188,18 @@
             return None
         return (paths_lib.Part(endpoint, endpoints_lib.Span(0, 0)),)
 
+    def _inputs(self, path: paths_lib.Path) -> dict[str, typing.Any]:
+        """Returns what decided on a path, for the log."""
+        engine = self._exchange.admitted.service.engine
+        if engine is None or not path[0].span.size:
+            return {}
+        return {
+            'tokens': self._tokens,
+            'crossings': inflight_lib.count_crossings(path),
+            'link_use': round(self._state.link_use(engine), 2),
+            'domain': path[0].endpoint.domain,
+        }
+
     async def _attempt(
         self, path: paths_lib.Path
     ) -> tuple[forwarding.End, exchange_lib.Reply | None]:
@@ -180,7 +215,7 @@
                 await conn.close()
             return forwarding.End.UNREACHED, None
         exchange.ledger.record_send(first.endpoint_id)
-        exchange.log_send(first, len(path))
+        exchange.log_send(first, len(path), **self._inputs(path))
         if self._last_id is not None and exchange.out.is_started:
             self._state.audit.log(
                 events.STREAM_RESUMED,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -311,8 +311,6 @@
             events.ENDPOINT_GONE, endpoint=key, source='listing'
         )
         self._state.balancer.forget(self._state.endpoints.names())
-        # A leaving endpoint goes on serving what it has after its listing
-        # ends, and some leave without a word; streams are moved on a stall.
         return True
 
     async def _drop_lapsed(self) -> None:
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -137,6 +137,7 @@
         is_leaving=message.is_leaving,
         loads=[_IDL.EndpointLoad(**load._asdict()) for load in message.loads],
         heard=message.heard,
+        crossing_tokens=message.crossing_tokens,
     )
 
 
@@ -260,6 +261,7 @@
             for load in item.loads
         ),
         _need(item.heard, bytes),
+        item.crossing_tokens or 0,
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -90,6 +90,8 @@
         is_leaving: Whether a planned stop has begun.
         loads: What it has running.
         heard: Life signs that it has heard, packed by `liveness`.
+        crossing_tokens: Prompt tokens a second that it sends between failure
+            domains.
     """
 
     host: str
@@ -97,6 +99,7 @@
     is_leaving: bool
     loads: tuple[EndpointLoad, ...]
     heard: bytes
+    crossing_tokens: int = 0
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -59,6 +59,7 @@
   3: bool is_leaving,
   4: list<EndpointLoad> loads,
   5: binary heard,
+  6: i32 crossing_tokens,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -131,6 +131,10 @@
             and not self.is_doubted(e, now)
         ]
 
+    def count_domains(self) -> int:
+        """Returns in how many failure domains there are endpoints."""
+        return len({e.domain for e in self._endpoints.values()})
+
     def names(self) -> set[str]:
         """Returns the names of all endpoints."""
         return set(self._endpoints)
--- a/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
@@ -5,6 +5,7 @@
 in the sums of its peers.
 """
 
+import math
 import typing
 
 from sardinebend_policy import paths
@@ -13,12 +14,50 @@
 PEER_LIFE_S: typing.Final = 3.0
 
 
+# Time over which traffic between failure domains is averaged.
+CROSSING_WINDOW_S: typing.Final = 2.0
+
+
 class PeerCounts(typing.NamedTuple):
-    """A peer's sums: requests and token-layers by endpoint."""
+    """A peer's sums.
+
+    Attributes:
+        at: When they came.
+        requests: Requests by endpoint.
+        token_layers: Memory by endpoint, in tokens x layers.
+        crossing_tokens: Prompt tokens a second sent between domains.
+    """
 
     at: float
     requests: dict[str, int]
     token_layers: dict[str, int]
+    crossing_tokens: float = 0.0
+
+
+def count_crossings(path: paths.Path) -> int:
+    """Returns how often a path goes from one failure domain to another."""
+    return sum(
+        one.endpoint.domain != other.endpoint.domain
+        for one, other in zip(path, path[1:], strict=False)
+    )
+
+
+class CrossingRate:
+    """Prompt tokens a second that this host sends between domains."""
+
+    def __init__(self) -> None:
+        self._level = 0.0
+        self._at = 0.0
+
+    def add(self, path: paths.Path, tokens: int, now: float) -> None:
+        """Counts a prompt that is sent along a path."""
+        self._level = self.read(now)
+        self._level += count_crossings(path) * tokens / CROSSING_WINDOW_S
+        self._at = now
+
+    def read(self, now: float) -> float:
+        """Returns the rate."""
+        return self._level * math.exp(-(now - self._at) / CROSSING_WINDOW_S)
 
 
 class InFlight:
@@ -28,6 +67,7 @@
         self.requests: dict[str, int] = {}
         self.token_layers: dict[str, int] = {}
         self.slowness: dict[str, float] = {}
+        self.crossings = CrossingRate()
         self._peers: dict[str, PeerCounts] = {}
 
     def add(self, path: paths.Path, tokens: int) -> None:
@@ -73,6 +113,17 @@
             for name in names
         }
 
+    def crossing_tokens(self, now: float, hosts: int = 1) -> float:
+        """Returns the prompt tokens a second between domains, of all hosts."""
+        heard = [
+            counts
+            for counts in self._peers.values()
+            if now - counts.at <= PEER_LIFE_S
+        ]
+        total = self.crossings.read(now)
+        total += sum(counts.crossing_tokens for counts in heard)
+        return total * max(1.0, hosts / (1 + len(heard)))
+
     def _change(self, path: paths.Path, tokens: int, sign: int) -> None:
         for part in path:
             name = part.endpoint.endpoint_id
--- a/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
@@ -62,14 +62,26 @@
         if path is not None and path not in self._paths:
             self._paths.append(path)
 
+    def is_connected(self) -> bool:
+        """Tells whether all layers are held, with or without room."""
+        return self._finder.with_loads({}).find(0.0) is not None
+
     def choose(
         self,
         tokens: float,
         loads: typing.Mapping[str, paths.Load],
         avoid: typing.Collection[str] = (),
+        link_use: float = 0.0,
     ) -> paths.Path | None:
-        """Returns the path that costs least for a request of some tokens."""
-        pricer = self._finder.with_loads(loads)
+        """Returns the path that costs least for a request of some tokens.
+
+        Args:
+            tokens: Tokens that the request is expected to reach.
+            loads: Load of each endpoint.
+            avoid: Names of endpoints to pass over.
+            link_use: Share of the links between domains that is taken.
+        """
+        pricer = self._finder.with_loads(loads, link_use)
         best, best_cost = None, math.inf
         for path in self._paths:
             if any(p.endpoint.endpoint_id in avoid for p in path):
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -21,7 +21,7 @@
 # Free share of memory below which an endpoint's cost stops rising.
 MIN_LEFT: typing.Final = 0.05
 # A prompt that crosses holds up all other crossings, which share one link.
-CROSSING_WEIGHT: typing.Final = 3.0
+CROSSING_WEIGHT: typing.Final = 1.0
 # Weight of a token step's time against the time to the first event.
 STEP_WEIGHT: typing.Final = 20.0
 
@@ -86,6 +86,11 @@
         return False
 
 
+def crossing_ms(engine: catalog.EngineModel) -> float:
+    """Returns how long one token takes the links between domains."""
+    return engine.activation_mb / max(engine.pipe_mb_per_ms, 1e-9)
+
+
 def is_whole(path: Path, layers: int) -> bool:
     """Tells whether a path runs each layer once and in order."""
     at = 0
@@ -109,8 +114,18 @@
         engine: catalog.EngineModel,
         endpoints: typing.Iterable[endpoints_lib.Endpoint],
         loads: typing.Mapping[str, Load],
+        link_use: float = 0.0,
     ) -> None:
+        """Makes a finder.
+
+        Args:
+            engine: The engines' figures.
+            endpoints: Those that may be used.
+            loads: Their load.
+            link_use: Share of the links between domains that is taken.
+        """
         self._engine = engine
+        self._link_use = link_use
         self._holders = [
             e
             for e in endpoints
@@ -118,18 +133,17 @@
         ]
         self._loads = loads
         self._hop = HOP_MS * (1 + STEP_WEIGHT)
-        prompt_ms = (
-            engine.usual_prompt
-            * engine.activation_mb
-            / max(engine.pipe_mb_per_ms, 1e-9)
-        )
-        self._crossing = CROSSING_WEIGHT * prompt_ms + CROSSING_MS * (
-            1 + STEP_WEIGHT
+        prompt_ms = engine.usual_prompt * crossing_ms(engine)
+        free = max(MIN_LEFT, 1 - link_use)
+        self._crossing = CROSSING_WEIGHT * prompt_ms / free**2 + (
+            CROSSING_MS * (1 + STEP_WEIGHT)
         )
 
-    def with_loads(self, loads: typing.Mapping[str, Load]) -> 'Finder':
+    def with_loads(
+        self, loads: typing.Mapping[str, Load], link_use: float = 0.0
+    ) -> 'Finder':
         """Returns a finder over the same endpoints under another load."""
-        return Finder(self._engine, self._holders, loads)
+        return Finder(self._engine, self._holders, loads, link_use)
 
     def cost_of_path(self, path: Path, tokens: float) -> float:
         """Returns what a whole path costs, in ms; infinite without room."""
