Test the adapter, the log and the followers; explain a request from logs

Cause: on-call engineers have only logs; the adapter's handling of bad input had no tests. Found by them: a write refused with 403 and no body counted as unclear, though the store had said that it did nothing.

Change: sardinebendctl explain REQUEST_ID [FILE...] tells a request's story, causes first; tests for bounds of the log (10,000 failures, a pipe that isn't read, a reader that has gone), for followers through outages, lost history, stale answers and peers, for settings, rows, headers and the store's answers; one fails if a wire name leaves the adapter or it outgrows a tenth of the code.

--- a/packages/sardinebend-admin/src/sardinebend_admin/cli.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/cli.py
@@ -1,7 +1,7 @@
 """The command `sardinebendctl`.
 
 Exit codes: 0 done, 1 refused, 2 bad input, 3 another operator was first,
-4 host or table unavailable, 5 outcome unknown, 6 not confirmed.
+4 host or table unavailable, 5 outcome unknown, 6 not confirmed, 7 not found.
 """
 
 import sys
@@ -10,6 +10,7 @@
 
 from sardinebend_admin import commands
 from sardinebend_admin import errors
+from sardinebend_admin import explain
 
 COMMANDS = {
     'settings': {
@@ -26,6 +27,7 @@
     'routes': commands.routes,
     'requests': commands.requests,
     'drain': commands.drain,
+    'explain': explain.explain,
 }
 
 
--- a/packages/sardinebend-admin/src/sardinebend_admin/errors.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/errors.py
@@ -61,3 +61,9 @@
     """Raised when the operator didn't confirm what can't be undone."""
 
     exit_code = 6
+
+
+class NotFound(AdminError):
+    """Raised when the logs don't tell of a request; name more of them."""
+
+    exit_code = 7
--- a/packages/sardinebend-admin/tests/cover/test_commands.py
+++ b/packages/sardinebend-admin/tests/cover/test_commands.py
@@ -103,7 +103,7 @@
 
 def test_every_error_has_an_exit_code_of_its_own(monkeypatch, capsys):
     codes = [kind.exit_code for kind in errors.AdminError.__subclasses__()]
-    assert sorted(codes) == [1, 2, 3, 4, 5, 6]
+    assert sorted(codes) == [1, 2, 3, 4, 5, 6, 7]
     monkeypatch.setattr('sys.argv', ['sardinebendctl', 'hosts'])
     monkeypatch.delenv(commands.HOST_VARIABLE, raising=False)
     with pytest.raises(SystemExit) as caught:
--- /dev/null
+++ b/packages/sardinebend-gateway/tests/cover/test_watch.py
@@ -0,0 +1,150 @@
+"""Following tables through outages, lost history and peers."""
+
+import random
+
+import result
+import trio
+
+from sardinebend_gateway import edges
+from sardinebend_gateway import settings
+from sardinebend_gateway import state as state_lib
+from sardinebend_gateway import watch
+from sardinebend_store import errors
+from sardinebend_store import feeds
+
+
+def make_follower(wait_s=0.05):
+    store = feeds.MemoryFeeds()
+    cfg = settings.HostSettings('h', 'east', settings.Address('127.0.0.1', 1))
+    state = state_lib.State(
+        cfg, edges.Edges(None, None, None, store), random.Random(1)
+    )
+    seen = {}
+
+    def take(rows):
+        for row in rows:
+            if row.value is None:
+                seen.pop(row.key, None)
+            else:
+                seen[row.key] = row.value
+
+    return store, watch.Follower(state, 't', take, wait_s), seen
+
+
+async def settle(check):
+    with trio.fail_after(20):
+        while not check():
+            await trio.sleep(0.01)
+
+
+async def test_rows_come_change_and_go():
+    store, follower, seen = make_follower()
+    await store.write('t', 'a', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await settle(lambda: seen == {'a': b'1'})
+        await store.write('t', 'b', None, b'2')
+        await settle(lambda: seen == {'a': b'1', 'b': b'2'})
+        await store.write('t', 'a', None, None)
+        await settle(lambda: seen == {'b': b'2'})
+        nursery.cancel_scope.cancel()
+
+
+async def test_lost_history_is_made_up_for_by_reading_all():
+    store, follower, seen = make_follower()
+    await store.write('t', 'a', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await settle(lambda: 'a' in seen)
+        store.kept_from = 10**9
+        await store.write('t', 'a', None, None)
+        await store.write('t', 'b', None, b'2')
+        store.kept_from = 0
+        await settle(lambda: seen == {'b': b'2'})
+        nursery.cancel_scope.cancel()
+
+
+async def test_evidence_ages_while_the_store_is_away():
+    store, follower, seen = make_follower()
+    await store.write('t', 'a', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await settle(lambda: 'a' in seen)
+        store.is_down = True
+        await settle(lambda: follower.is_lost)
+        before = follower.evidence_at
+        await trio.sleep(0.2)
+        assert follower.evidence_at == before
+        assert seen == {'a': b'1'}
+        store.is_down = False
+        await settle(lambda: not follower.is_lost)
+        assert follower.evidence_at > before
+        nursery.cancel_scope.cancel()
+
+
+class Peer(watch.Fallback):
+    def __init__(self, relayed):
+        self.relayed = relayed
+
+    async def ask(self, table, after):
+        return result.Ok(self.relayed)
+
+
+async def test_a_peers_word_counts_with_the_age_of_its_evidence():
+    store, follower, seen = make_follower()
+    store.is_down = True
+    row = feeds.FeedRow('a', 7, b'1')
+    follower.fallback = Peer(watch.Relayed(feeds.Changes((row,), 7), 2.0, True))
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await settle(lambda: seen == {'a': b'1'})
+        assert 2.0 <= follower.evidence_age_s() < 20.0
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_older_word_of_a_peer_changes_nothing():
+    _, follower, seen = make_follower()
+    newer = feeds.FeedRow('a', 7, b'new')
+    older = feeds.FeedRow('a', 3, b'old')
+    follower._take(feeds.Changes((newer,), 7), 1.0, True)
+    follower._take(feeds.Changes((older,), 7), 2.0, False)
+    assert seen == {'a': b'new'}
+
+
+class StaleStore(feeds.MemoryFeeds):
+    """Answers from before what it has already said."""
+
+    def __init__(self):
+        super().__init__()
+        self.behind = None
+
+    async def follow(self, table, after, wait_s):
+        if self.behind is not None:
+            return result.Ok(self.behind)
+        return await super().follow(table, after, wait_s)
+
+
+async def test_a_stale_answer_is_dropped_and_adds_no_evidence():
+    _, follower, seen = make_follower()
+    store = StaleStore()
+    follower._state.edges = edges.Edges(None, None, None, store)
+    await store.write('t', 'a', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await settle(lambda: 'a' in seen)
+        store.behind = feeds.Changes((), 0)
+        await trio.sleep(0.3)
+        assert seen == {'a': b'1'}
+        store.behind = None
+        await store.write('t', 'b', None, b'2')
+        await settle(lambda: 'b' in seen)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_write_under_a_condition_meets_the_row_that_stands():
+    store = feeds.MemoryFeeds()
+    first = await store.write('t', 'a', 0, b'1')
+    refused = await store.write('t', 'a', 0, b'2')
+    assert isinstance(refused.err_value, errors.Conflict)
+    assert refused.err_value.rows['a'].version == first.ok_value
+    assert (await store.write('t', 'a', first.ok_value, b'2')).is_ok()
