--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -104,7 +104,8 @@
                 step = forwarding.Step.REFUSE
                 if exchange.ledger.may_have_run:
                     step = forwarding.Step.FAIL
-                await self._end(step, self._reason or 'no path', None)
+                reason = self._reason or self._why_no_path()
+                await self._end(step, reason, None)
                 return
             end, reply = await self._attempt(choice)
             if end is forwarding.End.ANSWERED:
@@ -157,6 +158,14 @@
                 await trio.sleep(POLL_S)
         return None
 
+    def _why_no_path(self) -> str:
+        service = self._exchange.admitted.service
+        if not service.has_layers:
+            return 'no engine'
+        if not self._state.book_of(service).is_connected():
+            return 'no path: layers without a holder'
+        return f'no path: no room for {self._tokens} tokens'
+
     def _find_path(self) -> paths_lib.Path | None:
         service = self._exchange.admitted.service
         if not service.has_layers:
