Split a stream's run into attempt, watchdog and progress

Change: streams, stream_attempt, stream_watchdog and stream_progress, each with one job; no change of behaviour meant.

--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -0,0 +1,170 @@
+"""One send of a stream along a path: whole events, passed on in order."""
+
+import typing
+
+import trio
+
+from sardinebend_gateway import calls as calls_lib
+from sardinebend_gateway import edges as edges_lib
+from sardinebend_gateway import errors
+from sardinebend_gateway import event_stream
+from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import stream_progress
+from sardinebend_gateway import stream_watchdog
+from sardinebend_policy import forwarding
+from sardinebend_store import connections
+from sardinebend_store import errors as store_errors
+
+
+class StreamAttempt:
+    """One send of a stream along a path.
+
+    Attributes:
+        last_id: Id of the last event that the caller was sent.
+    """
+
+    def __init__(
+        self,
+        progress: stream_progress.StreamProgress,
+        engine_calls: calls_lib.EngineCalls,
+        last_id: bytes | None,
+    ) -> None:
+        self.last_id = last_id
+        self._progress = progress
+        self._exchange = progress.exchange
+        self._state = progress.exchange.state
+        self._watchdog = stream_watchdog.Watchdog(progress, engine_calls)
+        self._first = progress.path[0].endpoint
+        self._splitter = event_stream.Splitter()
+        self._end = forwarding.End.BROKEN
+        self._reply: exchange_lib.Reply | None = None
+        self._caller_gone: errors.CallerGone | None = None
+
+    async def run(
+        self, conn: connections.Connection
+    ) -> tuple[forwarding.End, exchange_lib.Reply | None]:
+        """Sends the request and passes its events on."""
+        self._progress.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._watch, nursery.cancel_scope)
+                await self._read(conn)
+                nursery.cancel_scope.cancel()
+        finally:
+            self._progress.close()
+        if self._caller_gone is not None:
+            raise self._caller_gone
+        return self._end, self._reply
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        await self._watchdog.run()
+        self._end = forwarding.End.BROKEN
+        scope.cancel()
+
+    async def _read(self, conn: connections.Connection) -> None:
+        exchange = self._exchange
+        codec = self._state.edges.requests
+        path = self._progress.path
+        dispatch = edges_lib.Dispatch(
+            endpoint=self._first,
+            path=path if path[0].span.size else None,
+            time_left_s=exchange.time_left_s(),
+            customer=exchange.customer_name,
+            resume_after=self.last_id,
+            urgency=exchange.admitted.urgency,
+        )
+        req = exchange.req
+        headers = codec.make_request_headers(req.headers, dispatch)
+        try:
+            async with conn.stream(
+                req.method, req.target, headers, req.body
+            ) as response:
+                await self._read_response(response)
+        except (store_errors.ExchangeFailed, errors.Malformed) as exc:
+            self._progress.reason = str(exc)
+            self._end = forwarding.End.BROKEN
+        except errors.CallerGone as exc:
+            # Raised again outside the nursery, which would wrap it.
+            self._caller_gone = exc
+
+    async def _read_response(self, response: typing.Any) -> None:
+        codec = self._state.edges.requests
+        facts = codec.read_answer(response.status, response.headers)
+        if response.status != 200:
+            body = await exchange_lib.read_body(response)
+            reply = exchange_lib.Reply(
+                response.status, response.headers, body, facts
+            )
+            self._end, self._progress.reason, self._reply = exchange_lib.judge(
+                self._state, self._exchange, self._first, reply
+            )
+            self._blame(facts)
+            return
+        reply = exchange_lib.Reply(200, response.headers, b'', facts)
+        self._end, self._progress.reason, _ = exchange_lib.judge(
+            self._state, self._exchange, self._first, reply
+        )
+        if self._end is not forwarding.End.ANSWERED:
+            return
+        self._end = forwarding.End.BROKEN
+        await self._pass_events_on(response)
+
+    def _blame(self, facts: edges_lib.AnswerFacts) -> None:
+        """Passes over the engine that an answer names as its cause."""
+        for part in self._progress.path:
+            if part.endpoint.address == facts.at_fault:
+                self._progress.dead.add(part.endpoint.endpoint_id)
+                if part.endpoint != self._first:
+                    self._state.doubt(
+                        part.endpoint, 'named in a refusal', is_dead=False
+                    )
+
+    async def _pass_events_on(self, response: typing.Any) -> None:
+        out = self._exchange.out
+        async for chunk in response.aiter_stream():
+            self._progress.note_move()
+            found = self._splitter.feed(chunk)
+            if not found:
+                continue
+            self._check_order(found)
+            if not out.is_started:
+                headers = self._state.edges.requests.make_answer_headers(
+                    response.headers
+                )
+                await out.start(200, headers)
+                self._state.metrics.record_time(
+                    'first_event', self._exchange.took_s()
+                )
+            self._progress.has_events = True
+            await self._write(b''.join(event.data for event in found))
+            ids = [event.event_id for event in found if event.event_id]
+            self.last_id = ids[-1] if ids else self.last_id
+        if self._splitter.has_rest:
+            self._progress.reason = 'ended within an event'
+            return
+        if not out.is_started:
+            self._progress.reason = 'ended without an event'
+            return
+        self._end = forwarding.End.ANSWERED
+        self._exchange.end('200')
+        await out.finish()
+        self._state.endpoints.clear_doubt(self._first)
+
+    def _check_order(
+        self, found: typing.Sequence[event_stream.StreamEvent]
+    ) -> None:
+        last = self.last_id
+        for event in found:
+            if event.event_id is None:
+                continue
+            if not event_stream.follows(event.event_id, last):
+                raise errors.Malformed('an event comes twice')
+            last = event.event_id
+
+    async def _write(self, data: bytes) -> None:
+        self._progress.waits_for_caller = True
+        try:
+            await self._exchange.out.write(data)
+        finally:
+            self._progress.waits_for_caller = False
+            self._progress.note_move()
--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -0,0 +1,59 @@
+"""How far one send of a stream has come, for the tasks that serve it."""
+
+import trio
+
+from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_policy import paths as paths_lib
+
+
+class StreamProgress:
+    """The path of a stream and when it last moved.
+
+    Attributes:
+        exchange: The request.
+        path: The path that it runs along at the moment.
+        tokens: Tokens that it is expected to reach.
+        moved_at: When the last event came or was passed on, by trio's clock.
+        has_events: Whether any event has come.
+        waits_for_caller: Whether the caller is what it waits for.
+        dead: Names of engines that were found dead meanwhile.
+        reason: Why it failed, if it did.
+    """
+
+    def __init__(
+        self,
+        exchange: exchange_lib.Exchange,
+        path: paths_lib.Path,
+        tokens: int,
+    ) -> None:
+        self.exchange = exchange
+        self.path = path
+        self.tokens = tokens
+        self.moved_at = trio.current_time()
+        self.has_events = False
+        self.waits_for_caller = False
+        self.dead: set[str] = set()
+        self.reason = ''
+
+    def silent_s(self) -> float:
+        """Returns for how long nothing has moved."""
+        return trio.current_time() - self.moved_at
+
+    def note_move(self) -> None:
+        """Notes that an event came or was passed on."""
+        self.moved_at = trio.current_time()
+
+    def start(self) -> None:
+        """Counts the request at the engines of its path."""
+        self.exchange.state.inflight.add(self.path, self.tokens)
+
+    def change_path(self, path: paths_lib.Path) -> None:
+        """Counts the request at the engines of another path."""
+        self.close()
+        self.path = path
+        self.start()
+        self.note_move()
+
+    def close(self) -> None:
+        """Stops counting the request."""
+        self.exchange.state.inflight.remove(self.path, self.tokens)
