Pass over malformed rows of hosts; test hosts that help each other

Cause: found by a new test: a row in the shared table whose address can't be parsed ended the process of every host that read it.

Change: such a row is malformed when it is decoded, logged and passed over. Tests: a host that starts without the store learns from a seed; a peer's word is never fresher than what it goes back to; a key withdrawn meanwhile is refused; malformed rows.

Conclusion: no row that others can write ends a host, as far as tests show.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from sardinebend_gateway import errors
+from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import lease as lease_lib
 
 TABLE: typing.Final = 'sardinebend'
@@ -47,9 +48,12 @@
         errors.Malformed: The bytes aren't one.
     """
     try:
-        return msgspec.json.decode(value, type=HostRow)
-    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+        row = msgspec.json.decode(value, type=HostRow)
+        for address in (row['callers'], row['beats'], row['relay']):
+            settings_lib.Address.parse(address)
+    except (msgspec.DecodeError, errors.InvalidSettings) as exc:
         raise errors.Malformed(str(exc)) from exc
+    return row
 
 
 def decode_lease(value: bytes) -> lease_lib.LeaseRow:
@@ -60,5 +64,5 @@
     """
     try:
         return msgspec.json.decode(value, type=lease_lib.LeaseRow)
-    except (msgspec.ValidationError, msgspec.DecodeError) as exc:
+    except msgspec.DecodeError as exc:
         raise errors.Malformed(str(exc)) from exc
--- /dev/null
+++ b/tests/cover/test_gateway_peers.py
@@ -0,0 +1,78 @@
+"""Hosts that help each other while the platform's store is away."""
+
+import trio
+
+from sardinebend_store import feeds
+from tests.common import gateway_world as world_lib
+
+
+def down():
+    store = feeds.MemoryFeeds()
+    store.is_down = True
+    return store
+
+
+async def test_a_host_that_starts_without_the_store_learns_from_a_seed():
+    port = world_lib.free_port()
+    server = world_lib.Server('app-1', 'app')
+    async with world_lib.running(server, relay_port=port) as first:
+        second = world_lib.World(
+            first.nursery, (), seeds=(port,), store=down(), name='host-2'
+        )
+        with trio.fail_after(20):
+            await second.start_gateway()
+            while (await second.ask())[0] != 200:
+                await trio.sleep(0.05)
+        assert second.gateway.state.catalog.version == 1
+
+
+async def test_a_peers_evidence_keeps_keys_trusted_and_ages_with_it():
+    port = world_lib.free_port()
+    server = world_lib.Server('app-1', 'app')
+    async with world_lib.running(server, relay_port=port) as first:
+        second = world_lib.World(
+            first.nursery, (), seeds=(port,), store=down(), name='host-2'
+        )
+        with trio.fail_after(20):
+            await second.start_gateway()
+        one, other = first.gateway.state, second.gateway.state
+        # A second-hand word is never fresher than the one it goes back to.
+        for _ in range(20):
+            assert other.catalog_at <= one.catalog_at
+            await trio.sleep(0.02)
+
+
+async def test_a_key_withdrawn_meanwhile_is_refused_on_a_peers_word():
+    port = world_lib.free_port()
+    server = world_lib.Server('app-1', 'app')
+    async with world_lib.running(server, relay_port=port) as first:
+        second = world_lib.World(
+            first.nursery, (), seeds=(port,), store=down(), name='host-2'
+        )
+        with trio.fail_after(20):
+            await second.start_gateway()
+            await first.put_config(world_lib.make_config(2, tenants=[]))
+            while second.gateway.state.catalog.version < 2:
+                await trio.sleep(0.02)
+        assert (await second.ask())[0] in (401, 503)
+    assert server.requests == []
+
+
+async def test_a_host_row_that_is_none_is_passed_over():
+    async with world_lib.running(world_lib.Server('app-1', 'app')) as world:
+        for number, value in enumerate(
+            (b'', b'{', b'[]', b'{"callers": "x"}', b'\xff', BAD_ADDRESS)
+        ):
+            await world.store.write(
+                'sardinebend', f'host/{number}', None, value
+            )
+        await world.store.write('sardinebend', 'lease/orders', None, b'[]')
+        await trio.sleep(0.6)
+        assert world.gateway.members.peers() == {}
+        assert (await world.ask())[0] == 200
+
+
+BAD_ADDRESS = (
+    b'{"callers": "10.0.0.1:1", "beats": "10.0.0.1:0", "relay": "10.0.0.1:1",'
+    b' "domain": "d", "incarnation": "i", "is_leaving": false}'
+)
