Remove what nothing reads; log peers that come and go

Left behind: settings, figures and fields that were decoded and never read; life signs of starts that no row names any more were kept for good.

Change: they are gone; a host logs when a peer is first heard and when it falls silent. No change of behaviour meant otherwise.

Conclusion: what is decoded is used.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
@@ -47,7 +47,7 @@
         liveness = self._members.liveness
         while True:
             peers = self._members.peers()
-            self._state.live_count = len(self._members.live_peers()) + 1
+            self._members.note_changes()
             data = self._encode()
             for name in liveness.choose_peers(sorted(peers)):
                 address = settings_lib.Address.parse(peers[name]['beats'])
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -64,7 +64,6 @@
         was_not_run: Whether the endpoint states that it ran nothing.
         answered_by: Name of the endpoint that answers, if it gives one.
         at_fault: Address of the endpoint that caused a refusal.
-        closes: Whether the endpoint is about to stop or wants no more.
     """
 
     request_id: str
@@ -72,7 +71,6 @@
     was_not_run: bool
     answered_by: str | None
     at_fault: str | None
-    closes: bool
 
 
 class Report(typing.NamedTuple):
@@ -81,18 +79,12 @@
     Attributes:
         is_busy: Whether it carries out an order.
         orders_begun: Orders begun since its start.
-        waiting: Requests in its queue.
-        running: Requests that it runs.
         stalled: Addresses of endpoints that its requests wait for.
-        slowness: Factor by which it is slower than published.
     """
 
     is_busy: bool
     orders_begun: int
-    waiting: int
-    running: int
     stalled: tuple[str, ...]
-    slowness: float
 
 
 class Call(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -55,7 +55,7 @@
 )
 REQUEST_CANCELLED = Event('request_cancelled', 'request, route, took_s')
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
-PEER_LOST = Event('peer_lost', 'peer, silent_s', True)
+PEER_LOST = Event('peer_lost', 'peer, is_listed', True)
 LINES_DROPPED = Event('lines_dropped', 'counts by event')
 
 ALL: typing.Final = tuple(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -32,6 +32,7 @@
         self._state = state
         self._own = row
         self._rows: dict[str, shared_table.HostRow] = {}
+        self._were_live: set[str] = set()
         self.liveness = liveness_lib.Liveness(state.rng)
 
     def hear(self, name: str, incarnation: str, now: float) -> None:
@@ -62,6 +63,23 @@
             )
         }
 
+    def note_changes(self) -> None:
+        """Logs which hosts have come or fallen silent, and counts the rest."""
+        live = self.live_peers()
+        for name in sorted(set(live) - self._were_live):
+            self._state.audit.log(
+                events.PEER_SEEN,
+                peer=name,
+                incarnation=live[name]['incarnation'],
+                domain=live[name]['domain'],
+            )
+        for name in sorted(self._were_live - set(live)):
+            self._state.audit.log(
+                events.PEER_LOST, peer=name, is_listed=name in self._rows
+            )
+        self._were_live = set(live)
+        self._state.live_count = len(live) + 1
+
     def take(self, row: feeds.FeedRow) -> None:
         """Takes in a host's row."""
         name = row.key.removeprefix(shared_table.HOST_PREFIX)
@@ -73,6 +91,7 @@
             if name != self._state.cfg.name:
                 self._rows[name] = host
             self._state.set_host_count(len(self.peers()) + 1)
+            self._forget_starts()
         except errors.Malformed as exc:
             self._state.audit.log(
                 events.ENTRY_SKIPPED,
@@ -81,6 +100,14 @@
                 reason=str(exc),
             )
 
+    def _forget_starts(self) -> None:
+        """Drops the life signs of starts that no row names any more."""
+        kept = {
+            liveness_lib.start_number(name, row['incarnation'])
+            for name, row in self._rows.items()
+        }
+        self.liveness.forget(kept, clocks.now())
+
     async def publish(self, is_leaving: bool) -> None:
         """Writes this host's row until the store has taken it."""
         row: shared_table.HostRow = {**self._own, 'is_leaving': is_leaving}
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -37,11 +37,9 @@
         grace_s: Time from a planned stop's signal to the end of the process.
         apply_s: Time within which a configuration is in force everywhere.
         revoke_s: Time after which a withdrawn key must not be let in.
-        leave_s: Time after which a leaving endpoint gets no new work.
         retry_ratio: Retries allowed for each request, over all hosts.
         extra_retries: Retries allowed besides, over all hosts.
         answer_life_s: How long callers may keep an address.
-        stall_s: How long an engine waits for a dead one.
     """
 
     name: str
@@ -50,11 +48,9 @@
     grace_s: float = 8.0
     apply_s: float = 2.0
     revoke_s: float = 5.0
-    leave_s: float = 2.0
     retry_ratio: float = 0.2
     extra_retries: int = 50
     answer_life_s: float = 1.0
-    stall_s: float = 3.0
 
     def check(self) -> 'HostSettings':
         """Returns the settings if all values are in range.
@@ -65,7 +61,7 @@
         """
         if not self.name or not self.domain:
             raise errors.InvalidSettings('a host needs a name and a domain')
-        for field in ('grace_s', 'apply_s', 'revoke_s', 'leave_s', 'stall_s'):
+        for field in ('grace_s', 'apply_s', 'revoke_s', 'answer_life_s'):
             value = getattr(self, field)
             if not 0 < value < 3600:
                 raise errors.InvalidSettings(
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -81,9 +81,7 @@
         pipe_mb_per_ms: Capacity of the link between failure domains.
         usual_prompt: Mean prompt tokens.
         usual_answer: Mean answer tokens.
-        steps_per_pass: Token steps in a pass that has writers.
         load_s: Time to load a whole model.
-        loads_at_once: Loads that run side by side at full rate.
         cards: Kinds of accelerators by name.
     """
 
@@ -97,9 +95,7 @@
     pipe_mb_per_ms: float
     usual_prompt: float
     usual_answer: float
-    steps_per_pass: int
     load_s: float
-    loads_at_once: int
     cards: dict[str, CardKind]
 
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -112,11 +112,6 @@
         """Returns an endpoint by name."""
         return self._endpoints.get(endpoint_id)
 
-    def find_address(self, address: str) -> Endpoint | None:
-        """Returns the endpoint at an address, the youngest if several."""
-        found = [e for e in self._endpoints.values() if e.address == address]
-        return max(found, key=lambda e: e.born, default=None)
-
     def all_of(self, service: str) -> list[Endpoint]:
         """Returns a service's endpoints, also those that are leaving."""
         return [e for e in self._endpoints.values() if e.service == service]
--- a/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
+++ b/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
@@ -38,9 +38,7 @@
         pipe_mb_per_ms=1.625,
         usual_prompt=772.0,
         usual_answer=167.0,
-        steps_per_pass=2,
         load_s=14.0,
-        loads_at_once=6,
         cards=CARDS,
     )
     return engine._replace(**changes)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -144,7 +144,7 @@
             codec.read_endpoint('i-1', json.dumps(entry).encode())
 
 
-@pytest.mark.parametrize('body', [b'', b'[]', b'{"waiting": "x"}'])
+@pytest.mark.parametrize('body', [b'', b'[]', b'{"busy": "x"}'])
 def test_what_is_no_report_is_malformed(body):
     with pytest.raises(errors.Malformed):
         engine_codec.PlatformEngines().read_report(body)
