Round the age of relayed evidence up

Change: it is rounded up. The test that failed is test_a_peers_evidence_keeps_keys_trusted_and_ages_with_it.

Conclusion: a peer's word is never fresher than what it goes back to.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -5,6 +5,7 @@
 peer's own evidence has.
 """
 
+import math
 import typing
 
 import result
@@ -51,7 +52,8 @@
         rows = follower.rows_since(message.after)
         return messages.FeedReply(
             follower.version,
-            int(follower.evidence_age_s() * 1000),
+            # Rounded up: evidence must never seem fresher than it is.
+            math.ceil(follower.evidence_age_s() * 1000),
             message.after < 0,
             tuple(messages.FeedRow(*row) for row in rows),
         )
