Let a few hosts of a large failure domain read the store for the others

Cause: every host followed three tables of the store by itself.

Change: in a failure domain of five live hosts or more, one host in 24, chosen by rendezvous hash over the live ones, reads; the others ask it by the relay that was there for outages. Evidence keeps its age, counted from the question; when it is older than 1.5 s, or the reader is late or behind, a host reads for itself, so a leaving endpoint is known within 2 s also behind a reader that has just lost the store. An outage that only the reader saw is passed on, so that listings which lapsed meanwhile are given the same time to return.

The follower of a table moves to a module of its own. Smaller fleets read as before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
+from sardinebend_gateway import follower as follower_lib
 from sardinebend_gateway import forwarder
 from sardinebend_gateway import http_server
 from sardinebend_gateway import keeper
@@ -22,8 +23,6 @@
 from sardinebend_gateway import watch
 from sardinebend_store import feeds
 
-# Rows that hosts share change rarely, and none of them bounds a rule.
-SHARED_WAIT_S: typing.Final = 5.0
 # Callers that have just been given this host's address still connect; the
 # answers to their questions are kept for a few seconds.
 LINGER_S: typing.Final = 3.0
@@ -78,8 +77,11 @@
         }
         self.members = members.Members(self.state, row)
         self.keeper = keeper.Keeper(self.state, self._calls, self.incarnation)
-        self._shared = watch.Follower(
-            self.state, shared_table.TABLE, self._take_shared, SHARED_WAIT_S
+        self._shared = follower_lib.Follower(
+            self.state,
+            shared_table.TABLE,
+            self._take_shared,
+            follower_lib.UNBOUNDED,
         )
         self._catalog = watch.CatalogWatch(self.state)
         self._endpoints = watch.EndpointWatch(self.state)
@@ -121,7 +123,7 @@
             )
         }
         for follower in followers.values():
-            follower.fallback = client
+            follower.peers = client
         server = relay.RelayServer(followers)
         nursery.start_soon(server.run, self._addresses.relay)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -12,6 +12,7 @@
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import liveness as liveness_lib
+from sardinebend_policy import readers
 from sardinebend_store import feeds
 
 RETRY_S: typing.Final = 0.4
@@ -26,6 +27,7 @@
 
     Attributes:
         liveness: Their life signs.
+        role: Whether this host reads the store, or which host does so for it.
     """
 
     def __init__(self, state: state_lib.State, row: shared_table.HostRow):
@@ -34,6 +36,7 @@
         self._rows: dict[str, shared_table.HostRow] = {}
         self._were_live: set[str] = set()
         self.liveness = liveness_lib.Liveness(state.rng)
+        self.role = readers.ALONE
 
     def hear(self, name: str, incarnation: str, now: float) -> None:
         """Takes in a life sign; a new start shows before its row does."""
@@ -79,6 +82,9 @@
             )
         self._were_live = set(live)
         self._state.live_count = len(live) + 1
+        cfg = self._state.cfg
+        near = {n for n, row in live.items() if row['domain'] == cfg.domain}
+        self.role = readers.choose_role(cfg.name, near | {cfg.name})
 
     def take(self, row: feeds.FeedRow) -> None:
         """Takes in a host's row."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -1,8 +1,7 @@
 """What hosts know of the platform's store, passed from one to another.
 
-A host that the store doesn't answer asks a peer instead. The age of the
-evidence is counted from when the question was sent, plus the age that the
-peer's own evidence has.
+In a large fleet a few hosts read the store for the others; and a host that the
+store doesn't answer asks a peer instead. Evidence keeps its age on the way.
 """
 
 import math
@@ -11,10 +10,11 @@
 import result
 import trio
 
+from sardinebend_gateway import clocks
+from sardinebend_gateway import follower as follower_lib
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import state as state_lib
-from sardinebend_gateway import watch
 from sardinebend_peers import errors as peer_errors
 from sardinebend_peers import links
 from sardinebend_peers import messages
@@ -26,12 +26,19 @@
 # from the platform, whose settings hold none.
 SECRET: typing.Final = b''
 MAX_WAIT_S: typing.Final = 5.0
+# Time beyond its wait within which a reader's answer must be here; while it is
+# awaited the store isn't asked.
+FOLLOW_SLACK_S: typing.Final = 0.3
+# A reader that failed once is given the time in which its silence shows.
+DISTRUST_S: typing.Final = 3.0
 
 
 class RelayServer:
     """Answers peers from the tables that this host follows."""
 
-    def __init__(self, followers: typing.Mapping[str, watch.Follower]) -> None:
+    def __init__(
+        self, followers: typing.Mapping[str, follower_lib.Follower]
+    ) -> None:
         self._followers = followers
         self._server = links.PeerServer(self._answer, SECRET)
 
@@ -46,21 +53,25 @@
         follower = self._followers.get(message.table)
         if follower is None or not follower.has_rows:
             return messages.FeedReply(-1, 0, False, ())
+        asked_at = clocks.now()
         wait_s = min(MAX_WAIT_S, max(0.0, message.wait_ms / 1000))
         with trio.move_on_after(wait_s):
             await follower.wait_beyond(message.after)
         rows = follower.rows_since(message.after)
+        regained_s = follower.regained_s()
         return messages.FeedReply(
             follower.version,
             # Rounded up: evidence must never seem fresher than it is.
             math.ceil(follower.evidence_age_s() * 1000),
             message.after < 0,
             tuple(messages.FeedRow(*row) for row in rows),
+            int((clocks.now() - asked_at) * 1000),
+            -1 if regained_s is None else int(regained_s * 1000),
         )
 
 
-class RelayClient(watch.Fallback):
-    """Asks peers for what the store doesn't answer."""
+class RelayClient(follower_lib.PeerTables):
+    """Asks peers for what they know of the store."""
 
     def __init__(
         self,
@@ -74,10 +85,14 @@
         self._seeds = [str(seed) for seed in seeds]
         self._nursery = nursery
         self._links: dict[str, links.PeerLink] = {}
+        self._trust_after = state_lib.NEVER
 
-    async def ask(
-        self, table: str, after: int
-    ) -> result.Result[watch.Relayed, store_errors.Unavailable]:
+    @property
+    def is_reader(self) -> bool:
+        """Whether other hosts ask this one."""
+        return self._members.role.is_shared
+
+    async def ask(self, table: str, after: int) -> follower_lib.RelayAnswer:
         """Returns what one live peer knows of a table."""
         live = self._members.live_peers().values()
         # Before the first rows have come, only the seeds are known.
@@ -85,22 +100,57 @@
         if not addresses:
             return result.Err(store_errors.Unavailable('no peer is known'))
         address = self._state.rng.choice(addresses)
-        link = self._link(address)
         question = messages.FeedQuestion(table, after, 0)
+        return await self._call(address, question, CALL_TIMEOUT_S)
+
+    async def follow(
+        self, table: str, after: int, wait_s: float
+    ) -> follower_lib.RelayAnswer:
+        """Returns what the host knows that reads for this one."""
+        reader = self._members.role.reader
+        row = self._members.peers().get(reader) if reader else None
+        if row is None or clocks.now() < self._trust_after:
+            return result.Err(store_errors.Unavailable('no host reads'))
+        question = messages.FeedQuestion(table, after, int(wait_s * 1000))
+        answer = await self._call(
+            row['relay'], question, wait_s + FOLLOW_SLACK_S
+        )
+        if isinstance(answer, result.Err):
+            self.distrust()
+        return answer
+
+    def distrust(self) -> None:
+        """Does without the host that reads for this one for a while."""
+        self._trust_after = clocks.now() + DISTRUST_S
+        self._state.metrics.count('readers_distrusted')
+
+    async def _call(
+        self, address: str, question: messages.FeedQuestion, timeout_s: float
+    ) -> follower_lib.RelayAnswer:
+        asked_at = clocks.now()
         try:
-            reply = await link.call(question, CALL_TIMEOUT_S)
+            reply = await self._link(address).call(question, timeout_s)
         except peer_errors.PeerUnreachable as exc:
             return result.Err(store_errors.Unavailable(str(exc)))
         if not isinstance(reply, messages.FeedReply) or reply.version < 0:
             return result.Err(
                 store_errors.Unavailable(f'{address} knows nothing')
             )
-        rows = tuple(feeds.FeedRow(*row) for row in reply.rows)
+        # The peer took the question after it was asked, and its evidence was
+        # as old as it says once it had waited.
+        answered_at = asked_at + reply.waited_ms / 1000
+        regained_s = None
+        if reply.regained_ms >= 0:
+            regained_s = reply.regained_ms / 1000
         return result.Ok(
-            watch.Relayed(
-                feeds.Changes(rows, reply.version),
-                reply.age_ms / 1000,
+            follower_lib.Relayed(
+                feeds.Changes(
+                    tuple(feeds.FeedRow(*row) for row in reply.rows),
+                    reply.version,
+                ),
+                answered_at - reply.age_ms / 1000,
                 reply.is_whole,
+                regained_s,
             )
         )
 
--- a/packages/sardinebend-gateway/tests/cover/test_watch.py
+++ b/packages/sardinebend-gateway/tests/cover/test_watch.py
@@ -5,15 +5,16 @@
 import result
 import trio
 
+from sardinebend_gateway import clocks
 from sardinebend_gateway import edges
+from sardinebend_gateway import follower as follower_lib
 from sardinebend_gateway import settings
 from sardinebend_gateway import state as state_lib
-from sardinebend_gateway import watch
 from sardinebend_store import errors
 from sardinebend_store import feeds
 
 
-def make_follower(wait_s=0.05):
+def make_follower(wait_s=0.05, peer_age_s=0.5):
     store = feeds.MemoryFeeds()
     cfg = settings.HostSettings('h', 'east', settings.Address('127.0.0.1', 1))
     state = state_lib.State(
@@ -28,7 +29,8 @@
             else:
                 seen[row.key] = row.value
 
-    return store, watch.Follower(state, 't', take, wait_s), seen
+    pace = follower_lib.Pace(wait_s, wait_s, wait_s, peer_age_s)
+    return store, follower_lib.Follower(state, 't', take, pace), seen
 
 
 async def settle(check):
@@ -82,19 +84,52 @@
         nursery.cancel_scope.cancel()
 
 
-class Peer(watch.Fallback):
-    def __init__(self, relayed):
-        self.relayed = relayed
+class Peer(follower_lib.PeerTables):
+    """A peer that knows `rows` and reads for this host if told so."""
+
+    is_reader = False
+
+    def __init__(self, *rows, age_s=0.0, reads=False, regained_s=None):
+        self.rows = rows
+        self.age_s = age_s
+        self.reads = reads
+        self.regained_s = regained_s
+        self.is_distrusted = False
+
+    @property
+    def version(self):
+        return max((row.version for row in self.rows), default=0)
 
     async def ask(self, table, after):
-        return result.Ok(self.relayed)
+        return result.Ok(
+            follower_lib.Relayed(
+                feeds.Changes(
+                    tuple(r for r in self.rows if r.version > after),
+                    self.version,
+                ),
+                clocks.now() - self.age_s,
+                after < 0,
+                self.regained_s,
+            )
+        )
+
+    async def follow(self, table, after, wait_s):
+        if not self.reads or self.is_distrusted:
+            return result.Err(errors.Unavailable('no host reads'))
+        with trio.move_on_after(wait_s):
+            while self.version <= after:
+                await trio.sleep(0.001)
+        return await self.ask(table, after)
+
+    def distrust(self):
+        self.is_distrusted = True
 
 
 async def test_a_peers_word_counts_with_the_age_of_its_evidence():
     store, follower, seen = make_follower()
     store.is_down = True
     row = feeds.FeedRow('a', 7, b'1')
-    follower.fallback = Peer(watch.Relayed(feeds.Changes((row,), 7), 2.0, True))
+    follower.peers = Peer(row, age_s=2.0)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(follower.run)
         await settle(lambda: seen == {'a': b'1'})
@@ -159,6 +194,10 @@
         self.calls += 1
         return await super().read_all(table)
 
+    async def follow(self, table, after, wait_s):
+        self.calls += 1
+        return await super().follow(table, after, wait_s)
+
 
 async def test_questions_become_rare_while_the_store_is_away(autojump_clock):
     store = CountingStore()
@@ -169,3 +208,55 @@
         await follower.run()
     # A fixed pause of 0.3 s would ask a hundred times.
     assert 20 <= store.calls <= 45
+
+
+async def start_behind(nursery, peer, **changes):
+    """Returns a counting store and a follower that has read it once."""
+    _, follower, seen = make_follower(**changes)
+    store = CountingStore()
+    await store.write('t', 'a', None, b'1')
+    follower._state.edges = edges.Edges(None, None, None, store)
+    follower.peers = peer
+    nursery.start_soon(follower.run)
+    await settle(lambda: 'a' in seen)
+    return store, follower, seen
+
+
+async def test_behind_a_reader_the_store_is_read_once(autojump_clock):
+    peer = Peer(feeds.FeedRow('a', 1, b'1'), reads=True)
+    async with trio.open_nursery() as nursery:
+        store, _, seen = await start_behind(nursery, peer)
+        await trio.sleep(10)
+        peer.rows += (feeds.FeedRow('b', 2, b'2'),)
+        await settle(lambda: seen == {'a': b'1', 'b': b'2'})
+        assert store.calls == 1
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_reader_with_old_evidence_is_done_without():
+    peer = Peer(feeds.FeedRow('a', 1, b'1'), age_s=0.6, reads=True)
+    async with trio.open_nursery() as nursery:
+        store, follower, seen = await start_behind(nursery, peer)
+        await settle(lambda: peer.is_distrusted)
+        await store.write('t', 'b', None, b'2')
+        await settle(lambda: 'b' in seen)
+        assert follower.evidence_age_s() < 0.6
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_reader_that_is_behind_is_done_without():
+    peer = Peer(feeds.FeedRow('a', 0, b'0'), reads=True)
+    async with trio.open_nursery() as nursery:
+        _, _, seen = await start_behind(nursery, peer)
+        await settle(lambda: peer.is_distrusted)
+        assert seen == {'a': b'1'}
+        nursery.cancel_scope.cancel()
+
+
+async def test_an_outage_that_only_the_reader_saw_counts_here_too():
+    peer = Peer(feeds.FeedRow('a', 1, b'1'), reads=True, regained_s=0.5)
+    async with trio.open_nursery() as nursery:
+        _, follower, _ = await start_behind(nursery, peer)
+        await settle(lambda: follower.regained_s() is not None)
+        assert follower.regained_s() >= 0.5
+        nursery.cancel_scope.cancel()
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -153,6 +153,8 @@
         age_ms=message.age_ms,
         is_whole=message.is_whole,
         rows=[_IDL.FeedRow(**row._asdict()) for row in message.rows],
+        waited_ms=message.waited_ms,
+        regained_ms=message.regained_ms,
     )
 
 
@@ -238,6 +240,9 @@
             _need(reply.age_ms, int),
             _need(reply.is_whole, bool),
             tuple(_decode_row(row) for row in reply.rows),
+            # Hosts of the release before leave these out.
+            _need(reply.waited_ms or 0, int),
+            _need(-1 if reply.regained_ms is None else reply.regained_ms, int),
         )
     return messages.Ack()
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -133,12 +133,17 @@
         age_ms: Age of the sender's own evidence for that.
         is_whole: Whether the rows are the whole table.
         rows: The rows.
+        waited_ms: How long the sender waited for a change.
+        regained_ms: How long ago it got the store back after an outage;
+            negative if that isn't recent.
     """
 
     version: int
     age_ms: int
     is_whole: bool
     rows: tuple[FeedRow, ...]
+    waited_ms: int = 0
+    regained_ms: int = -1
 
 
 class Ack(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -79,6 +79,8 @@
   2: i64 age_ms,
   3: bool is_whole,
   4: list<FeedRow> rows,
+  5: i32 waited_ms,
+  6: i32 regained_ms,
 }
 
 struct Frame {
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -26,6 +26,7 @@
 from sardinebend_policy import placement
 from sardinebend_policy import planners
 from sardinebend_policy import quarantine
+from sardinebend_policy import readers
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stalls
@@ -58,6 +59,7 @@
     'placement',
     'planners',
     'quarantine',
+    'readers',
     'retries',
     'routes',
     'stalls',
