--- a/packages/sardinebend-router/src/sardinebend_router/drafting.py
+++ b/packages/sardinebend-router/src/sardinebend_router/drafting.py
@@ -11,6 +11,7 @@
 from sardinebend_router import carrier
 from sardinebend_router import engines
 from sardinebend_router import logs
+from sardinebend_router import probing
 from sardinebend_router import state as state_lib
 from sardinebend_store import errors as platform_errors
 
@@ -173,8 +174,10 @@
 
         async def probe_one(endpoint_id: str) -> None:
             known = incarnations.get(endpoint_id, '')
-            health = await self._driver.probe(endpoint_id, self._probe_s)
-            found = judge_probe(endpoint_id, known, health)
+            answer = await probing.probe(
+                self._driver, endpoint_id, self._probe_s
+            )
+            found = probing.judge(endpoint_id, known, answer)
             if found is not None:
                 dead.append(found)
 
@@ -210,18 +213,3 @@
             },
         )
         self.stop()
-
-
-def judge_probe(
-    endpoint_id: str,
-    known_incarnation: str,
-    health: engines.Health | platform_errors.PlatformError,
-) -> msg.DeadEndpoint | None:
-    """Returns what a probe says against an endpoint, or `None`."""
-    if isinstance(health, platform_errors.PlatformError):
-        refused = getattr(health, 'refused', False)
-        return msg.DeadEndpoint(endpoint_id, known_incarnation, refused)
-    now_incarnation = health.get('incarnation', '')
-    if known_incarnation and now_incarnation != known_incarnation:
-        return msg.DeadEndpoint(endpoint_id, known_incarnation, True)
-    return None
