--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -53,8 +53,9 @@
 class Server:
     """A server that answers from a script and notes what it got."""
 
-    def __init__(self, name, service, script=None):
+    def __init__(self, name, service, script=None, zone='east'):
         self.name = name
+        self.zone = zone
         self.service = service
         self.script = script or self.serve
         self.requests = []
@@ -74,7 +75,7 @@
         value = {
             'service': self.service,
             'address': self.address,
-            'zone': 'east',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 8,
             'state': 'ready',
@@ -131,8 +132,8 @@
             await self._report(stream)
             return
         if target == '/-/order':
-            self.orders.append(json.loads(body))
-            await stream.send_all(head(202, []))
+            status = self.take_order(json.loads(body))
+            await stream.send_all(head(status, []))
             return
         headers = {n.decode(): v.decode() for n, v in req.headers}
         self.requests.append((req.method.decode(), target, headers, body))
@@ -149,6 +150,11 @@
         elif answer.ends == 'hang':
             await stream.receive_some(1)
 
+    def take_order(self, order):
+        """Returns the status of the answer to an order."""
+        self.orders.append(order)
+        return 202
+
     async def _report(self, stream):
         body = json.dumps(
             {
--- /dev/null
+++ b/tests/nocover/test_gateway_soak.py
@@ -0,0 +1,31 @@
+"""Soaks of fixed seeds; `python -m tests.soak SEED-SEED` plays others."""
+
+import unittest.mock
+
+import pytest
+
+from sardinebend_policy import forwarding
+from tests.soak import soak
+
+
+@pytest.mark.parametrize('seed', [2, 14, 27])
+def test_promises_hold_under_random_faults(seed):
+    result = soak.play(seed, last_s=20.0)
+    assert result.broken == [], '\n'.join(result.log)
+
+
+def test_a_soak_finds_a_booking_that_is_sent_again():
+    decide = forwarding.Ledger.next_step
+
+    def send_again(ledger, end, time_left_s):
+        if end is forwarding.End.BROKEN and ledger.can_send():
+            return forwarding.Step.RETRY
+        return decide(ledger, end, time_left_s)
+
+    with unittest.mock.patch.object(forwarding.Ledger, 'next_step', send_again):
+        found = [
+            line
+            for seed in (3, 4, 5)
+            for line in soak.play(seed, last_s=20.0).broken
+        ]
+    assert any('times' in line for line in found)
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,87 @@
+"""Callers of a soak: they ask, wait, leave early, and note what they saw."""
+
+import contextlib
+
+import trio
+
+from tests.common import gateway_world as world_lib
+from tests.soak import fleet as fleet_lib
+
+KINDS = {'look': 0.35, 'book': 0.3, 'draft': 0.35}
+PATIENCE_S = {'look': 1.5, 'book': 1.5, 'draft': 6.0}
+LEAVING_SHARE = 0.15
+STALE_SHARE = 0.3
+A_SECOND = 14
+OLD_KEY_SHARE = 0.2
+
+
+async def run(fleet):
+    """Sends requests at a steady rate until cancelled."""
+    number = 0
+    while True:
+        await trio.sleep(fleet.rng.expovariate(A_SECOND))
+        # Some hold the address of a host that says that it isn't ready.
+        is_stale = fleet.rng.random() < STALE_SHARE
+        hosts = [h for h in fleet.hosts if h.is_ready() or is_stale and h.is_up]
+        if not hosts:
+            continue
+        number += 1
+        kind = fleet.rng.choices(list(KINDS), list(KINDS.values()))[0]
+        asked = fleet_lib.Asked(
+            f'q{number}',
+            kind,
+            trio.current_time(),
+            fleet.rng.choice(hosts),
+            _choose_key(fleet),
+            was_ready=not is_stale,
+        )
+        fleet.asked.append(asked)
+        leaves_s = None
+        if fleet.rng.random() < LEAVING_SHARE:
+            leaves_s = fleet.rng.uniform(0.02, 1.0)
+        fleet.nursery.start_soon(ask, asked, leaves_s)
+
+
+def _choose_key(fleet):
+    """Returns a key; at times one that has been withdrawn."""
+    if fleet.withdrawn and fleet.rng.random() < OLD_KEY_SHARE:
+        return fleet.rng.choice(list(fleet.withdrawn))
+    return fleet.rng.choice(list(fleet.keys))
+
+
+async def ask(asked, leaves_s=None):
+    """Sends one request and reads its answer, or leaves before."""
+    patience_s = PATIENCE_S[asked.kind]
+    scope_s = leaves_s if leaves_s is not None else patience_s + 1
+    stream = None
+    try:
+        with trio.move_on_after(scope_s):
+            stream = await asked.host.world.connect()
+            await _exchange(asked, stream, patience_s)
+    except OSError:
+        # The host has gone meanwhile.
+        pass
+    finally:
+        asked.ended_at = trio.current_time()
+        if asked.status == 0 and leaves_s is not None:
+            asked.left_at = asked.ended_at
+        if stream is not None:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+
+async def _exchange(asked, stream, patience_s):
+    is_read = asked.kind == 'look'
+    data = world_lib.make_request(
+        f'/{asked.kind}/x',
+        'GET' if is_read else 'POST',
+        b'' if is_read else b'body of ' + asked.request_id.encode(),
+        request_id=asked.request_id,
+        deadline_ms=str(int(patience_s * 1000)),
+        authorization=f'Bearer {asked.key}',
+    )
+    # Closed while sending; an answer may have come before.
+    with contextlib.suppress(trio.BrokenResourceError):
+        await stream.send_all(data)
+    answer = await world_lib.read_answer(stream)
+    asked.status, _, asked.body, asked.is_whole = answer
--- /dev/null
+++ b/tests/soak/fleet.py
@@ -0,0 +1,353 @@
+"""A fleet under random faults, and what must hold whatever happens.
+
+Hosts, stand-in servers, store and callers run in one process, on the virtual
+clock, over loopback connections. Only what callers and servers saw is judged.
+"""
+
+import contextlib
+import dataclasses
+import json
+import random
+import typing
+
+import trio
+
+from sardinebend_store import feeds
+from tests.common import gateway_world as world_lib
+
+DOMAINS: typing.Final = ('east', 'west')
+HOSTS: typing.Final = 4
+EVENTS: typing.Final = 8
+EVENT_S: typing.Final = 0.08
+# Work that depends on a dead engine is cut off after this long.
+STALL_S: typing.Final = 3.0
+# Bounds of the default settings of a host.
+REVOKE_S: typing.Final = 5.0
+APPLY_S: typing.Final = 2.0
+# A leaving server must get nothing new after this.
+DRAIN_S: typing.Final = 2.0
+# Servers must stop this long after a caller has gone.
+CANCEL_S: typing.Final = 0.5
+# An answer of the gateway's own comes this long after a route's time-out.
+SLACK_S: typing.Final = 0.5
+# Around a disturbance of hosts or store, bounds in time aren't judged.
+CALM_S: typing.Final = 3.0
+
+
+@dataclasses.dataclass
+class Run:
+    """What a server saw of one request."""
+
+    request_id: str
+    server: str
+    born: int
+    at: float
+    customer: str | None
+    has_key: bool
+    ended_at: float | None = None
+    events: list[int] = dataclasses.field(default_factory=list)
+
+
+@dataclasses.dataclass
+class Asked:
+    """What a caller saw of one request."""
+
+    request_id: str
+    kind: str
+    at: float
+    host: 'Host'
+    key: str
+    was_ready: bool = True
+    status: int = 0
+    body: bytes = b''
+    is_whole: bool = False
+    ended_at: float | None = None
+    left_at: float | None = None
+
+
+class Departure(typing.NamedTuple):
+    """A server that says that it leaves."""
+
+    server: str
+    born: int
+    at: float
+
+
+class FaultyStore(feeds.FeedStore):
+    """One host's way to the store."""
+
+    def __init__(self, fleet: 'Fleet') -> None:
+        self._fleet = fleet
+        self.is_cut = False
+        self.is_mute = False
+
+    async def read_all(self, table):
+        await self._delay()
+        return await self._way().read_all(table)
+
+    async def follow(self, table, after, wait_s):
+        await self._delay()
+        return await self._way().follow(table, after, wait_s)
+
+    async def write(self, table, key, expected_version, value):
+        await self._delay()
+        return await self._way().write(table, key, expected_version, value)
+
+    async def _delay(self):
+        if self.is_mute:
+            await trio.sleep(1.0)
+        await trio.sleep(self._fleet.store_delay_s)
+
+    def _way(self):
+        if self.is_cut or self.is_mute:
+            away = feeds.MemoryFeeds()
+            away.is_down = True
+            return away
+        return self._fleet.store
+
+
+class Worker(world_lib.Server):
+    """A server that notes what it runs and shows faults."""
+
+    def __init__(self, fleet, name, service, zone):
+        super().__init__(name, service, self._run, zone)
+        self.fleet = fleet
+        self.born = 1
+        self.left_at = None
+        self.loses = 0.0
+        self.is_down = False
+        self.paths = {}
+
+    def entry(self, **changes):
+        state = 'ready' if self.left_at is None else 'draining'
+        return super().entry(**{'born': self.born, 'state': state, **changes})
+
+    def take_order(self, order):
+        if order['operation'] == 'repath':
+            if order['id'] not in self.paths:
+                return 404
+            self.paths[order['id']] = read_path(order['path'])
+            return 202
+        return 409
+
+    async def _run(self, headers, stream):
+        if headers.get('expect-instance') != self.name:
+            return world_lib.Answer(world_lib.head(421, []))
+        run = Run(
+            headers['request-id'],
+            self.name,
+            self.born,
+            trio.current_time(),
+            headers.get('tenant'),
+            'authorization' in headers,
+        )
+        self.fleet.runs.append(run)
+        try:
+            if self.service == 'app':
+                return await self._run_plain(run, stream)
+            return await self._run_stream(run, headers, stream)
+        finally:
+            run.ended_at = trio.current_time()
+            self.paths.pop(run.request_id, None)
+
+    async def _run_plain(self, run, stream):
+        await trio.sleep(self.fleet.rng.uniform(0.01, 0.1))
+        is_lost = self.fleet.rng.random() < self.loses
+        if is_lost or self.is_down:
+            world_lib.reset(stream)
+            return None
+        body = f'done {run.request_id}'.encode()
+        head = world_lib.head(200, fixed(run), body=body)
+        cut = self.fleet.rng.random() < self.loses
+        return world_lib.Answer(head[:-3] if cut else head)
+
+    async def _run_stream(self, run, headers, stream):
+        path = read_path(headers['hop-count'])
+        self.paths[run.request_id] = path
+        at = int(headers.get('last-event-id', 0))
+        if not all(self.fleet.is_up(address) for address, _, _ in path):
+            return refuse_part(self.fleet, path)
+        await stream.send_all(world_lib.head(200, fixed(run), 'chunked'))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(notice_close, stream, nursery.cancel_scope)
+            for number in range(at + 1, EVENTS + 1):
+                await trio.sleep(EVENT_S)
+                if not await self._may_go_on(run):
+                    world_lib.reset(stream)
+                    return None
+                run.events.append(number)
+                data = world_lib.event(number, f'{run.request_id}-')
+                await stream.send_all(world_lib.chunk(data))
+            await stream.send_all(b'0\r\n\r\n')
+            nursery.cancel_scope.cancel()
+        return None
+
+    async def _may_go_on(self, run):
+        """Waits while a part of the path is dead, but not for ever."""
+        with trio.move_on_after(STALL_S):
+            while not self.is_down:
+                path = self.paths[run.request_id]
+                dead = [a for a, _, _ in path if not self.fleet.is_up(a)]
+                self.stalled = dead
+                if not dead:
+                    return True
+                await trio.sleep(0.02)
+        return False
+
+
+async def notice_close(stream, scope):
+    try:
+        if not await stream.receive_some(1):
+            scope.cancel()
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        scope.cancel()
+
+
+def fixed(run):
+    return [('Request-Id', run.request_id), world_lib.SEAL]
+
+
+def refuse_part(fleet, path):
+    dead = next(a for a, _, _ in path if not fleet.is_up(a))
+    headers = [('Not-Executed', '1'), ('At-Server', dead)]
+    return world_lib.Answer(world_lib.head(503, headers))
+
+
+def read_path(text):
+    """Returns address, first layer and layer after the last of each part."""
+    found = []
+    for part in text.split(','):
+        address, _, span = part.partition('=')
+        start, _, end = span.partition('-')
+        found.append((address, int(start), int(end)))
+    return found
+
+
+class Host:
+    """One gateway, which can be killed and started again."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.name = f'host-{number}'
+        self.domain = DOMAINS[number % len(DOMAINS)]
+        self.store = FaultyStore(fleet)
+        self.scope = None
+        self.world = None
+
+    @property
+    def is_up(self):
+        return self.scope is not None
+
+    def is_ready(self):
+        """Tells whether callers are sent to it."""
+        return self.is_up and self.world.gateway.is_ready()
+
+    async def run(self):
+        """Runs one start of the host until it is killed or stops."""
+        self.world = world_lib.World(
+            self.fleet.nursery,
+            (),
+            seeds=self.fleet.relay_ports(self),
+            store=self.store,
+            name=self.name,
+            domain=self.domain,
+            revoke_s=REVOKE_S,
+            apply_s=APPLY_S,
+        )
+        with trio.CancelScope() as self.scope:
+            await self.world.gateway.run()
+        self.scope = None
+
+    def kill(self):
+        if self.scope is not None:
+            self.scope.cancel()
+
+
+class Fleet:
+    """Everything of one soak."""
+
+    def __init__(self, nursery, seed):
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.store = feeds.MemoryFeeds()
+        self.store_delay_s = 0.004
+        self.runs: list[Run] = []
+        self.asked: list[Asked] = []
+        self.log: list[str] = []
+        self.disturbances: list[list[float]] = []
+        self.departures: list[Departure] = []
+        self.withdrawn: dict[str, float] = {}
+        self.config = world_lib.make_config()
+        self.keys = {world_lib.KEY: None}
+        self.workers = {
+            worker.name: worker
+            for worker in (
+                *(
+                    Worker(self, f'app-{n}', 'app', d)
+                    for n, d in enumerate('ew')
+                ),
+                *self._make_engines(),
+            )
+        }
+        self.hosts = [Host(self, number) for number in range(HOSTS)]
+
+    def _make_engines(self):
+        for domain in DOMAINS:
+            for number, span in enumerate(((0, 2), (2, 4), (0, 2), (2, 4))):
+                worker = Worker(self, f'{domain}-{number}', 'llm', domain)
+                worker.span = span
+                yield worker
+
+    def relay_ports(self, asking):
+        return [
+            host.world.gateway._addresses.relay.port
+            for host in self.hosts
+            if host is not asking and host.world is not None
+        ]
+
+    def is_up(self, address):
+        return any(
+            worker.address == address and not worker.is_down
+            for worker in self.workers.values()
+        )
+
+    def was_calm(self, start, end):
+        """Tells whether all hosts ran and reached the store all the while."""
+        return not any(
+            begun < end and over > start for begun, over in self.disturbances
+        )
+
+    @contextlib.contextmanager
+    def disturbed(self, text):
+        """Marks a time in which hosts may not know what the store holds."""
+        self.note(text)
+        window = [trio.current_time() - CALM_S, float('inf')]
+        self.disturbances.append(window)
+        try:
+            yield
+        finally:
+            window[1] = trio.current_time() + CALM_S
+            self.note(f'over: {text}')
+
+    def note(self, text):
+        self.log.append(f'{trio.current_time():8.3f} {text}')
+
+    async def start(self):
+        for worker in self.workers.values():
+            await worker.start(self.nursery)
+            await self.list_worker(worker)
+        await self.put_config()
+        for host in self.hosts:
+            self.nursery.start_soon(host.run)
+        with trio.fail_after(20):
+            while not all(host.is_ready() for host in self.hosts):
+                await trio.sleep(0.05)
+        await trio.sleep(1.0)
+
+    async def put_config(self):
+        value = json.dumps(self.config).encode()
+        await self.store.write('op', 'config', None, value)
+
+    async def list_worker(self, worker, is_gone=False):
+        value = None if is_gone else json.dumps(worker.entry()).encode()
+        await self.store.write('servers', worker.name, None, value)
