Add a model of the engines, driven by the shipped decisions

`sardinebendctl simulate` plays a deployment file, or one drawn by seed, under a virtual clock: passes and batches by the published step time, reading, memory by token and layer with preemption, links between domains, crashes, slow engines, repairs, callers that leave or come back. Placement and choice of paths are the shipped code or a baseline. It writes a result as JSON and a page with plots. It is no simulator of hosts or store.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Sets up a virtual environment and runs the main jobs of the workspace.
 PY ?= python3
 BIN := .venv/bin
-PACKAGES := settings store policy peers gateway router admin
+PACKAGES := settings store policy simulation peers gateway router admin
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/sardinebend-$(p))
 
 .PHONY: setup run demo lint test matrix processes bench capacity reference
--- a/packages/sardinebend-admin/src/sardinebend_admin/cli.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/cli.py
@@ -11,6 +11,7 @@
 from sardinebend_admin import commands
 from sardinebend_admin import errors
 from sardinebend_admin import explain
+from sardinebend_admin import simulate
 
 COMMANDS = {
     'settings': {
@@ -28,6 +29,7 @@
     'requests': commands.requests,
     'drain': commands.drain,
     'explain': explain.explain,
+    'simulate': simulate.simulate,
 }
 
 
--- /dev/null
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/deployments.py
@@ -0,0 +1,252 @@
+"""What is simulated: engines, cards by failure domain, traffic and faults."""
+
+import math
+import random
+import typing
+
+import msgspec
+
+from sardinebend_policy import catalog
+from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_simulation import errors
+
+SHAPES: typing.Final = ('steady', 'wave', 'burst')
+FAULTS: typing.Final = ('down', 'slow', 'domain')
+
+
+class Engine(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Published figures of the engines, as in `catalog.EngineModel`.
+
+    Attributes:
+        tokens_per_event: Tokens that an event of a stream holds.
+        chunk_tokens: Prompt tokens that a pass reads at most.
+    """
+
+    layers: int
+    layer_mb: float
+    token_layer_mb: float
+    step_ms: float
+    per_request_ms: float
+    read_tokens_per_ms: float
+    activation_mb: float
+    pipe_mb_per_ms: float
+    cards: dict[str, catalog.CardKind]
+    usual_prompt: float = 800.0
+    usual_answer: float = 170.0
+    load_s: float = 30.0
+    tokens_per_event: int = 2
+    chunk_tokens: int = 512
+
+
+class Group(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Endpoints of one kind in one failure domain."""
+
+    domain: str
+    card: str
+    count: int
+
+
+class Traffic(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What callers send and expect.
+
+    Attributes:
+        per_s: Requests a second, on average.
+        shape: One of `SHAPES`.
+        swing: Size of the wave, or what a burst adds, relative to `per_s`.
+        period_s: Length of a wave, or of a burst and the time between bursts.
+        prompt_spread: Standard deviation of the prompt's logarithm.
+        target_s: Time to the first event within which it counts in full.
+        gap_s: The same for the pause between events.
+        late_worth: What a late answer is worth, next to one in time.
+        leaves_s: Silence after which a caller leaves.
+        leaving_share: Share of callers that leave early at a random time.
+        retries: How often a refused caller comes back.
+        repeats_at_once: Share of callers that don't wait before that.
+    """
+
+    per_s: float
+    shape: str = 'steady'
+    swing: float = 0.0
+    period_s: float = 10.0
+    prompt_spread: float = 0.4
+    target_s: float = 0.5
+    gap_s: float = 0.2
+    late_worth: float = 0.25
+    leaves_s: float = 2.0
+    leaving_share: float = 0.0
+    retries: int = 1
+    repeats_at_once: float = 0.0
+
+
+class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Something that goes wrong.
+
+    Attributes:
+        kind: `down`, `slow`, or `domain` for all endpoints of a domain.
+        at_s: When it begins.
+        for_s: How long it lasts.
+        count: How many endpoints, drawn by the seed.
+        factor: How much slower.
+        domain: Where; anywhere by default.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float
+    count: int = 1
+    factor: float = 4.0
+    domain: str = ''
+
+
+class Deployment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One deployment with its traffic."""
+
+    name: str
+    engine: Engine
+    endpoints: tuple[Group, ...]
+    traffic: Traffic
+    faults: tuple[Fault, ...] = ()
+    last_s: float = 30.0
+
+    def model(self) -> catalog.EngineModel:
+        """Returns the engines' figures as decisions take them."""
+        fields = {
+            name: getattr(self.engine, name)
+            for name in catalog.EngineModel._fields
+        }
+        return catalog.EngineModel(**fields)
+
+    def make_endpoints(self) -> list[endpoints_lib.Endpoint]:
+        """Returns all endpoints, without layers."""
+        found: list[endpoints_lib.Endpoint] = []
+        for group in self.endpoints:
+            for _ in range(group.count):
+                name = f'{group.domain}-{group.card}-{len(found)}'
+                found.append(
+                    endpoints_lib.Endpoint(
+                        name,
+                        'model',
+                        f'10.0.0.1:{len(found) + 1}',
+                        group.domain,
+                        96,
+                        False,
+                        1,
+                        group.card,
+                    )
+                )
+        return found
+
+
+def decode(data: bytes) -> Deployment:
+    """Returns the deployment that a file holds.
+
+    Raises:
+        errors.InvalidDeployment: It isn't one; the text names the field.
+    """
+    try:
+        found = msgspec.json.decode(data, type=Deployment)
+    except msgspec.MsgspecError as exc:
+        raise errors.InvalidDeployment(str(exc)) from exc
+    check(found)
+    return found
+
+
+def check(deployment: Deployment) -> None:
+    """Refuses figures that no deployment can have.
+
+    Raises:
+        errors.InvalidDeployment: A figure is out of range.
+    """
+    engine, traffic = deployment.engine, deployment.traffic
+    positive = {
+        'engine.layers': engine.layers,
+        'engine.layer_mb': engine.layer_mb,
+        'engine.token_layer_mb': engine.token_layer_mb,
+        'engine.step_ms': engine.step_ms,
+        'engine.read_tokens_per_ms': engine.read_tokens_per_ms,
+        'engine.activation_mb': engine.activation_mb,
+        'engine.pipe_mb_per_ms': engine.pipe_mb_per_ms,
+        'engine.usual_prompt': engine.usual_prompt,
+        'engine.usual_answer': engine.usual_answer,
+        'engine.tokens_per_event': engine.tokens_per_event,
+        'engine.chunk_tokens': engine.chunk_tokens,
+        'traffic.per_s': traffic.per_s,
+        'traffic.period_s': traffic.period_s,
+        'traffic.leaves_s': traffic.leaves_s,
+        'last_s': deployment.last_s,
+    }
+    for name, kind in engine.cards.items():
+        positive[f'engine.cards.{name}.memory_mb'] = kind.memory_mb
+        positive[f'engine.cards.{name}.step_factor'] = kind.step_factor
+        positive[f'engine.cards.{name}.read_factor'] = kind.read_factor
+    for index, group in enumerate(deployment.endpoints):
+        positive[f'endpoints[{index}].count'] = group.count
+        if group.card not in engine.cards:
+            raise errors.InvalidDeployment(
+                f'endpoints[{index}].card={group.card!r}: no such card'
+            )
+    for field, value in positive.items():
+        if not math.isfinite(value) or value <= 0:
+            raise errors.InvalidDeployment(f'{field}={value}: more than 0')
+    _check_words(deployment)
+
+
+def _check_words(deployment: Deployment) -> None:
+    if deployment.traffic.shape not in SHAPES:
+        raise errors.InvalidDeployment(
+            f'traffic.shape={deployment.traffic.shape!r}: one of {SHAPES}'
+        )
+    for index, fault in enumerate(deployment.faults):
+        if fault.kind not in FAULTS:
+            raise errors.InvalidDeployment(
+                f'faults[{index}].kind={fault.kind!r}: one of {FAULTS}'
+            )
+
+
+CARDS: typing.Final = {
+    'large': catalog.CardKind(72000.0, 1.4, 1.0),
+    'middle': catalog.CardKind(36000.0, 3.1, 3.2),
+    'small': catalog.CardKind(21600.0, 16.0, 8.2),
+    'least': catalog.CardKind(14400.0, 15.0, 15.0),
+}
+
+
+def draw(seed: int) -> Deployment:
+    """Returns a deployment drawn by seed: 2 to 5 domains, 10 to 200 cards."""
+    rng = random.Random(seed)
+    domains = [f'd{n}' for n in range(rng.randint(2, 5))]
+    layers = rng.choice((32, 48, 80, 96))
+    layer_mb = rng.choice((900.0, 1300.0, 1750.0))
+    # Enough cards for a copy in most domains, up to a few copies.
+    total = min(200, max(10, round(rng.uniform(8, 40) * len(domains))))
+    weights = {'large': 1, 'middle': 3, 'small': 12, 'least': 12}
+    groups = [
+        Group(domain, card, count)
+        for domain in domains
+        for card, weight in weights.items()
+        if (
+            count := round(
+                total / len(domains) * weight / 28 * rng.uniform(0.4, 1.6)
+            )
+        )
+    ]
+    memory = sum(CARDS[g.card].memory_mb * g.count for g in groups)
+    copies = memory / (layers * layer_mb)
+    engine = Engine(
+        layers=layers,
+        layer_mb=layer_mb,
+        token_layer_mb=rng.uniform(0.003, 0.006),
+        step_ms=rng.uniform(0.6, 1.2),
+        per_request_ms=0.0026,
+        read_tokens_per_ms=rng.uniform(150, 300),
+        activation_mb=0.02,
+        pipe_mb_per_ms=rng.choice((0.6, 1.6)),
+        cards=CARDS,
+    )
+    return Deployment(
+        f'drawn-{seed}',
+        engine,
+        tuple(groups),
+        Traffic(per_s=max(2.0, 8 * copies), shape='wave', swing=0.2),
+        (Fault('down', 8.0, 6.0, 1), Fault('slow', 18.0, 5.0, 2)),
+    )
