--- a/Makefile
+++ b/Makefile
@@ -43,3 +43,4 @@
 
 reference: setup
 	$(BIN)/python -c 'from sardinebend_settings import reference; print(reference.render_reference(), end="")' > docs/settings-reference.md
+	$(BIN)/python -m bench.events_page
