Keep a second path in a domain only over another whole copy

Change: a further path of a domain is kept only if it shares no engine with those before, so a domain of one copy keeps one path, as before, and one of four keeps three.

--- a/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
@@ -11,8 +11,8 @@
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths
 
-# Paths within each domain that are kept, so that what comes between two
-# refreshes is spread over several whole copies where a domain has them.
+# Copies of a domain whose paths are kept, so that what comes between two
+# refreshes is spread over them.
 DOMAIN_PATHS: typing.Final = 3
 # Paths over all domains that are kept besides.
 MIXED_PATHS: typing.Final = 3
@@ -37,6 +37,11 @@
         """The finder over the endpoints and loads of the last refresh."""
         return self._finder
 
+    @property
+    def kept(self) -> tuple[paths.Path, ...]:
+        """The paths that are kept, those within a domain first."""
+        return tuple(self._paths)
+
     def refresh(
         self,
         endpoints: typing.Sequence[endpoints_lib.Endpoint],
@@ -54,24 +59,34 @@
         self._paths = []
         assumed = dict(loads)
         for domain in sorted({e.domain for e in endpoints}):
-            self._find_some(DOMAIN_PATHS, tokens, assumed, domain)
-        self._find_some(MIXED_PATHS, tokens, assumed, None)
+            self._keep_copies(domain, tokens, assumed)
+        for _ in range(MIXED_PATHS):
+            path = self._finder.with_loads(assumed).find(tokens)
+            if path is None:
+                return
+            if path not in self._paths:
+                self._paths.append(path)
+            _add_load(assumed, path, tokens)
 
-    def _find_some(
-        self,
-        count: int,
-        tokens: float,
-        assumed: dict[str, paths.Load],
-        domain: str | None,
+    def _keep_copies(
+        self, domain: str, tokens: float, assumed: dict[str, paths.Load]
     ) -> None:
-        """Keeps several paths, each found as if those before were in use."""
-        for _ in range(count):
+        """Keeps paths over separate copies of a domain.
+
+        One that shares engines with another is no copy of its own. Counting
+        its load would only drive the mixed paths over the links.
+        """
+        used: set[str] = set()
+        for _ in range(DOMAIN_PATHS):
             finder = self._finder.with_loads(assumed)
             path = finder.find(tokens, domain=domain)
             if path is None:
                 return
-            if path not in self._paths:
-                self._paths.append(path)
+            names = {part.endpoint.endpoint_id for part in path}
+            if names & used:
+                return
+            used |= names
+            self._paths.append(path)
             _add_load(assumed, path, tokens)
 
     def is_connected(self) -> bool:
--- a/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
+++ b/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
@@ -298,6 +298,17 @@
     assert max(in_flight.requests.values()) <= 60 / 9 + 1
 
 
+def test_a_domain_of_one_copy_keeps_one_path_of_its_own():
+    """Answers a fleet with spares: a second path would share engines."""
+    engine = make_engine()
+    fleet = deploy(engine)
+    book = pathbook.PathBook(engine)
+    book.refresh(fleet, {}, 1, 0.0)
+    own = [{part.endpoint.domain for part in path} for path in book.kept]
+    assert own[: len(FLEET)] == [{domain} for domain in sorted(FLEET)]
+    assert len(own) <= len(FLEET) + pathbook.MIXED_PATHS
+
+
 def test_steady_requests_are_spread_over_the_domains():
     """Answers a steady load: many requests at once, none of them over-full."""
     engine = make_engine()
