--- a/packages/sardinebend-policy/tests/cover/test_readers.py
+++ b/packages/sardinebend-policy/tests/cover/test_readers.py
@@ -1,6 +1,6 @@
 """Which hosts read the store for the others."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from sardinebend_policy import readers
@@ -12,7 +12,7 @@
     return {name: readers.choose_role(name, hosts) for name in hosts}
 
 
-@given(names)
+@hypothesis.given(names)
 def test_all_come_to_the_same_few_readers(hosts):
     found = roles(hosts)
     shared = {name for name, role in found.items() if role.is_shared}
--- a/packages/sardinebend-simulation/src/sardinebend_simulation/baselines.py
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/baselines.py
@@ -55,15 +55,7 @@
         endpoints: typing.Sequence[endpoints_lib.Endpoint],
     ) -> Plan:
         """Returns the range of each endpoint that gets one."""
-        found: Plan = {}
-        at = 0
-        for endpoint in _by_speed(engine, endpoints):
-            size = placement.capacity_of(engine, endpoint.card)
-            end = min(engine.layers, at + size)
-            if end > at:
-                found[endpoint.endpoint_id] = endpoints_lib.Span(at, end)
-            at = end
-        return found
+        return _fill_by_speed(engine, endpoints, copies=1)
 
 
 class Greedy(Placement):
@@ -75,26 +67,30 @@
         endpoints: typing.Sequence[endpoints_lib.Endpoint],
     ) -> Plan:
         """Returns the range of each endpoint that gets one."""
-        found: Plan = {}
-        at = 0
-        for endpoint in _by_speed(engine, endpoints):
-            size = placement.capacity_of(engine, endpoint.card)
-            if size <= 0:
-                continue
-            end = min(engine.layers, at + size)
-            found[endpoint.endpoint_id] = endpoints_lib.Span(at, end)
-            at = end % engine.layers
-        return found
+        return _fill_by_speed(engine, endpoints, copies=len(endpoints))
 
 
-def _by_speed(
+def _fill_by_speed(
     engine: catalog.EngineModel,
-    endpoints: typing.Iterable[endpoints_lib.Endpoint],
-) -> list[endpoints_lib.Endpoint]:
-    return sorted(
+    endpoints: typing.Sequence[endpoints_lib.Endpoint],
+    copies: int,
+) -> Plan:
+    """Lays copies one after the other over cards, the fastest first."""
+    found: Plan = {}
+    at = made = 0
+    ordered = sorted(
         endpoints,
         key=lambda e: (engine.cards[e.card].step_factor, e.endpoint_id),
     )
+    for endpoint in ordered:
+        size = placement.capacity_of(engine, endpoint.card)
+        if size <= 0 or made >= copies:
+            continue
+        end = min(engine.layers, at + size)
+        found[endpoint.endpoint_id] = endpoints_lib.Span(at, end)
+        made += end == engine.layers
+        at = end % engine.layers
+    return found
 
 
 class Question(typing.NamedTuple):
