Log which requests were at an endpoint when it ended

The log couldn't tell whether a request that ends servers comes back unknown to the hosts, or is repeated without bound within one attempt: no line said that an endpoint ended under a request, nor that two attempts ask for the same. request_sent now names a fingerprint of the content; endpoint_crashed names the endpoint, the evidence, and the contents that were there without an answer. A refused connection is what tells an end from a lost connection; it is asked for after an attempt that broke off, and for a part that an engine names as the one it waits for.

--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -14,6 +14,7 @@
 FAILURES: typing.Final = ('request_failed', 'request_refused')
 CAUSES: typing.Final = (
     'attempt_failed',
+    'endpoint_crashed',
     'endpoint_doubted',
     'endpoint_gone',
     'endpoint_leaving',
--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -0,0 +1,164 @@
+"""Finds out whether an endpoint has ended, and under which requests."""
+
+import typing
+
+import trio
+
+from sardinebend_gateway import clocks
+from sardinebend_gateway import events
+from sardinebend_gateway import state as state_lib
+from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import quarantine
+from sardinebend_policy import suspects as suspects_lib
+from sardinebend_store import connections
+from sardinebend_store import errors as store_errors
+
+# A listener on a live network answers within a few ms; silence proves nothing.
+PROBE_TIMEOUT_S: typing.Final = 0.3
+# Attempts that break off together ask once.
+PROBE_LIFE_S: typing.Final = 0.15
+ROUND_S: typing.Final = 2.0
+
+
+class Exposure:
+    """One run of a request, and the endpoints that it may harm."""
+
+    def __init__(self, state: state_lib.State, run: quarantine.Run) -> None:
+        self._state = state
+        self._run = run
+        self._reached: set[suspects_lib.Incarnation] = set()
+
+    def reach(self, endpoints: typing.Iterable[endpoints_lib.Endpoint]) -> None:
+        """Notes that the request is about to reach endpoints."""
+        found = {endpoint.incarnation for endpoint in endpoints}
+        self._state.suspects.begin(self._run, found)
+        self._reached |= found
+
+    def prove(
+        self, besides: typing.Iterable[endpoints_lib.Endpoint] = ()
+    ) -> None:
+        """Notes that the endpoints run the request without harm.
+
+        Args:
+            besides: Those of which this isn't known.
+        """
+        if not self._reached:
+            return
+        unproven = {endpoint.incarnation for endpoint in besides}
+        self._state.suspects.prove(self._run, self._reached - unproven)
+        self._reached &= unproven
+
+    def close(self) -> None:
+        """Notes that the run is over."""
+        self._state.suspects.end(self._run, self._reached, clocks.now())
+        self._reached = set()
+
+
+class CrashWatch:
+    """Tells ended endpoints from broken connections, for one host."""
+
+    def __init__(self, state: state_lib.State) -> None:
+        self._state = state
+        self._probes: dict[str, tuple[float, bool]] = {}
+        self._asking: dict[str, trio.Event] = {}
+
+    async def run(self) -> None:
+        """Forgets what is settled; runs until cancelled."""
+        while True:
+            await trio.sleep(ROUND_S)
+            now = clocks.now()
+            self._state.suspects.forget_old(now)
+            self._probes = {
+                address: probe
+                for address, probe in self._probes.items()
+                if now - probe[0] < PROBE_LIFE_S
+            }
+
+    async def look_into(self, endpoint: endpoints_lib.Endpoint) -> bool:
+        """Returns whether an endpoint has ended, by asking for a connection.
+
+        Only a refused connection shows that; one that is reset may have been
+        lost on the way, and silence may be the network's.
+        """
+        if not await self._is_refused(endpoint.address):
+            return False
+        if not self._state.endpoints.is_doubted(endpoint, clocks.now()):
+            self._state.doubt(endpoint, 'nothing listens', is_dead=True)
+        self.record(endpoint, 'nothing listens')
+        return True
+
+    def record(
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        evidence: str,
+        ended_only: bool = False,
+    ) -> None:
+        """Takes in that an endpoint has ended.
+
+        Args:
+            endpoint: The endpoint.
+            evidence: How this is known, for the log.
+            ended_only: Whether attempts that still run are no suspects.
+        """
+        crash = self._state.suspects.record_crash(
+            endpoint.incarnation, clocks.now(), ended_only
+        )
+        if crash is None:
+            return
+        self._state.metrics.count('endpoints_ended_under_requests')
+        self._state.audit.log(
+            events.ENDPOINT_CRASHED,
+            endpoint=endpoint.endpoint_id,
+            born=endpoint.born,
+            evidence=evidence,
+            requests=len(crash.runs),
+            contents=_shorten(crash.runs),
+        )
+
+    def record_lapse(self, endpoint: endpoints_lib.Endpoint) -> None:
+        """Takes in that the listing of an endpoint is gone.
+
+        It may have left without a word and still finish what it has, so only
+        attempts that have ended unanswered speak of a crash.
+        """
+        self.record(endpoint, 'no longer listed', ended_only=True)
+
+    async def _is_refused(self, address: str) -> bool:
+        while address in self._asking:
+            await self._asking[address].wait()
+        at, refused = self._probes.get(address, (state_lib.NEVER, False))
+        if clocks.now() - at < PROBE_LIFE_S:
+            return refused
+        self._asking[address] = trio.Event()
+        try:
+            refused = await _probe(address)
+            self._probes[address] = (clocks.now(), refused)
+        finally:
+            self._asking.pop(address).set()
+        return refused
+
+
+async def _probe(address: str) -> bool:
+    """Returns whether a connection to an address is refused."""
+    origin = connections.Origin(f'http://{address}')
+    try:
+        conn = await origin.connect(PROBE_TIMEOUT_S)
+    except store_errors.ConnectFailed as exc:
+        return exc.refused
+    await conn.close()
+    return False
+
+
+# Enough of a fingerprint to find its other lines.
+SHOWN_CHARS: typing.Final = 8
+MAX_SHOWN: typing.Final = 8
+
+
+def shorten(fingerprint: str) -> str:
+    """Returns what log lines show of a fingerprint."""
+    return fingerprint[:SHOWN_CHARS]
+
+
+def _shorten(runs: typing.Iterable[quarantine.Run]) -> list[str]:
+    found = sorted({shorten(run.fingerprint) for run in runs})
+    return found[:MAX_SHOWN]
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -31,6 +31,9 @@
 ENDPOINT_SEEN = Event('endpoint_seen', 'endpoint, address, service, span')
 ENDPOINT_LEAVING = Event('endpoint_leaving', 'endpoint, source')
 ENDPOINT_GONE = Event('endpoint_gone', 'endpoint, source')
+ENDPOINT_CRASHED = Event(
+    'endpoint_crashed', 'endpoint, born, evidence, requests, contents', True
+)
 ENDPOINT_DOUBTED = Event('endpoint_doubted', 'endpoint, reason, for_s', True)
 STORE_LOST = Event('store_lost', 'table, reason, evidence_age_s', True)
 STORE_REGAINED = Event('store_regained', 'table, after_s')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -6,6 +6,7 @@
 
 from sardinebend_gateway import admission
 from sardinebend_gateway import clocks
+from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
@@ -13,6 +14,7 @@
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
+from sardinebend_policy import quarantine
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
 
@@ -45,6 +47,8 @@
         admitted: Its route, service and customer.
         out: Sends the answer.
         ledger: What has become of its attempts.
+        watch: Finds out whether an endpoint has ended.
+        content: Fingerprint of what it asks for, and who asks.
     """
 
     def __init__(
@@ -53,12 +57,16 @@
         req: http_server.Request,
         admitted: admission.Admitted,
         out: http_server.Responder,
+        watch: crashes.CrashWatch,
     ) -> None:
         self.state = state
         self.req = req
         self.admitted = admitted
         self.out = out
         self.ledger = forwarding.Ledger(admitted.route)
+        self.watch = watch
+        self.content = make_content(req, admitted)
+        self._runs = 0
         state.budget_of(admitted.service.name).record_success(clocks.now())
 
     @property
@@ -106,6 +114,18 @@
             self.state, self.admitted
         )
 
+    def expose(
+        self, endpoints: typing.Iterable[endpoints_lib.Endpoint]
+    ) -> crashes.Exposure:
+        """Notes that the request is about to reach endpoints."""
+        self._runs += 1
+        run_id = f'{self.admitted.facts.request_id}/{self._runs}'
+        exposure = crashes.Exposure(
+            self.state, quarantine.Run(self.content, run_id)
+        )
+        exposure.reach(endpoints)
+        return exposure
+
     def log_send(
         self,
         endpoint: endpoints_lib.Endpoint,
@@ -119,6 +139,7 @@
             route=self.admitted.route.name,
             endpoint=endpoint.endpoint_id,
             parts=parts,
+            content=crashes.shorten(self.content),
             attempt=len(self.ledger.sent_to),
             time_left_s=round(self.time_left_s(), 3),
             after_s=self.took_s(),
@@ -187,6 +208,20 @@
         )
 
 
+def make_content(req: http_server.Request, admitted: admission.Admitted) -> str:
+    """Returns a fingerprint of what a request asks for, and who asks.
+
+    The same on all hosts, which have no secret in common to key it with.
+    """
+    customer = admitted.customer.name if admitted.customer else ''
+    what = b' '.join(
+        (req.method, admitted.facts.host.encode('latin-1'), req.target)
+    )
+    return quarantine.make_fingerprint(
+        b'', customer, what.decode('latin-1'), req.body
+    )
+
+
 async def read_body(response: typing.Any) -> bytes:
     """Returns the whole body of a response.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 from sardinebend_gateway import admission
 from sardinebend_gateway import calls
+from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
@@ -23,11 +24,15 @@
     """
 
     def __init__(
-        self, state: state_lib.State, engine_calls: calls.EngineCalls
+        self,
+        state: state_lib.State,
+        engine_calls: calls.EngineCalls,
+        watch: crashes.CrashWatch,
     ) -> None:
         self.is_refusing = False
         self._state = state
         self._calls = engine_calls
+        self._watch = watch
 
     async def serve(
         self, req: http_server.Request, out: http_server.Responder
@@ -45,7 +50,9 @@
         if isinstance(admitted, admission.Refusal):
             await self._refuse(facts, admitted, out)
             return
-        exchange = exchange_lib.Exchange(self._state, req, admitted, out)
+        exchange = exchange_lib.Exchange(
+            self._state, req, admitted, out, self._watch
+        )
         try:
             if admitted.route.is_stream or admitted.service.has_layers:
                 run = streams.StreamRun(exchange, self._calls)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import beats
 from sardinebend_gateway import calls
 from sardinebend_gateway import clocks
+from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import follower as follower_lib
@@ -63,7 +64,10 @@
             cfg, edges, random.Random(self.incarnation)
         )
         self._calls = calls.EngineCalls(self.state)
-        self._forwarder = forwarder.Forwarder(self.state, self._calls)
+        self._crashes = crashes.CrashWatch(self.state)
+        self._forwarder = forwarder.Forwarder(
+            self.state, self._calls, self._crashes
+        )
         self.server = http_server.Server(
             self._forwarder.serve, self.state.limits
         )
@@ -84,7 +88,7 @@
             follower_lib.UNBOUNDED,
         )
         self._catalog = watch.CatalogWatch(self.state)
-        self._endpoints = watch.EndpointWatch(self.state)
+        self._endpoints = watch.EndpointWatch(self.state, self._crashes)
         self._beats = beats.Beats(
             self.state, self.members, addresses.beats, self.incarnation
         )
@@ -104,6 +108,7 @@
             nursery.start_soon(self._endpoints.run)
             nursery.start_soon(self._shared.run)
             nursery.start_soon(self._beats.run)
+            nursery.start_soon(self._crashes.run)
             nursery.start_soon(self.keeper.run)
             nursery.start_soon(self.members.publish, False)
             await self._stop_asked.wait()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -91,12 +91,16 @@
             return forwarding.End.UNREACHED, 'unreached', None
         exchange.ledger.record_send(endpoint.endpoint_id)
         exchange.log_send(endpoint)
+        exposure = exchange.expose((endpoint,))
         balancer = self._state.balancer
         balancer.begin(endpoint.endpoint_id)
         start = trio.current_time()
         try:
             end, reason, reply = await self._send(conn, endpoint)
+            if end in forwarding.SHOW_LIFE:
+                exposure.prove()
         finally:
+            exposure.close()
             balancer.end(endpoint.endpoint_id)
             await conn.close()
         took_s = trio.current_time() - start
@@ -106,6 +110,8 @@
             end is forwarding.End.ANSWERED,
             clocks.now(),
         )
+        if end is forwarding.End.BROKEN:
+            await exchange.watch.look_into(endpoint)
         if end is not forwarding.End.ANSWERED:
             exchange.log_attempt(endpoint, reason, end.value)
         else:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -19,6 +19,7 @@
 from sardinebend_policy import paths as paths_lib
 from sardinebend_policy import readers
 from sardinebend_policy import retries
+from sardinebend_policy import suspects as suspects_lib
 
 # A budget counts requests over up to twice the stated span, so half the ratio
 # keeps the bound; the rest of the floor is for hosts that aren't listed yet.
@@ -43,6 +44,7 @@
         catalog_heard_at: When that answer came; it may have been under way
             for a while.
         endpoints: All known endpoints.
+        suspects: Requests under which an endpoint may end.
         is_stopping: Whether a planned stop has begun.
         host_count: Hosts that are listed, among which budgets are shared.
         live_count: Hosts that are taken to live.
@@ -66,6 +68,7 @@
         self.endpoints = endpoints_lib.EndpointTable()
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
+        self.suspects = suspects_lib.Suspects()
         self.is_stopping = False
         self.host_count = 1
         self.live_count = 1
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import stream_progress
 from sardinebend_gateway import stream_watchdog
+from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
@@ -98,7 +99,11 @@
             self._end, self._progress.reason, self._reply = exchange_lib.judge(
                 self._state, self._exchange, self._first, reply
             )
-            self._blame(facts)
+            blamed = self._blame(facts)
+            if self._end in forwarding.SHOW_LIFE:
+                self._progress.prove(besides=blamed)
+            for endpoint in blamed:
+                await self._exchange.watch.look_into(endpoint)
             return
         reply = exchange_lib.Reply(200, response.headers, b'', facts)
         self._end, self._progress.reason, _ = exchange_lib.judge(
@@ -109,15 +114,20 @@
         self._end = forwarding.End.BROKEN
         await self._pass_events_on(response)
 
-    def _blame(self, facts: edges_lib.AnswerFacts) -> None:
+    def _blame(
+        self, facts: edges_lib.AnswerFacts
+    ) -> list[endpoints_lib.Endpoint]:
         """Passes over the engine that an answer names as its cause."""
+        blamed = []
         for part in self._progress.path:
             if part.endpoint.address == facts.at_fault:
                 self._progress.dead.add(part.endpoint.endpoint_id)
                 if part.endpoint != self._first:
+                    blamed.append(part.endpoint)
                     self._state.doubt(
                         part.endpoint, 'named in a refusal', is_dead=False
                     )
+        return blamed
 
     async def _pass_events_on(self, response: typing.Any) -> None:
         out = self._exchange.out
@@ -135,7 +145,7 @@
                 self._state.metrics.record_time(
                     'first_event', self._exchange.took_s()
                 )
-            self._progress.has_events = True
+            self._progress.note_event()
             await self._write(b''.join(event.data for event in found))
             ids = [event.event_id for event in found if event.event_id]
             self.last_id = ids[-1] if ids else self.last_id
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -1,8 +1,11 @@
 """How far one send of a stream has come, for the tasks that serve it."""
 
+import typing
+
 import trio
 
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
 
 
@@ -34,6 +37,7 @@
         self.waits_for_caller = False
         self.dead: set[str] = set()
         self.reason = ''
+        self._exposures = [exchange.expose(part.endpoint for part in path)]
 
     def silent_s(self) -> float:
         """Returns for how long nothing has moved."""
@@ -43,17 +47,40 @@
         """Notes that an event came or was passed on."""
         self.moved_at = trio.current_time()
 
+    def note_event(self) -> None:
+        """Notes that an event came: all parts run the request."""
+        self.has_events = True
+        self.prove()
+
+    def expose(self, path: paths_lib.Path) -> None:
+        """Notes that the request is about to reach parts it didn't use."""
+        known = {part.endpoint for part in self.path}
+        fresh = [part.endpoint for part in path if part.endpoint not in known]
+        self._exposures.append(self.exchange.expose(fresh))
+
+    def prove(
+        self, besides: typing.Collection[endpoints_lib.Endpoint] = ()
+    ) -> None:
+        """Notes that all parts but some run the request without harm."""
+        for exposure in self._exposures:
+            exposure.prove(besides)
+
     def start(self) -> None:
         """Counts the request at the engines of its path."""
         self.exchange.state.inflight.add(self.path, self.tokens)
 
     def change_path(self, path: paths_lib.Path) -> None:
         """Counts the request at the engines of another path."""
-        self.close()
+        self._stop_counting()
         self.path = path
         self.start()
         self.note_move()
 
     def close(self) -> None:
-        """Stops counting the request."""
+        """Ends the run."""
+        for exposure in self._exposures:
+            exposure.close()
+        self._stop_counting()
+
+    def _stop_counting(self) -> None:
         self.exchange.state.inflight.remove(self.path, self.tokens)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -113,7 +113,7 @@
                 )
                 self._progress.reason = 'first engine silent'
                 return Verdict.MOVE
-            dead = self._doubt_stalled(report)
+            dead = await self._doubt_stalled(report)
         if not dead:
             return self._judge_silence(silent_s)
         self._progress.dead |= dead
@@ -128,7 +128,7 @@
             return Verdict.MOVE
         return Verdict.WAIT
 
-    def _doubt_stalled(self, report: edges_lib.Report) -> set[str]:
+    async def _doubt_stalled(self, report: edges_lib.Report) -> set[str]:
         dead = set()
         for part in self._progress.path:
             if part.endpoint.address in report.stalled:
@@ -136,6 +136,7 @@
                     part.endpoint, 'another engine waits for it', is_dead=True
                 )
                 dead.add(part.endpoint.endpoint_id)
+                await self._progress.exchange.watch.look_into(part.endpoint)
         return dead
 
     async def _repair(self, dead: set[str]) -> Verdict:
@@ -154,6 +155,7 @@
             )
             if path is None:
                 break
+            self._progress.expose(path)
             reply = await self._calls.repath(
                 self._progress.exchange.admitted.facts.request_id, path
             )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -221,6 +221,8 @@
             self._last_id = attempt.last_id
             with trio.CancelScope(shield=True):
                 await conn.close()
+        if end is forwarding.End.BROKEN:
+            await exchange.watch.look_into(first)
         if end is not forwarding.End.ANSWERED:
             self._reason = progress.reason
             self._avoid |= progress.dead
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -5,6 +5,7 @@
 import trio
 
 from sardinebend_gateway import clocks
+from sardinebend_gateway import crashes as crashes_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import follower as follower_lib
@@ -52,8 +53,11 @@
 class EndpointWatch:
     """Keeps the listings of endpoints."""
 
-    def __init__(self, state: state_lib.State) -> None:
+    def __init__(
+        self, state: state_lib.State, crashes: crashes_lib.CrashWatch
+    ) -> None:
         self._state = state
+        self._crashes = crashes
         self._skipped: dict[str, int] = {}
         self._lapsed: dict[str, float] = {}
         table = state.edges.state.endpoint_table
@@ -93,6 +97,7 @@
         self._log_put(before, endpoint)
         if before and before.incarnation != endpoint.incarnation:
             self._state.tell_death(endpoint.endpoint_id)
+            self._crashes.record(before, 'another start is listed')
         return True
 
     def _log_put(
@@ -133,6 +138,8 @@
             events.ENDPOINT_GONE, endpoint=key, source='listing'
         )
         self._state.balancer.forget(self._state.endpoints.names())
+        if not endpoint.is_draining:
+            self._crashes.record_lapse(endpoint)
         return True
 
     async def _drop_lapsed(self) -> None:
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -31,6 +31,7 @@
 from sardinebend_policy import routes
 from sardinebend_policy import stalls
 from sardinebend_policy import stream_watch
+from sardinebend_policy import suspects
 
 __all__ = [
     'admission',
@@ -64,4 +65,5 @@
     'routes',
     'stalls',
     'stream_watch',
+    'suspects',
 ]
--- a/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import enum
+import typing
 
 from sardinebend_policy import catalog
 
@@ -30,6 +31,10 @@
     TIMED_OUT = 'timed_out'
 
 
+# Ends that show that the endpoint outlived the attempt.
+SHOW_LIFE: typing.Final = frozenset((End.ANSWERED, End.FAILED, End.NOT_RUN))
+
+
 class Step(enum.Enum):
     """What to do next.
 
