--- /dev/null
+++ b/tests/common/crashing_world.py
@@ -0,0 +1,225 @@
+"""A small fleet before servers that one request crashes each time it runs."""
+
+import contextlib
+import typing
+
+import trio
+
+from sardinebend_store import feeds
+from tests.common import gateway_world as world_lib
+
+HOSTS: typing.Final = 3
+# A crashed server is back after this long.
+DOWN_S: typing.Final = 2.5
+# Work that waits for a dead engine is given up after this long.
+STALL_S: typing.Final = 3.0
+# The callers' bound: later than this after the third crash, a request that
+# crashes what runs it may reach servers in three more repeats.
+SETTLE_S: typing.Final = 3.0
+CRASHES_BORNE: typing.Final = 3
+LATE_REPEATS_BORNE: typing.Final = 3
+FATAL: typing.Final = b'fatal'
+
+
+class Arrival(typing.NamedTuple):
+    """A request that a server got."""
+
+    at: float
+    server: str
+    request_id: str
+
+
+class Worker(world_lib.Server):
+    """A server, or an engine of a path, that ends when it runs a request.
+
+    Attributes:
+        is_up: Whether it runs.
+        born: Counts its starts.
+    """
+
+    def __init__(self, fleet, name, service, span=None):
+        script = self._run_path if span else self._run_plain
+        super().__init__(name, service, script)
+        self.fleet = fleet
+        self.span = span
+        self.is_up = True
+        self.born = 1
+        self.paths = {}
+        self._streams = set()
+
+    def entry(self, **changes):
+        return super().entry(**{'born': self.born, **changes})
+
+    async def _serve(self, stream):
+        self._streams.add(stream)
+        try:
+            await super()._serve(stream)
+        finally:
+            self._streams.discard(stream)
+
+    def crash(self):
+        """Ends at once; the listing stays as it was until the next start."""
+        if not self.is_up:
+            return
+        self.is_up = False
+        self.fleet.crashes.append(trio.current_time())
+        self.close()
+        for stream in self._streams:
+            world_lib.reset(stream)
+            stream.socket.close()
+        self.fleet.nursery.start_soon(self._come_back)
+
+    async def _come_back(self):
+        await trio.sleep(DOWN_S)
+        self.born += 1
+        old_name = self.name
+        if self.fleet.renames:
+            self.name = f'{old_name}-again'
+            await self.fleet.store.write('servers', old_name, None, None)
+        await self.start(self.fleet.nursery)
+        self.is_up = True
+        await self.fleet.list_worker(self)
+
+    def _note(self, headers):
+        request_id = headers['request-id']
+        self.fleet.arrivals.append(
+            Arrival(trio.current_time(), self.name, request_id)
+        )
+
+    async def _run_plain(self, headers, stream):
+        _, target, _, body = self.requests[-1]
+        if body == FATAL or FATAL.decode() in target:
+            self._note(headers)
+            await trio.sleep(0.01)
+            self.crash()
+            return None
+        await trio.sleep(0.01)
+        return await self.serve(headers, stream)
+
+    async def _run_path(self, headers, stream):
+        is_fatal = self.requests[-1][3] == FATAL
+        request_id = headers['request-id']
+        fixed = [('Request-Id', request_id), world_lib.SEAL]
+        path = self.fleet.read_path(headers['hop-count'])
+        if not is_fatal:
+            pieces = [world_lib.chunk(world_lib.event(n)) for n in (1, 2, 3)]
+            start = world_lib.head(200, fixed, 'chunked')
+            return world_lib.Answer(start, 0.02, *pieces, b'0\r\n\r\n')
+        self._note(headers)
+        self.paths[request_id] = path
+        await trio.sleep(0.01)
+        # The last part reads the prompt and doesn't survive it.
+        path[-1].crash()
+        with trio.move_on_after(STALL_S):
+            while self.is_up:
+                dead = [p for p in self.paths[request_id] if not p.is_up]
+                self.stalled = [p.address for p in dead]
+                await trio.sleep(0.02)
+        if not self.is_up:
+            return None
+        fault = ('At-Server', self.paths[request_id][-1].address)
+        return world_lib.Answer(
+            world_lib.head(503, [('Not-Executed', '1'), fault])
+        )
+
+    def take_order(self, order):
+        """Lets a repaired path run, which ends its last part as well."""
+        if order['operation'] != 'repath' or order['id'] not in self.paths:
+            return 404
+        path = self.fleet.read_path(order['path'])
+        old = self.paths[order['id']]
+        self.paths[order['id']] = path
+        for part in path:
+            if part not in old:
+                self.fleet.arrivals.append(
+                    Arrival(trio.current_time(), part.name, order['id'])
+                )
+        path[-1].crash()
+        return 202
+
+
+class Fleet:
+    """Hosts over one store, and servers that crash.
+
+    Attributes:
+        arrivals: Every arrival of the fatal request at a server.
+        crashes: When servers crashed.
+        renames: Whether a server comes back under another name.
+    """
+
+    def __init__(self, nursery, renames=False):
+        self.nursery = nursery
+        self.renames = renames
+        self.arrivals = []
+        self.crashes = []
+        self.store = feeds.MemoryFeeds()
+        self.workers = [
+            *(Worker(self, f'app-{n}', 'app') for n in range(6)),
+            *(Worker(self, f'first-{n}', 'llm', (0, 2)) for n in range(3)),
+            *(Worker(self, f'last-{n}', 'llm', (2, 4)) for n in range(6)),
+        ]
+        self.hosts = []
+        self._asked = 0
+
+    def read_path(self, text):
+        """Returns the workers of a path."""
+        by_address = {w.address: w for w in self.workers}
+        return [by_address[p.partition('=')[0]] for p in text.split(',')]
+
+    async def list_worker(self, worker):
+        await world_lib.World.list_server(self, worker)
+
+    async def start(self):
+        await world_lib.World.put_config(self, world_lib.make_config())
+        for worker in self.workers:
+            await worker.start(self.nursery)
+            await self.list_worker(worker)
+        for number in range(HOSTS):
+            await self.start_host(f'host-{number}')
+
+    async def start_host(self, name):
+        """Starts a host and waits until it knows the servers."""
+        ports = [h.gateway._addresses.relay.port for h in self.hosts]
+        host = world_lib.World(
+            self.nursery, (), seeds=ports, store=self.store, name=name
+        )
+        await host.start_gateway()
+        self.hosts.append(host)
+        while not host.gateway.state.endpoints.names():
+            await trio.sleep(0.02)
+        # Time for the hosts to hear of each other.
+        await trio.sleep(1.0)
+        return host
+
+    async def ask(self, target='/look/x', body=FATAL, host=None):
+        """Sends one attempt of a caller; returns status and headers."""
+        self._asked += 1
+        if host is None:
+            host = self.hosts[self._asked % len(self.hosts)]
+        answer = await host.ask(
+            target, 'POST', body, request_id=f'q{self._asked}'
+        )
+        return answer[0], answer[1]
+
+    async def repeat(self, target, times, every_s=0.6):
+        """Sends the fatal request again and again, as its callers do."""
+        for _ in range(times):
+            self.nursery.start_soon(self.ask, target)
+            await trio.sleep(every_s)
+
+    def late_arrivals(self):
+        """Returns arrivals after the third crash has had time to be known."""
+        if len(self.crashes) < CRASHES_BORNE:
+            return []
+        known_at = self.crashes[CRASHES_BORNE - 1] + SETTLE_S
+        return [a for a in self.arrivals if a.at > known_at]
+
+
+@contextlib.asynccontextmanager
+async def running(renames=False):
+    """Yields a fleet that serves."""
+    async with trio.open_nursery() as nursery:
+        fleet = Fleet(nursery, renames)
+        await fleet.start()
+        yield fleet
+        nursery.cancel_scope.cancel()
