Count engines that only fall silent against a route's attempts

What servers saw: one attempt of a caller was run by four engines where its route allows two, as each of them accepted it, hung, and answered no report.

Cause: an engine that was doubted, for whatever reason, was taken for one that had ended, and those don't count. Class of fault: a guess that is good enough for choosing another engine, used as proof.

Change: only what a try to connect shows counts as proof: refused, or no answer from the machine at all. A process that accepts connections lives and may run the request still. Calls that engines get anyway (reports, sends) note what they showed, so that there is no second probe.

That a repeat gets no more time than is left already held; it has a test now.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -5,6 +5,7 @@
 import trio
 
 from sardinebend_gateway import clocks
+from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
@@ -27,8 +28,11 @@
 class EngineCalls:
     """Asks endpoints for reports and gives them orders."""
 
-    def __init__(self, state: state_lib.State) -> None:
+    def __init__(
+        self, state: state_lib.State, watch: crashes.CrashWatch
+    ) -> None:
         self._state = state
+        self._watch = watch
         self._reports: dict[str, tuple[float, edges_lib.Report | None]] = {}
         self._asking: dict[str, trio.Event] = {}
 
@@ -114,7 +118,7 @@
         if call.body:
             headers.append((b'content-type', b'application/json'))
         try:
-            return await origin.exchange(
+            reply = await origin.exchange(
                 call.method,
                 call.target,
                 headers,
@@ -122,9 +126,16 @@
                 timeout_s=timeout_s,
                 fresh=True,
             )
+        except store_errors.ConnectFailed as exc:
+            self._watch.note(endpoint, crashes.Life.from_failure(exc))
+            self._state.metrics.count('endpoint_calls_unconnected')
+            return None
         except store_errors.PlatformError:
+            self._watch.note(endpoint, crashes.Life.LISTENS)
             # Silence is an answer here: the caller decides what it means.
             self._state.metrics.count('endpoint_calls_unanswered')
             return None
+        else:
+            return reply
         finally:
             await origin.close()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -1,5 +1,6 @@
 """Finds out whether an endpoint has ended, and under which requests."""
 
+import enum
 import typing
 
 import trio
@@ -23,6 +24,25 @@
 MAX_SHOWN: typing.Final = 8
 
 
+class Life(enum.Enum):
+    """What a try to connect shows of an endpoint.
+
+    Attributes:
+        LISTENS: Its process lives, whatever it does with requests.
+        ENDED: Its machine answers that nothing listens.
+        SILENT: It or the way to it is gone.
+    """
+
+    LISTENS = 'listens'
+    ENDED = 'ended'
+    SILENT = 'silent'
+
+    @classmethod
+    def from_failure(cls, exc: store_errors.ConnectFailed) -> 'Life':
+        """Returns what a failure to connect shows."""
+        return cls.ENDED if exc.refused else cls.SILENT
+
+
 class Exposure:
     """One run of a request, and the endpoints that it may harm."""
 
@@ -67,7 +87,7 @@
     ) -> None:
         self._state = state
         self._shared = shared
-        self._probes: dict[str, tuple[float, bool]] = {}
+        self._probes: dict[str, tuple[float, Life]] = {}
         self._asking: dict[str, trio.Event] = {}
 
     async def run(self) -> None:
@@ -82,18 +102,22 @@
                 if now - probe[0] < PROBE_LIFE_S
             }
 
-    async def look_into(self, endpoint: endpoints_lib.Endpoint) -> bool:
+    async def look_into(self, endpoint: endpoints_lib.Endpoint) -> Life:
         """Returns whether an endpoint has ended, by asking for a connection.
 
-        Only a refused connection shows that; one that is reset may have been
-        lost on the way, and silence may be the network's.
+        Only a refused connection shows a crash; one that is reset may have
+        been lost on the way, and silence may be the network's.
         """
-        if not await self._is_refused(endpoint.address):
-            return False
-        if not self._state.endpoints.is_doubted(endpoint, clocks.now()):
-            self._state.doubt(endpoint, 'nothing listens', is_dead=True)
-        self.record(endpoint, 'nothing listens')
-        return True
+        life = await self._ask(endpoint.address)
+        if life is Life.ENDED:
+            if not self._state.endpoints.is_doubted(endpoint, clocks.now()):
+                self._state.doubt(endpoint, 'nothing listens', is_dead=True)
+            self.record(endpoint, 'nothing listens')
+        return life
+
+    def note(self, endpoint: endpoints_lib.Endpoint, life: Life) -> None:
+        """Takes in what another call to an endpoint has shown."""
+        self._probes[endpoint.address] = (clocks.now(), life)
 
     def record(
         self,
@@ -132,30 +156,30 @@
         """
         self.record(endpoint, 'no longer listed', ended_only=True)
 
-    async def _is_refused(self, address: str) -> bool:
+    async def _ask(self, address: str) -> Life:
         while address in self._asking:
             await self._asking[address].wait()
-        at, refused = self._probes.get(address, (state_lib.NEVER, False))
+        at, life = self._probes.get(address, (state_lib.NEVER, Life.LISTENS))
         if clocks.now() - at < PROBE_LIFE_S:
-            return refused
+            return life
         self._asking[address] = trio.Event()
         try:
-            refused = await _probe(address)
-            self._probes[address] = (clocks.now(), refused)
+            life = await _probe(address)
+            self._probes[address] = (clocks.now(), life)
         finally:
             self._asking.pop(address).set()
-        return refused
+        return life
 
 
-async def _probe(address: str) -> bool:
-    """Returns whether a connection to an address is refused."""
+async def _probe(address: str) -> Life:
+    """Returns what a new connection to an address shows."""
     origin = connections.Origin(f'http://{address}')
     try:
         conn = await origin.connect(PROBE_TIMEOUT_S)
     except store_errors.ConnectFailed as exc:
-        return exc.refused
+        return Life.from_failure(exc)
     await conn.close()
-    return False
+    return Life.LISTENS
 
 
 def _shorten(runs: typing.Iterable[quarantine.Run]) -> list[str]:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -108,6 +108,7 @@
             return await origin.connect(timeout_s)
         except store_errors.ConnectFailed as exc:
             self.log_attempt(endpoint, f'connect: {exc}', 'other endpoint')
+            self.watch.note(endpoint, crashes.Life.from_failure(exc))
             self.state.doubt(endpoint, 'connect failed', is_dead=True)
             return None
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -64,12 +64,12 @@
         self.state = state_lib.State(
             cfg, edges, random.Random(self.incarnation)
         )
-        self._calls = calls.EngineCalls(self.state)
-        self.keeper = keeper.Keeper(self.state, self._calls, self.incarnation)
         self._quarantine = shared_quarantine.SharedQuarantine(
             self.state, lambda: self.keeper.holds_lease
         )
         self._crashes = crashes.CrashWatch(self.state, self._quarantine)
+        self._calls = calls.EngineCalls(self.state, self._crashes)
+        self.keeper = keeper.Keeper(self.state, self._calls, self.incarnation)
         self._forwarder = forwarder.Forwarder(
             self.state, self._calls, self._crashes
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -195,13 +195,6 @@
             and not known.is_draining
         )
 
-    def is_dead(self, endpoint: endpoints_lib.Endpoint) -> bool:
-        """Tells whether an endpoint is gone or doubted."""
-        known = self.endpoints.get(endpoint.endpoint_id)
-        if known is None or known.incarnation != endpoint.incarnation:
-            return True
-        return self.endpoints.is_doubted(known, clocks.now())
-
     def note_change(self) -> None:
         """Wakes whoever waits for a change of the endpoints."""
         self.endpoints_changed.set()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import admission
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import clocks
+from sardinebend_gateway import crashes
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
@@ -226,13 +227,13 @@
             with trio.CancelScope(shield=True):
                 await conn.close()
         if end is forwarding.End.BROKEN:
-            await exchange.watch.look_into(first)
+            life = await exchange.watch.look_into(first)
+            if life is not crashes.Life.LISTENS:
+                exchange.ledger.excuse(first.endpoint_id)
         if end is not forwarding.End.ANSWERED:
             self._reason = progress.reason
             self._avoid |= progress.dead
             if end is not forwarding.End.NOT_RUN:
                 self._avoid.add(first.endpoint_id)
-            if self._state.is_dead(first):
-                exchange.ledger.excuse(first.endpoint_id)
             exchange.log_attempt(first, progress.reason, end.value)
         return end, reply
--- a/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
@@ -85,7 +85,10 @@
         return len(self._sent_to) > 1
 
     def excuse(self, endpoint_id: str) -> None:
-        """Stops counting an endpoint that has ended or is cut off."""
+        """Stops counting an endpoint that has ended or is cut off.
+
+        A doubt isn't enough: one that lives may run the request still.
+        """
         self._excused.add(endpoint_id)
 
     def can_send(self) -> bool:
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -61,6 +61,7 @@
         self.requests = []
         self.orders = []
         self.is_silent = False
+        self.answers_reports = True
         self.stalled = []
         self.span = None
         self.port = 0
@@ -129,6 +130,8 @@
             return
         target = req.target.decode()
         if target == '/-/report':
+            if not self.answers_reports:
+                await trio.sleep_forever()
             await self._report(stream)
             return
         if target == '/-/order':
--- a/tests/cover/test_gateway_requests.py
+++ b/tests/cover/test_gateway_requests.py
@@ -405,3 +405,18 @@
             while not answers:
                 await trio.sleep(0.01)
     assert answers[0][0] == 200
+
+
+async def test_a_repeat_gets_no_more_time_than_is_left():
+    # Guards against a second endpoint working past the caller's deadline.
+    async def late(headers, stream):
+        await trio.sleep(0.3)
+        return Answer(head(200, [('Request-Id', 'r2'), world_lib.SEAL]))
+
+    servers = [app('app-1', late), app('app-2', late)]
+    async with world_lib.running(*servers) as world:
+        await world.ask(deadline_ms='1500')
+    first, second = (s.requests[0][2]['deadline-ms'] for s in servers)
+    sent = sorted((int(first), int(second)))
+    assert sent[1] <= 1500
+    assert sent[0] <= sent[1] - 290
--- a/tests/cover/test_gateway_streams.py
+++ b/tests/cover/test_gateway_streams.py
@@ -222,3 +222,21 @@
         assert order['operation'] == 'place'
         assert order['expected'] == 0
         assert 0 <= order['from'] < order['target'] <= world_lib.LAYERS
+
+
+async def test_engines_that_only_fall_silent_count_against_the_attempts():
+    # Guards against one attempt of a caller running at more engines than its
+    # route allows, when doubts were taken for the engines' ends.
+    got = []
+
+    async def hang(headers, stream):
+        got.append(headers['expect-instance'])
+        return world_lib.Answer(ends='hang')
+
+    servers = world_lib.engines(*[(0, 4)] * 5, script=hang)
+    for server in servers:
+        server.answers_reports = False
+    async with world_lib.running(*servers) as world:
+        with trio.fail_after(20):
+            await ask(world)
+    assert 1 <= len(set(got)) <= 2
