Give a host that doesn't know the fleet no share of the extra retries

A host took itself for the only one until it had read the shared table, so that hosts started without the store could each spend the extra retries of the whole fleet: six hosts, up to 996 repeats in ten seconds where 196 are allowed. Class of fault: what isn't known yet stands for the most generous value. Until the table has been read, from the store or a peer, retries are bounded by the share of requests alone.

The test failed before: all of the extra retries were granted.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -54,7 +54,8 @@
         suspects: Requests under which an endpoint may end.
         quarantine: Requests under which endpoints have ended.
         is_stopping: Whether a planned stop has begun.
-        host_count: Hosts that are listed, among which budgets are shared.
+        host_count: Hosts that are listed, among which budgets are shared;
+            `None` until that is known.
         live_count: Hosts that are taken to live.
         role: Whether this host reads the store, or which host does so for it.
     """
@@ -81,7 +82,7 @@
             QUARANTINE_HOLD_S, CRASHES_BORNE, CRASHES_BORNE
         )
         self.is_stopping = False
-        self.host_count = 1
+        self.host_count: int | None = None
         self.live_count = 1
         self.role = readers.ALONE
         self._books: dict[str, pathbook.PathBook] = {}
@@ -149,7 +150,8 @@
         budget = self._budgets.get(service)
         if budget is None:
             budget = retries.RetryBudget(
-                self.cfg.retry_ratio * RATIO_SHARE, self._budget_floor()
+                self.cfg.retry_ratio * RATIO_SHARE,
+                self._budget_floor(),
             )
             self._budgets[service] = budget
         return budget
@@ -162,6 +164,8 @@
                 budget.set_floor(self._budget_floor())
 
     def _budget_floor(self) -> int:
+        if self.host_count is None:
+            return 0
         share = self.cfg.extra_retries / max(1, self.host_count)
         return int(share * FLOOR_SHARE)
 
--- a/packages/sardinebend-gateway/tests/cover/test_state.py
+++ b/packages/sardinebend-gateway/tests/cover/test_state.py
@@ -58,6 +58,18 @@
             break
 
 
+def test_a_host_that_does_not_know_the_fleet_has_no_share_of_the_extra():
+    # Guards against hosts that start without the store each taking the whole.
+    state = make_state()
+    budget = state.budget_of('s')
+    assert not budget.try_spend(1.0)
+    for _ in range(100):
+        budget.record_success(1.0)
+    assert budget.try_spend(1.0)
+    state.set_host_count(6)
+    assert sum(budget.try_spend(1.0) for _ in range(1000)) > 20
+
+
 def test_a_catalog_is_replaced_only_by_a_newer_one():
     state = make_state()
     for version in (3, 2, 5, 4):
