Count retries in the span of time that the deployment states

Where a shorter one is stated, all that ten seconds allow could be spent in it.

The test of all hosts together ran with spans of 4 s and 10 s; with 4 s it failed before, as there was no such setting.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -39,6 +39,7 @@
         revoke_s: Time after which a withdrawn key must not be let in.
         retry_ratio: Retries allowed for each request, over all hosts.
         extra_retries: Retries allowed besides, over all hosts.
+        retry_window_s: Span of time in which retries are counted.
         answer_life_s: How long callers may keep an address.
     """
 
@@ -50,6 +51,7 @@
     revoke_s: float = 5.0
     retry_ratio: float = 0.2
     extra_retries: int = 50
+    retry_window_s: float = 10.0
     answer_life_s: float = 1.0
 
     def check(self) -> 'HostSettings':
@@ -61,7 +63,13 @@
         """
         if not self.name or not self.domain:
             raise errors.InvalidSettings('a host needs a name and a domain')
-        for field in ('grace_s', 'apply_s', 'revoke_s', 'answer_life_s'):
+        for field in (
+            'grace_s',
+            'apply_s',
+            'revoke_s',
+            'retry_window_s',
+            'answer_life_s',
+        ):
             value = getattr(self, field)
             if not 0 < value < 3600:
                 raise errors.InvalidSettings(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -152,6 +152,7 @@
             budget = retries.RetryBudget(
                 self.cfg.retry_ratio * RATIO_SHARE,
                 self._budget_floor(),
+                self.cfg.retry_window_s,
             )
             self._budgets[service] = budget
         return budget
--- a/packages/sardinebend-gateway/tests/cover/test_state.py
+++ b/packages/sardinebend-gateway/tests/cover/test_state.py
@@ -8,20 +8,19 @@
 from sardinebend_gateway import settings
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog
-from sardinebend_policy import retries
 
 RATIO = 0.2
 EXTRA = 196
 
 
-def make_state():
+def make_state(**changes):
     cfg = settings.HostSettings(
         'h',
         'east',
         settings.Address('127.0.0.1', 1),
         retry_ratio=RATIO,
         extra_retries=EXTRA,
-    )
+    )._replace(**changes)
     return state_lib.State(
         cfg, edges.Edges(None, None, None, None), random.Random(1)
     )
@@ -29,29 +28,30 @@
 
 @pytest.mark.parametrize('hosts', [1, 6, 81])
 @pytest.mark.parametrize('per_window', [0, 30, 3000])
-def test_all_hosts_together_stay_within_the_budget(hosts, per_window):
+@pytest.mark.parametrize('window_s', [4.0, 10.0])
+def test_all_hosts_together_stay_within_the_budget(hosts, per_window, window_s):
     """Every host spends all it may, in any span of the stated length."""
     rng = random.Random(hosts)
     spends = []
     for _ in range(hosts):
-        state = make_state()
+        state = make_state(retry_window_s=window_s)
         state.set_host_count(hosts)
         budget = state.budget_of('s')
         times = sorted(
-            rng.uniform(0, 60) for _ in range(per_window * 6 // hosts)
+            rng.uniform(0, 6 * window_s) for _ in range(per_window * 6 // hosts)
         )
         for at in times:
             budget.record_success(at)
             spends += [at] * sum(budget.try_spend(at) for _ in range(3))
-        while budget.try_spend(60.0):
-            spends.append(60.0)
+        while budget.try_spend(6 * window_s):
+            spends.append(6 * window_s)
     spends.sort()
     allowed = EXTRA + RATIO * per_window
     # Requests come unevenly; a fifth more in some span is within chance.
     slack = RATIO * per_window * 0.2 + 1
     for first, at in enumerate(spends):
         last = first
-        while last < len(spends) and spends[last] < at + retries.WINDOW_S:
+        while last < len(spends) and spends[last] < at + window_s:
             last += 1
         assert last - first <= allowed + slack
         if last == len(spends):
--- a/packages/sardinebend-policy/src/sardinebend_policy/retries.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/retries.py
@@ -11,18 +11,23 @@
 class RetryBudget:
     """Bounds retries to a share of recent successes.
 
-    Successes and retries are counted in two windows of `WINDOW_S`, the
-    current and the previous one, so that the budget neither jumps to zero nor
-    remembers an old peak.
+    Successes and retries are counted in two windows, the current and the
+    previous one, so that the budget neither jumps to zero nor remembers an
+    old peak.
     """
 
-    def __init__(self, ratio: float, floor: int) -> None:
+    def __init__(
+        self, ratio: float, floor: int, window_s: float = WINDOW_S
+    ) -> None:
         if not 0 <= ratio <= 1:
             raise errors.InvalidArgument('ratio', ratio, '0 to 1')
         if floor < 0:
             raise errors.InvalidArgument('floor', floor, '0 or more')
+        if not window_s > 0:
+            raise errors.InvalidArgument('window_s', window_s, 'more than 0')
         self._ratio = ratio
         self._floor = floor
+        self._window_s = window_s
         self._window = 0
         self._successes = [0, 0]
         self._retries = [0, 0]
@@ -48,7 +53,7 @@
         return True
 
     def _roll(self, now: float) -> None:
-        window = int(now / WINDOW_S)
+        window = int(now / self._window_s)
         passed = window - self._window
         if passed <= 0:
             # A clock that jumped back must not empty the counts.
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -34,6 +34,7 @@
 [bounds]
 revoke_ms = 4000
 config_apply_ms = 1500
+budget_window_s = 6
 [platform]
 address = "10.200.1.7:8223"
 """
@@ -44,6 +45,7 @@
     assert cfg.host.name == 'edge-east-1'
     assert cfg.host.revoke_s == 4.0
     assert cfg.host.apply_s == 1.5
+    assert cfg.host.retry_window_s == 6.0
     assert cfg.beats.port == 7340
     assert str(cfg.relay) == '10.1.0.4:8229'
     assert len(cfg.seeds) == 2
