Soak with requests that end what runs them

A caller of the soak sends such a request again and again, to any host, while other faults go on; plain endpoints end, or any part of a path. Later than 3 s after the third end, three more arrivals are allowed while all hosts run and reach the store. The check turns red when crashes aren't recorded (a test shows it).

--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -4,7 +4,6 @@
 import json
 import os
 import pathlib
-import random
 import secrets
 import socket
 import subprocess
@@ -87,7 +86,7 @@
         self._folder = folder
         self._replicas = replicas
         self._stack = contextlib.ExitStack()
-        self._ports = _free_ports(hosts * 2 + STAGES * replicas + 8)
+        self._ports = ports.find_free(hosts * 2 + STAGES * replicas + 8)
         self.values: dict[str, typing.Any] = {}
         self.hosts: list[Process] = []
         self._host_count = hosts
@@ -331,24 +330,3 @@
             if time.monotonic() > deadline:
                 raise TimeoutError(f'{host.name} does not list all hosts')
             time.sleep(0.05)
-
-
-def _free_ports(count: int) -> list[int]:
-    """Returns ports on which nothing listens.
-
-    They are below the range from which the system takes the ports of outgoing
-    connections, one of which could otherwise take a port before its process
-    has started.
-    """
-    ports: list[int] = []
-    while len(ports) < count:
-        port = random.randrange(*PORT_RANGE)
-        if port in ports:
-            continue
-        with socket.socket() as sock:
-            try:
-                sock.bind(('127.0.0.1', port))
-            except OSError:
-                continue
-        ports.append(port)
-    return ports
--- a/tests/common/crashing_world.py
+++ b/tests/common/crashing_world.py
@@ -45,18 +45,10 @@
         self.is_up = True
         self.born = 1
         self.paths = {}
-        self._streams = set()
 
     def entry(self, **changes):
         return super().entry(**{'born': self.born, **changes})
 
-    async def _serve(self, stream):
-        self._streams.add(stream)
-        try:
-            await super()._serve(stream)
-        finally:
-            self._streams.discard(stream)
-
     def crash(self):
         """Ends at once; the listing stays as it was until the next start."""
         if not self.is_up:
@@ -64,9 +56,7 @@
         self.is_up = False
         self.fleet.crashes.append(trio.current_time())
         self.close()
-        for stream in self._streams:
-            world_lib.reset(stream)
-            stream.socket.close()
+        self.drop_connections()
         self.fleet.nursery.start_soon(self._come_back)
 
     async def _come_back(self):
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import json
-import socket
 
 import h11
 import trio
@@ -14,6 +13,7 @@
 from sardinebend_gateway import gateway as gateway_lib
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_store import feeds
+from standins import ports
 
 IP = '127.0.0.1'
 HOST = 'users.example'
@@ -66,6 +66,7 @@
         self.span = None
         self.port = 0
         self.dropped = 0
+        self._streams = set()
         self._socket = None
 
     @property
@@ -112,12 +113,20 @@
                 return
             nursery.start_soon(self._serve, trio.SocketStream(sock))
 
+    def drop_connections(self):
+        """Resets all connections, as the end of a process does."""
+        for stream in self._streams:
+            reset(stream)
+            stream.socket.close()
+
     async def _serve(self, stream):
+        self._streams.add(stream)
         try:
             await self._serve_one(stream)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self.dropped += 1
         finally:
+            self._streams.discard(stream)
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
@@ -177,6 +186,8 @@
 
 
 def reset(stream):
+    if stream.socket.fileno() < 0:
+        return
     stream.socket.setsockopt(1, 13, b'\x01\0\0\0\0\0\0\0')
 
 
@@ -367,9 +378,7 @@
 
 
 def free_port():
-    with socket.socket() as sock:
-        sock.bind((IP, 0))
-        return sock.getsockname()[1]
+    return ports.find_free(1)[0]
 
 
 @contextlib.asynccontextmanager
--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -5,6 +5,7 @@
 import pytest
 
 from sardinebend_policy import forwarding
+from sardinebend_policy import quarantine
 from tests.soak import faults
 from tests.soak import soak
 
@@ -31,3 +32,14 @@
     ):
         result = soak.play(3, LAST_S)
     assert any('times' in line for line in result.broken)
+
+
+def test_a_soak_finds_a_request_that_goes_on_ending_servers():
+    with (
+        unittest.mock.patch.object(
+            quarantine.Quarantine, 'record_crash', lambda *_: frozenset()
+        ),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.fatal_request,)),
+    ):
+        result = soak.play(3, LAST_S)
+    assert any('more servers' in line for line in result.broken)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -70,12 +70,27 @@
                 await trio.aclose_forcefully(stream)
 
 
-async def _exchange(asked, stream, patience_s):
-    is_read = asked.kind == 'look'
+async def ask_fatal(fleet, host, kind, content, request_id):
+    """Sends one attempt of a request that ends what runs it."""
+    asked = fleet_lib.Asked(
+        request_id, kind, trio.current_time(), host, next(iter(fleet.keys))
+    )
+    with trio.move_on_after(PATIENCE_S[kind] + 1):
+        try:
+            async with await host.world.connect() as stream:
+                await _exchange(asked, stream, PATIENCE_S[kind], content)
+        except OSError:
+            # The host has gone meanwhile.
+            pass
+
+
+async def _exchange(asked, stream, patience_s, content=None):
+    if content is None and asked.kind != 'look':
+        content = b'body of ' + asked.request_id.encode()
     data = world_lib.make_request(
         f'/{asked.kind}/x',
-        'GET' if is_read else 'POST',
-        b'' if is_read else b'body of ' + asked.request_id.encode(),
+        'POST' if content else 'GET',
+        content or b'',
         request_id=asked.request_id,
         deadline_ms=str(int(patience_s * 1000)),
         authorization=f'Bearer {asked.key}',
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -34,6 +34,7 @@
             if fault:
                 found.append(f'{asked.request_id} ({asked.kind}): {fault}')
     found += sent_to_leaving(fleet)
+    found += sent_after_crashes(fleet)
     unasked = runs.keys() - {asked.request_id for asked in fleet.asked}
     found += [f'{name}: run, but never asked' for name in unasked]
     share = served_share(fleet)
@@ -137,3 +138,27 @@
             if late_s > 0 and fleet.was_calm(gone.at, run.at):
                 found.append(f'{run.request_id}: {run.server} is leaving')
     return found
+
+
+def sent_after_crashes(fleet):
+    """Returns requests that ended servers long after it was known of them.
+
+    Only while all hosts run and reach the store.
+    """
+    runs = collections.defaultdict(list)
+    for run in fleet.fatal_runs:
+        runs[run.content].append(run)
+    found = []
+    for content, all_runs in runs.items():
+        if len(all_runs) < fleet_lib.FATAL_CRASHES:
+            continue
+        third = all_runs[fleet_lib.FATAL_CRASHES - 1]
+        late = [
+            run
+            for run in all_runs
+            if run.at > third.at + fleet_lib.FATAL_KNOWN_S
+            and fleet.was_calm(third.at, run.at)
+        ]
+        if len(late) > fleet_lib.FATAL_REPEATS:
+            found.append(f'{content.decode()}: ended {len(late)} more servers')
+    return found
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import trio
 
 from tests.common import gateway_world as world_lib
+from tests.soak import callers
 from tests.soak import fleet as fleet_lib
 
 # Between the beginnings of two faults, on average.
@@ -156,6 +157,25 @@
     worker.loses = 0.0
 
 
+async def fatal_request(fleet):
+    """A caller sends a request that ends what runs it, again and again."""
+    kind = fleet.rng.choice(('look', 'draft', 'book'))
+    content = fleet_lib.FATAL + str(fleet.rng.getrandbits(32)).encode()
+    fleet.note(f'{content.decode()} ({kind}) begins')
+    for number in range(fleet.rng.randint(6, 14)):
+        up = [host for host in fleet.hosts if host.is_ready()]
+        if up:
+            fleet.nursery.start_soon(
+                callers.ask_fatal,
+                fleet,
+                fleet.rng.choice(up),
+                kind,
+                content,
+                f'{content.decode()}-{number}'.replace(' ', '-'),
+            )
+        await trio.sleep(fleet.rng.uniform(0.1, 1.2))
+
+
 async def key_withdrawn(fleet):
     """Takes a key away and adds another one."""
     if fleet.store.is_down:
@@ -195,6 +215,7 @@
     engine_silent,
     server_leaves,
     answers_lost,
+    fatal_request,
     key_withdrawn,
     config_changed,
 )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,6 +30,12 @@
 CANCEL_S: typing.Final = 0.5
 # An answer of the gateway's own comes this long after a route's time-out.
 SLACK_S: typing.Final = 0.5
+# A request that ends what runs it may reach servers in so many repeats, so
+# long after it has ended the third.
+FATAL_CRASHES: typing.Final = 3
+FATAL_REPEATS: typing.Final = 3
+FATAL_KNOWN_S: typing.Final = 3.0
+FATAL: typing.Final = b'fatal '
 # Around a disturbance of hosts or store, bounds in time aren't judged.
 CALM_S: typing.Final = 3.0
 
@@ -65,6 +71,14 @@
     left_at: float | None = None
 
 
+class FatalRun(typing.NamedTuple):
+    """A request under which a server ended."""
+
+    content: bytes
+    server: str
+    at: float
+
+
 class Departure(typing.NamedTuple):
     """A server that says that it leaves."""
 
@@ -133,6 +147,9 @@
     async def _run(self, headers, stream):
         if headers.get('expect-instance') != self.name:
             return world_lib.Answer(world_lib.head(421, []))
+        content = self.requests[-1][3]
+        if content.startswith(FATAL):
+            return await self._end_under(content, headers)
         run = Run(
             headers['request-id'],
             self.name,
@@ -150,6 +167,39 @@
             run.ended_at = trio.current_time()
             self.paths.pop(run.request_id, None)
 
+    async def _end_under(self, content, headers):
+        """Ends this server, or one of the path, under a request."""
+        await trio.sleep(self.fleet.rng.uniform(0.005, 0.05))
+        victim = self
+        if 'hop-count' in headers:
+            part = self.fleet.rng.choice(read_path(headers['hop-count']))
+            victim = self.fleet.find_worker(part[0]) or self
+        self.fleet.fatal_runs.append(
+            FatalRun(content, victim.name, trio.current_time())
+        )
+        self.fleet.nursery.start_soon(victim.crash)
+        if victim is not self:
+            await trio.sleep(STALL_S)
+            fault = ('At-Server', victim.address)
+            head = world_lib.head(503, [('Not-Executed', '1'), fault])
+            return world_lib.Answer(head)
+        await trio.sleep_forever()
+        return None
+
+    async def crash(self):
+        """Ends, and comes back as another start some seconds later."""
+        if self.is_down or self.left_at is not None:
+            return
+        self.fleet.note(f'{self.name} ends under a request')
+        self.is_down = True
+        self.close()
+        self.drop_connections()
+        await trio.sleep(self.fleet.rng.uniform(1.5, 4.0))
+        self.born += 1
+        await self.start(self.fleet.nursery)
+        self.is_down = False
+        await self.fleet.list_worker(self)
+
     async def _run_plain(self, run, stream):
         await trio.sleep(self.fleet.rng.uniform(0.01, 0.1))
         is_lost = self.fleet.rng.random() < self.loses
@@ -276,6 +326,7 @@
         self.log: list[str] = []
         self.disturbances: list[list[float]] = []
         self.departures: list[Departure] = []
+        self.fatal_runs: list[FatalRun] = []
         self.withdrawn: dict[str, float] = {}
         self.config = world_lib.make_config()
         self.keys = {world_lib.KEY: None}
@@ -305,11 +356,14 @@
             if host is not asking and host.world is not None
         ]
 
+    def find_worker(self, address):
+        for worker in self.workers.values():
+            if worker.address == address and not worker.is_down:
+                return worker
+        return None
+
     def is_up(self, address):
-        return any(
-            worker.address == address and not worker.is_down
-            for worker in self.workers.values()
-        )
+        return self.find_worker(address) is not None
 
     def was_calm(self, start, end):
         """Tells whether all hosts ran and reached the store all the while."""
