--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -5,7 +5,6 @@
 import os
 import pathlib
 import secrets
-import socket
 import subprocess
 import sys
 import time
@@ -14,12 +13,12 @@
 import urllib.request
 
 from sardinebend_router import auth
+from standins import ports
 
 DOMAINS: typing.Final = ('lautoka', 'nadi', 'ba')
 REGION: typing.Final = 'viti-west'
 LAYERS: typing.Final = 12
 STAGES: typing.Final = 3
-PORT_RANGE: typing.Final = (15_000, 32_000)
 READY_TIMEOUT_S: typing.Final = 30.0
 STOP_TIMEOUT_S: typing.Final = 10.0
 CUSTOMER_KEYS: typing.Final = {'vanua': 'vanua-key', 'nile': 'nile-key'}
--- a/standins/ports.py
+++ b/standins/ports.py
@@ -7,7 +7,7 @@
 # Below the range from which the system takes the ports of outgoing
 # connections, one of which could otherwise take a port before its listener
 # has started.
-PORT_RANGE: typing.Final = (20_000, 32_000)
+PORT_RANGE: typing.Final = (15_000, 32_000)
 IP: typing.Final = '127.0.0.1'
 
 _given: set[int] = set()
