--- a/standins/launcher.py
+++ b/standins/launcher.py
@@ -5,6 +5,7 @@
 import os
 import pathlib
 import secrets
+import socket
 import subprocess
 import sys
 import time
