Take an endpoint's own word that it leaves, from any answer

An endpoint that leaves says so in all its answers. Until now only its listing counted, which may be late, behind a store that is away, or never said.

The mark is read from the head of each answer (success, failure, refusal, stream, report, order), before its body, so that a broken body doesn't lose it. It holds for that start of the endpoint whatever a listing says later, and is checked right before each send, for each part of a path, and before an order to load layers. Life signs tell the other hosts; streams in flight go on.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
@@ -53,6 +53,7 @@
             peers = self._members.peers()
             self._members.note_changes()
             data = self._encode()
+            self._state.leaving.forget_old(clocks.now())
             for name in liveness.choose_peers(sorted(peers)):
                 address = settings_lib.Address.parse(peers[name]['beats'])
                 try:
@@ -88,6 +89,10 @@
                 messages.CrashNotice(*crash)
                 for crash in self._quarantine.recent()
             ),
+            tuple(
+                messages.LeavingStart(*start)
+                for start in self._state.leaving.recent(now)
+            ),
         )
         return codec.encode(codec.Envelope(0, False, beat))
 
@@ -122,6 +127,9 @@
         self._members.liveness.hear_digest(beat.heard, now)
         if beat.is_leaving:
             self._members.mark_leaving(beat.host, beat.incarnation)
+        for start in beat.leaving:
+            incarnation = (start.endpoint_id, start.born)
+            self._state.mark_leaving(incarnation, 'another host')
         for notice in beat.crashes:
             self._quarantine.record(quarantine.Crash(*notice))
         self._state.inflight.hear(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -88,6 +88,8 @@
         report = await self.report(endpoint)
         if report is None or report.is_busy:
             return None
+        if not self._state.is_usable(endpoint):
+            return None
         call = codec.place(span, report.orders_begun)
         reply = await self._call(endpoint, call, ORDER_TIMEOUT_S)
         status = reply.status if reply else None
@@ -136,6 +138,17 @@
             self._state.metrics.count('endpoint_calls_unanswered')
             return None
         else:
+            self._heed(endpoint, reply)
             return reply
         finally:
             await origin.close()
+
+    def _heed(
+        self, endpoint: endpoints_lib.Endpoint, reply: connections.Reply
+    ) -> None:
+        headers = [
+            (name.encode('latin-1'), value.encode('latin-1'))
+            for name, value in reply.headers.items()
+        ]
+        facts = self._state.edges.requests.read_answer(reply.status, headers)
+        self._state.heed(endpoint, facts)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -64,6 +64,7 @@
         was_not_run: Whether the endpoint states that it ran nothing.
         answered_by: Name of the endpoint that answers, if it gives one.
         at_fault: Address of the endpoint that caused a refusal.
+        is_leaving: Whether the endpoint says that it is about to end.
     """
 
     request_id: str
@@ -71,6 +72,7 @@
     was_not_run: bool
     answered_by: str | None
     at_fault: str | None
+    is_leaving: bool = False
 
 
 class Report(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -268,7 +268,7 @@
     if facts.was_not_run:
         if facts.answered_by not in (None, endpoint.endpoint_id):
             # Another endpoint has the address: the listing is outdated.
-            state.endpoints.mark_left(endpoint)
+            state.endpoints.mark_left(endpoint.incarnation)
             state.audit.log(
                 events.ENDPOINT_GONE,
                 endpoint=endpoint.endpoint_id,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -149,12 +149,13 @@
                 async with conn.stream(
                     req.method, req.target, headers, req.body
                 ) as response:
+                    facts = codec.read_answer(response.status, response.headers)
+                    self._state.heed(endpoint, facts)
                     body = await exchange_lib.read_body(response)
             except store_errors.ExchangeFailed as exc:
                 return forwarding.End.BROKEN, str(exc), None
             except errors.Malformed as exc:
                 return forwarding.End.BROKEN, str(exc), None
-            facts = codec.read_answer(response.status, response.headers)
             reply = exchange_lib.Reply(
                 response.status, response.headers, body, facts
             )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -10,8 +10,8 @@
 import trio
 
 from sardinebend_gateway import clocks
-from sardinebend_gateway import crash_notices
 from sardinebend_gateway import events
+from sardinebend_gateway import news
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import quarantine
@@ -33,7 +33,7 @@
     ) -> None:
         self._state = state
         self._holds_lease = holds_lease
-        self._notices = crash_notices.CrashNotices()
+        self._news: news.News[tuple[str, quarantine.Run]] = news.News()
         self._unwritten: dict[str, float] = {}
         self._rows: dict[str, float] = {}
 
@@ -42,7 +42,7 @@
         while True:
             await trio.sleep(ROUND_S)
             now = clocks.now()
-            self._notices.forget_old(now)
+            self._news.forget_old(now)
             for fingerprint, due in list(self._unwritten.items()):
                 if due <= now:
                     await self._write(fingerprint)
@@ -52,8 +52,10 @@
     def record(self, crash: quarantine.Crash) -> None:
         """Takes in a crash that this host has seen or heard of."""
         now = clocks.now()
-        fresh = self._notices.add(crash, now)
-        if not fresh:
+        fresh = [
+            self._news.add((crash.crash_id, run), now) for run in crash.runs
+        ]
+        if not any(fresh):
             return
         held = self._state.quarantine
         for fingerprint in held.record_crash(crash, now):
@@ -64,7 +66,13 @@
 
     def recent(self) -> tuple[quarantine.Crash, ...]:
         """Returns crashes that other hosts may not have heard of."""
-        return self._notices.recent(clocks.now())
+        by_crash: dict[str, set[quarantine.Run]] = {}
+        for crash_id, run in self._news.recent(clocks.now()):
+            by_crash.setdefault(crash_id, set()).add(run)
+        return tuple(
+            quarantine.Crash(crash_id, frozenset(runs))
+            for crash_id, runs in by_crash.items()
+        )
 
     def take(self, row: feeds.FeedRow) -> None:
         """Takes in the row of a verdict."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -10,6 +10,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import metrics as metrics_lib
+from sardinebend_gateway import news
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import balancing
 from sardinebend_policy import catalog as catalog_lib
@@ -51,6 +52,7 @@
         catalog_heard_at: When that answer came; it may have been under way
             for a while.
         endpoints: All known endpoints.
+        leaving: Starts of endpoints that said that they leave.
         suspects: Requests under which an endpoint may end.
         quarantine: Requests under which endpoints have ended.
         is_stopping: Whether a planned stop has begun.
@@ -77,6 +79,7 @@
         self.endpoints = endpoints_lib.EndpointTable()
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
+        self.leaving: news.News[tuple[str, int]] = news.News()
         self.suspects = suspects_lib.Suspects()
         self.quarantine = quarantine.Quarantine(
             QUARANTINE_HOLD_S, CRASHES_BORNE, CRASHES_BORNE
@@ -191,6 +194,26 @@
         if is_dead:
             self.tell_death(endpoint.endpoint_id)
 
+    def heed(
+        self, endpoint: endpoints_lib.Endpoint, facts: edges_lib.AnswerFacts
+    ) -> None:
+        """Takes in what an answer says of the endpoint that gave it."""
+        if facts.answered_by not in (None, endpoint.endpoint_id):
+            # The address has gone to another one.
+            return
+        if facts.is_leaving:
+            self.mark_leaving(endpoint.incarnation, 'own answer')
+
+    def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
+        """Keeps new work from a start of an endpoint, for good."""
+        if not self.endpoints.mark_left(incarnation):
+            return
+        self.leaving.add(incarnation, clocks.now())
+        self.audit.log(
+            events.ENDPOINT_LEAVING, endpoint=incarnation[0], source=source
+        )
+        self.note_change()
+
     def is_usable(self, endpoint: endpoints_lib.Endpoint) -> bool:
         """Tells whether new work may still go to this start of an endpoint."""
         known = self.endpoints.get(endpoint.endpoint_id)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -91,6 +91,7 @@
     async def _read_response(self, response: typing.Any) -> None:
         codec = self._state.edges.requests
         facts = codec.read_answer(response.status, response.headers)
+        self._state.heed(self._first, facts)
         if response.status != 200:
             body = await exchange_lib.read_body(response)
             reply = exchange_lib.Reply(
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -145,6 +145,7 @@
         heard=message.heard,
         crossing_tokens=message.crossing_tokens,
         crashes=_make_crashes(message.crashes),
+        leaving=[_IDL.LeavingStart(**s._asdict()) for s in message.leaving],
     )
 
 
@@ -267,6 +268,12 @@
         _need(item.heard, bytes),
         item.crossing_tokens or 0,
         _decode_crashes(item.crashes or ()),
+        tuple(
+            messages.LeavingStart(
+                _need(start.endpoint_id, str), _need(start.born, int)
+            )
+            for start in item.leaving or ()
+        ),
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -81,6 +81,18 @@
     token_layers: int
 
 
+class LeavingStart(typing.NamedTuple):
+    """A start of an endpoint that is about to end.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        born: When it started, in Unix milliseconds.
+    """
+
+    endpoint_id: str
+    born: int
+
+
 class HostBeat(typing.NamedTuple):
     """A life sign with what the sender has running; not answered.
 
@@ -93,6 +105,7 @@
         crossing_tokens: Prompt tokens a second that it sends between failure
             domains.
         crashes: Ends of endpoints that it has seen or heard of lately.
+        leaving: Endpoints that said lately that they leave.
     """
 
     host: str
@@ -102,6 +115,7 @@
     heard: bytes
     crossing_tokens: int = 0
     crashes: tuple[CrashNotice, ...] = ()
+    leaving: tuple[LeavingStart, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -53,6 +53,11 @@
   3: i64 token_layers,
 }
 
+struct LeavingStart {
+  1: string endpoint_id,
+  2: i64 born,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -61,6 +66,7 @@
   5: binary heard,
   6: i32 crossing_tokens,
   7: optional list<CrashNotice> crashes,
+  8: optional list<LeavingStart> leaving,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -63,6 +63,9 @@
         st.binary(max_size=20),
         NUMBER,
         st.lists(NOTICES, max_size=3).map(tuple),
+        st.lists(
+            st.builds(messages.LeavingStart, TEXT, NUMBER), max_size=3
+        ).map(tuple),
     ),
     st.just(messages.Ack()),
 )
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -11,6 +11,8 @@
 MAX_HOLD_S: typing.Final = 4.0
 # A silent endpoint's listing lapses after three heartbeats of 1.2 s.
 DEAD_HOLD_S: typing.Final = 4.0
+# Starts that have left and are remembered; some 120 a day leave.
+MAX_LEFT: typing.Final = 10_000
 
 
 class Span(typing.NamedTuple):
@@ -86,7 +88,7 @@
         if self._endpoints.get(endpoint.endpoint_id) == endpoint:
             return False
         if endpoint.is_draining:
-            self._left[endpoint.incarnation] = True
+            self._note_left(endpoint.incarnation)
         self._endpoints[endpoint.endpoint_id] = endpoint
         self.revision += 1
         return True
@@ -98,15 +100,26 @@
             self.revision += 1
         return endpoint
 
-    def mark_left(self, endpoint: Endpoint) -> None:
-        """Takes in from an endpoint itself that it is leaving."""
-        known = self._endpoints.get(endpoint.endpoint_id)
-        self._left[endpoint.incarnation] = True
-        if known is not None and known.incarnation == endpoint.incarnation:
-            self._endpoints[endpoint.endpoint_id] = known._replace(
+    def mark_left(self, incarnation: tuple[str, int]) -> bool:
+        """Takes in that a start of an endpoint leaves; false if known.
+
+        It needn't be listed yet.
+        """
+        if incarnation in self._left:
+            return False
+        self._note_left(incarnation)
+        known = self._endpoints.get(incarnation[0])
+        if known is not None and known.incarnation == incarnation:
+            self._endpoints[known.endpoint_id] = known._replace(
                 is_draining=True
             )
             self.revision += 1
+        return True
+
+    def _note_left(self, incarnation: tuple[str, int]) -> None:
+        self._left[incarnation] = True
+        if len(self._left) > MAX_LEFT:
+            self._left.pop(next(iter(self._left)))
 
     def get(self, endpoint_id: str) -> Endpoint | None:
         """Returns an endpoint by name."""
--- a/packages/sardinebend-policy/tests/cover/test_gateway_decisions.py
+++ b/packages/sardinebend-policy/tests/cover/test_gateway_decisions.py
@@ -91,7 +91,8 @@
 def test_an_endpoint_that_said_it_left_stays_out_when_listed_again():
     table = endpoints.EndpointTable()
     table.put(make_endpoint())
-    table.mark_left(make_endpoint())
+    assert table.mark_left(make_endpoint().incarnation)
+    assert not table.mark_left(make_endpoint().incarnation)
     table.remove('e')
     table.put(make_endpoint())
     assert table.open_of('s', 0.0) == []
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -62,6 +62,7 @@
         self.orders = []
         self.is_silent = False
         self.answers_reports = True
+        self.report_headers = []
         self.stalled = []
         self.span = None
         self.port = 0
@@ -177,7 +178,7 @@
                 ],
             }
         ).encode()
-        await stream.send_all(head(200, [], body=body))
+        await stream.send_all(head(200, self.report_headers, body=body))
 
     async def serve(self, headers, stream):
         body = b'served by ' + self.name.encode()
