Leave an endpoint alone for the time that it names

An endpoint that turns a request away with 503 may name a time in which it wants nothing from this host. The time was passed over: another send could follow at once, and where it was the only one, callers came back to it.

The time belongs to the endpoint that answered and to that start of it: no request, report or order until then, checked again right before each send. Others take the work. Where none is left, the caller is refused at once with the time at which the first is free, spread over half of it again. Fractions and dates (against the answer's own) are read, an hour is the most, and what can't be read is logged and passed over. Other hosts aren't told: the endpoint spoke to one, and a word to all would idle it.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -115,6 +115,8 @@
         call: edges_lib.Call,
         timeout_s: float,
     ) -> connections.Reply | None:
+        if self._state.endpoints.is_backing_off(endpoint, clocks.now()):
+            return None
         origin = connections.Origin(f'http://{endpoint.address}')
         headers = []
         if call.body:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -65,6 +65,8 @@
         answered_by: Name of the endpoint that answers, if it gives one.
         at_fault: Address of the endpoint that caused a refusal.
         is_leaving: Whether the endpoint says that it is about to end.
+        backoff_s: For how long the endpoint wants nothing from this host.
+        unread: Headers whose values can't be read, as text for the log.
     """
 
     request_id: str
@@ -73,6 +75,8 @@
     answered_by: str | None
     at_fault: str | None
     is_leaving: bool = False
+    backoff_s: float | None = None
+    unread: str = ''
 
 
 class Report(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -34,6 +34,7 @@
 CONTENT_QUARANTINED = Event(
     'content_quarantined', 'content, source, for_s', True
 )
+ENDPOINT_BACKOFF = Event('endpoint_backoff', 'endpoint, for_s', True)
 ENDPOINT_CRASHED = Event(
     'endpoint_crashed', 'endpoint, born, evidence, requests, contents', True
 )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -21,6 +21,8 @@
 CONNECT_TIMEOUT_S: typing.Final = 0.3
 MIN_RETRY_AFTER_S: typing.Final = 0.05
 RETRY_AFTER_S: typing.Final = 0.1
+# Time by which the last caller comes back, relative to the wait itself.
+BACKOFF_SPREAD: typing.Final = 1.5
 # Why a request is given up under which endpoints have ended.
 QUARANTINED: typing.Final = 'ends the endpoints that run it'
 # An answer of a plain service is kept whole until it is known to be complete.
@@ -122,6 +124,22 @@
         until = self.state.quarantine.refused_until(self.content, now)
         return 0.0 if until is None else until - now
 
+    def retry_after_s(self, default_s: float) -> float:
+        """Returns when a caller may come back that finds no endpoint.
+
+        The first endpoint that asked to be left alone is free then. Callers
+        are spread, so that it doesn't meet all of them at once.
+        """
+        left_s = self.backoff_left_s()
+        if left_s is None:
+            return default_s
+        return left_s * self.state.rng.uniform(1.0, BACKOFF_SPREAD)
+
+    def backoff_left_s(self) -> float | None:
+        """Returns when the first endpoint that backs off wants work again."""
+        name = self.admitted.service.name
+        return self.state.endpoints.backoff_left_s(name, clocks.now())
+
     def may_send(self, endpoint: endpoints_lib.Endpoint) -> bool:
         """Checks right before sending what may have changed meanwhile."""
         return (
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -41,6 +41,7 @@
             endpoint = self._choose()
             if endpoint is None:
                 step = self._give_up_step(reply)
+                retry_after_s = exchange.retry_after_s(retry_after_s)
                 break
             end, reason, newest = await self._attempt(endpoint)
             reply = newest or reply
@@ -79,7 +80,9 @@
             fresh = [
                 e
                 for e in table.all_of(service)
-                if not e.is_draining and e.endpoint_id not in used
+                if not e.is_draining
+                and not table.is_backing_off(e, now)
+                and e.endpoint_id not in used
             ]
         return self._state.balancer.choose(fresh, self._state.cfg.domain, now)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -203,6 +203,21 @@
             return
         if facts.is_leaving:
             self.mark_leaving(endpoint.incarnation, 'own answer')
+        if facts.unread:
+            self.audit.log(
+                events.ENTRY_SKIPPED,
+                table='answer',
+                key=endpoint.endpoint_id,
+                reason=facts.unread,
+            )
+        if facts.backoff_s:
+            self.endpoints.back_off(endpoint, clocks.now(), facts.backoff_s)
+            self.metrics.count('endpoint_backoffs')
+            self.audit.log(
+                events.ENDPOINT_BACKOFF,
+                endpoint=endpoint.endpoint_id,
+                for_s=facts.backoff_s,
+            )
 
     def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
         """Keeps new work from a start of an endpoint, for good."""
@@ -221,6 +236,7 @@
             known is not None
             and known.incarnation == endpoint.incarnation
             and not known.is_draining
+            and not self.endpoints.is_backing_off(known, clocks.now())
         )
 
     def note_change(self) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -96,7 +96,11 @@
             self._poke.set()
 
     async def _look_into(self, silent_s: float) -> Verdict:
-        if not self._progress.path[0].span.size:
+        first = self._progress.path[0]
+        is_left_alone = self._state.endpoints.is_backing_off(
+            first.endpoint, clocks.now()
+        )
+        if not first.span.size or is_left_alone:
             return self._judge_silence(silent_s)
         dead = {
             p.endpoint.endpoint_id
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -88,7 +88,8 @@
             if choice is None:
                 step = exchange.ledger.give_up_step()
                 reason = self._reason or self._why_no_path()
-                await self._end(step, reason, None)
+                wait_s = exchange.retry_after_s(NO_PATH_RETRY_S)
+                await self._end(step, reason, None, wait_s)
                 return
             end, reply = await self._attempt(choice)
             if end is forwarding.End.ANSWERED:
@@ -139,14 +140,31 @@
                 path = self._find_path()
                 if path is not None:
                     return path
+                if self._waits_in_vain(wait_s):
+                    return None
                 await trio.sleep(POLL_S)
         return None
 
-    def _why_no_path(self) -> str:
+    def _waits_in_vain(self, wait_s: float) -> bool:
+        """Tells whether what is missing asked to be left alone for longer."""
+        left_s = self._exchange.backoff_left_s()
+        return (
+            left_s is not None
+            and left_s > wait_s
+            and not self._exchange.out.is_started
+            and not self._is_connected()
+        )
+
+    def _is_connected(self) -> bool:
         service = self._exchange.admitted.service
         if not service.has_layers:
+            return self._find_single() is not None
+        return self._state.book_of(service).is_connected()
+
+    def _why_no_path(self) -> str:
+        if not self._exchange.admitted.service.has_layers:
             return 'no engine'
-        if not self._state.book_of(service).is_connected():
+        if not self._is_connected():
             return 'no path: layers without a holder'
         return f'no path: no room for {self._tokens} tokens'
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -79,6 +79,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._left: dict[tuple[str, int], bool] = {}
         self._doubts: dict[tuple[str, int], _Doubt] = {}
+        self._backoffs: dict[tuple[str, int], float] = {}
         self.revision = 0
 
     def put(self, endpoint: Endpoint) -> bool:
@@ -137,6 +138,7 @@
             if e.service == service
             and not e.is_draining
             and not self.is_doubted(e, now)
+            and not self.is_backing_off(e, now)
         ]
 
     def count_domains(self) -> int:
@@ -176,6 +178,34 @@
         if self._doubts.pop(endpoint.incarnation, None) is not None:
             self.revision += 1
 
+    def back_off(self, endpoint: Endpoint, now: float, for_s: float) -> None:
+        """Keeps all new work from an endpoint that asks for it."""
+        self._backoffs = {
+            start: until
+            for start, until in self._backoffs.items()
+            if until > now and start[0] in self._endpoints
+        }
+        until = max(now + for_s, self._backoffs.get(endpoint.incarnation, now))
+        self._backoffs[endpoint.incarnation] = until
+        self.revision += 1
+
+    def is_backing_off(self, endpoint: Endpoint, now: float) -> bool:
+        """Tells whether an endpoint wants nothing at the moment."""
+        return self._backoffs.get(endpoint.incarnation, now) > now
+
+    def backoff_left_s(self, service: str, now: float) -> float | None:
+        """Returns when the first endpoint that backs off wants work again.
+
+        Returns:
+            Seconds from now; `None` if none of the service backs off.
+        """
+        left = [
+            self._backoffs[e.incarnation] - now
+            for e in self.all_of(service)
+            if not e.is_draining and self.is_backing_off(e, now)
+        ]
+        return min(left, default=None)
+
     def is_doubted(self, endpoint: Endpoint, now: float) -> bool:
         """Tells whether an endpoint is passed over at the moment."""
         doubt = self._doubts.get(endpoint.incarnation)
--- /dev/null
+++ b/tests/cover/conftest.py
@@ -0,0 +1,17 @@
+"""Fixtures of the fast tests."""
+
+import pytest
+import trio
+import trio.testing
+
+from sardinebend_gateway import clocks
+
+# Longer than bytes take over loopback, so that time stands meanwhile.
+IDLE_S = 0.002
+
+
+@pytest.fixture(name='clock')
+def fixture_clock(monkeypatch):
+    """Returns the virtual clock that tests and hosts go by."""
+    monkeypatch.setattr(clocks, 'now', trio.current_time)
+    return trio.testing.MockClock(autojump_threshold=IDLE_S)
--- a/tests/cover/test_gateway_readers.py
+++ b/tests/cover/test_gateway_readers.py
@@ -2,26 +2,14 @@
 
 import contextlib
 
-import pytest
 import trio
-import trio.testing
 
-from sardinebend_gateway import clocks
 from sardinebend_gateway import follower
 from sardinebend_gateway import shared_table
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
 
 HOSTS = 6
-# Longer than bytes take over loopback, so that time stands meanwhile.
-IDLE_S = 0.002
-
-
-@pytest.fixture(name='clock')
-def fixture_clock(monkeypatch):
-    """Returns the virtual clock that tests and hosts go by."""
-    monkeypatch.setattr(clocks, 'now', trio.current_time)
-    return trio.testing.MockClock(autojump_threshold=IDLE_S)
 
 
 class HostsStore(feeds.FeedStore):
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -289,3 +289,40 @@
 
     adapter = count('platform')
     assert adapter * 10 < adapter + count('packages') + count('standins')
+
+
+DATE = (b'Date', b'Fri, 04 Dec 2026 10:00:00 GMT')
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [
+        (b'2', 2.0),
+        (b' 0.25 ', 0.25),
+        (b'.5', 0.5),
+        (b'7200', request_codec.MAX_BACKOFF_S),
+        (b'9' * 400, request_codec.MAX_BACKOFF_S),
+        (b'Fri, 04 Dec 2026 10:00:30 GMT', 30.0),
+        (b'Fri, 04 Dec 2026 09:00:00 GMT', 0.0),
+        (b'-1', None),
+        (b'1e3', None),
+        (b'nan', None),
+        (b'soon', None),
+        (b'Fri, 99 Dec', None),
+        (b'', None),
+    ],
+)
+def test_the_time_that_an_endpoint_names_is_read(value, seconds):
+    codec = request_codec.PlatformRequests()
+    facts = codec.read_answer(503, [(b'Retry-After', value), DATE])
+    assert facts.backoff_s == seconds
+    assert bool(facts.unread) == (seconds is None)
+
+
+def test_only_a_server_that_is_unavailable_names_a_time():
+    codec = request_codec.PlatformRequests()
+    headers = [(b'Retry-After', b'2')]
+    for status in (200, 421, 429, 500):
+        assert codec.read_answer(status, headers).backoff_s is None
+    lone_date = [(b'Retry-After', b'Fri, 04 Dec 2026 10:00:30 GMT')]
+    assert codec.read_answer(503, lone_date).unread
