Bound what endless answers take of a host, all of them together

A host read each answer up to 16 MB, and a stream's event up to 1 MB, before it gave up; a report up to 64 MB. Fifty endpoints that send without end took 197 MB (chunks) and 260 MB (no length) of a host that has 200 to 550.

An event may have 256 KB, a report as much. Bytes that make no event are no progress: a stream that only drips is given up like a silent one. The endpoint is passed over for a while, the connection closed, and the attempt ends as its kind allows.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -23,6 +23,8 @@
 REPORT_LIFE_S: typing.Final = 0.15
 
 ACCEPTED: typing.Final = (200, 202)
+# A report names the engines that one waits for, some 60 bytes each.
+MAX_REPLY_BYTES: typing.Final = 256 * 1024
 
 
 class EngineCalls:
@@ -129,6 +131,7 @@
                 call.body,
                 timeout_s=timeout_s,
                 fresh=True,
+                max_bytes=MAX_REPLY_BYTES,
             )
         except store_errors.ConnectFailed as exc:
             self._watch.note(endpoint, crashes.Life.from_failure(exc))
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/errors.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/errors.py
@@ -30,5 +30,12 @@
     """
 
 
+class TooLarge(Malformed):
+    """Raised when an answer takes more bytes than any may; it may have no end.
+
+    Close the connection and pass the endpoint over for a while.
+    """
+
+
 class InvalidSettings(GatewayError):
     """Raised when a host's settings lack a field or hold a wrong value."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
@@ -2,9 +2,8 @@
 
 import typing
 
-from sardinebend_gateway import errors
-
-MAX_EVENT_BYTES: typing.Final = 1024 * 1024
+# An event holds a few tokens; much larger ones have no end.
+MAX_EVENT_BYTES: typing.Final = 256 * 1024
 
 
 class StreamEvent(typing.NamedTuple):
@@ -25,19 +24,21 @@
         """Whether part of an event has come and its end hasn't."""
         return bool(self._rest.strip())
 
+    @property
+    def rest_bytes(self) -> int:
+        """Bytes of the event that has begun."""
+        return len(self._rest)
+
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Returns the events that are whole after more bytes.
 
-        Raises:
-            errors.Malformed: An event is larger than any may be.
+        Whoever feeds it bounds the bytes of an event that has no end.
         """
         self._rest += data
         found = []
         while (end := _find_end(self._rest)) > 0:
             found.append(_make_event(self._rest[:end]))
             self._rest = self._rest[end:]
-        if len(self._rest) > MAX_EVENT_BYTES:
-            raise errors.Malformed('an event is too large')
         return found
 
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -8,7 +8,6 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
-from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import http_server
 from sardinebend_gateway import state as state_lib
@@ -25,8 +24,6 @@
 BACKOFF_SPREAD: typing.Final = 1.5
 # Why a request is given up under which endpoints have ended.
 QUARANTINED: typing.Final = 'ends the endpoints that run it'
-# An answer of a plain service is kept whole until it is known to be complete.
-MAX_ANSWER_BYTES: typing.Final = 16 * 1024 * 1024
 
 
 class Reply(typing.NamedTuple):
@@ -180,6 +177,11 @@
             **inputs,
         )
 
+    def note_too_large(self, endpoint: endpoints_lib.Endpoint) -> None:
+        """Takes in that an endpoint's answer was cut off for its size."""
+        self.state.metrics.count('answers_cut_off')
+        self.state.doubt(endpoint, 'an answer without end', is_dead=False)
+
     def log_attempt(
         self, endpoint: endpoints_lib.Endpoint, reason: str, then: str
     ) -> None:
@@ -259,20 +261,19 @@
     )
 
 
-async def read_body(response: typing.Any) -> bytes:
+async def read_body(state: state_lib.State, response: typing.Any) -> bytes:
     """Returns the whole body of a response.
 
     Raises:
-        errors.Malformed: It is larger than any answer may be.
+        errors.TooLarge: It is larger than any answer may be.
     """
-    chunks = []
-    size = 0
-    async for chunk in response.aiter_stream():
-        size += len(chunk)
-        if size > MAX_ANSWER_BYTES:
-            raise errors.Malformed('the answer is too large')
-        chunks.append(chunk)
-    return b''.join(chunks)
+    held = state.held_answers.open()
+    try:
+        async for chunk in response.aiter_stream():
+            await held.add(chunk)
+        return held.join()
+    finally:
+        held.close()
 
 
 def judge(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -154,10 +154,11 @@
                 ) as response:
                     facts = codec.read_answer(response.status, response.headers)
                     self._state.heed(endpoint, facts)
-                    body = await exchange_lib.read_body(response)
-            except store_errors.ExchangeFailed as exc:
+                    body = await exchange_lib.read_body(self._state, response)
+            except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
+                exchange.note_too_large(endpoint)
                 return forwarding.End.BROKEN, str(exc), None
-            except errors.Malformed as exc:
+            except (errors.Malformed, store_errors.ExchangeFailed) as exc:
                 return forwarding.End.BROKEN, str(exc), None
             reply = exchange_lib.Reply(
                 response.status, response.headers, body, facts
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
+from sardinebend_gateway import held_answers
 from sardinebend_gateway import metrics as metrics_lib
 from sardinebend_gateway import news
 from sardinebend_gateway import settings as settings_lib
@@ -52,6 +53,7 @@
         catalog_heard_at: When that answer came; it may have been under way
             for a while.
         endpoints: All known endpoints.
+        held_answers: What is held of incomplete answers.
         leaving: Starts of endpoints that said that they leave.
         suspects: Requests under which an endpoint may end.
         quarantine: Requests under which endpoints have ended.
@@ -79,6 +81,7 @@
         self.endpoints = endpoints_lib.EndpointTable()
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
+        self.held_answers = held_answers.HeldAnswers()
         self.leaving: news.News[tuple[str, int]] = news.News()
         self.suspects = suspects_lib.Suspects()
         self.quarantine = quarantine.Quarantine(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import event_stream
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import held_answers
 from sardinebend_gateway import stream_progress
 from sardinebend_gateway import stream_watchdog
 from sardinebend_policy import endpoints as endpoints_lib
@@ -81,6 +82,10 @@
                 req.method, req.target, headers, req.body
             ) as response:
                 await self._read_response(response)
+        except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
+            exchange.note_too_large(self._first)
+            self._progress.reason = str(exc)
+            self._end = forwarding.End.BROKEN
         except (store_errors.ExchangeFailed, errors.Malformed) as exc:
             self._progress.reason = str(exc)
             self._end = forwarding.End.BROKEN
@@ -93,7 +98,7 @@
         facts = codec.read_answer(response.status, response.headers)
         self._state.heed(self._first, facts)
         if response.status != 200:
-            body = await exchange_lib.read_body(response)
+            body = await exchange_lib.read_body(self._state, response)
             reply = exchange_lib.Reply(
                 response.status, response.headers, body, facts
             )
@@ -131,12 +136,23 @@
         return blamed
 
     async def _pass_events_on(self, response: typing.Any) -> None:
+        held = self._state.held_answers.open(event_stream.MAX_EVENT_BYTES)
+        try:
+            await self._pass_on(response, held)
+        finally:
+            held.close()
+
+    async def _pass_on(
+        self, response: typing.Any, held: held_answers.HeldAnswer
+    ) -> None:
         out = self._exchange.out
         async for chunk in response.aiter_stream():
-            self._progress.note_move()
             found = self._splitter.feed(chunk)
+            held.resize(self._splitter.rest_bytes)
             if not found:
+                self._progress.note_rest(self._splitter.rest_bytes)
                 continue
+            self._progress.note_move()
             self._check_order(found)
             if not out.is_started:
                 headers = self._state.edges.requests.make_answer_headers(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -18,6 +18,7 @@
         tokens: Tokens that it is expected to reach.
         moved_at: When the last event came or was passed on, by trio's clock.
         has_events: Whether any event has come.
+        torn_since: When the first bytes of an event came that isn't whole.
         waits_for_caller: Whether the caller is what it waits for.
         dead: Names of engines that were found dead meanwhile.
         reason: Why it failed, if it did.
@@ -34,6 +35,7 @@
         self.tokens = tokens
         self.moved_at = trio.current_time()
         self.has_events = False
+        self.torn_since: float | None = None
         self.waits_for_caller = False
         self.dead: set[str] = set()
         self.reason = ''
@@ -47,11 +49,19 @@
         """Notes that an event came or was passed on."""
         self.moved_at = trio.current_time()
 
+    def note_rest(self, rest_bytes: int) -> None:
+        """Notes how much of an event has come that isn't whole."""
+        if not rest_bytes:
+            self.torn_since = None
+        elif self.torn_since is None:
+            self.torn_since = trio.current_time()
+
     def note_event(self) -> None:
         """Notes that an event came: all parts run the request."""
         if not self.has_events:
             self.exchange.note_harmless()
         self.has_events = True
+        self.torn_since = None
         self.prove()
 
     def expose(self, path: paths_lib.Path) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -130,6 +130,16 @@
         if self._progress.has_events and silent_s > give_up_s:
             self._progress.reason = 'silent without a cause'
             return Verdict.MOVE
+        torn_since = self._progress.torn_since
+        if (
+            torn_since is not None
+            and trio.current_time() - torn_since > give_up_s
+        ):
+            self._progress.reason = 'bytes without an event'
+            self._progress.exchange.note_too_large(
+                self._progress.path[0].endpoint
+            )
+            return Verdict.MOVE
         return Verdict.WAIT
 
     async def _doubt_stalled(self, report: edges_lib.Report) -> set[str]:
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -20,6 +20,7 @@
 MAX_IDLE: typing.Final = 8
 MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
 IDLE_LIMIT_S: typing.Final = 20.0
+HEAD_TOO_LARGE: typing.Final = 431
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 
@@ -81,7 +82,7 @@
         try:
             response = await self._conn.handle_async_request(req)
         except _FAILURES as exc:
-            raise errors.ExchangeFailed(describe(exc)) from exc
+            raise _make_failure(exc) from exc
         try:
             yield response
         except _FAILURES as exc:
@@ -93,16 +94,26 @@
                 await response.aclose()
 
     async def exchange(
-        self, method: str, path: str, headers: Headers = (), body: bytes = b''
+        self,
+        method: str,
+        path: str,
+        headers: Headers = (),
+        body: bytes = b'',
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> Reply:
-        """Sends a request once and returns the whole reply."""
+        """Sends a request once and returns the whole reply.
+
+        Raises:
+            errors.ReplyTooLarge: The reply's body is larger than `max_bytes`.
+            errors.ExchangeFailed: As above.
+        """
         async with self.stream(method, path, headers, body) as response:
             chunks = []
             size = 0
             async for chunk in response.aiter_stream():
                 size += len(chunk)
-                if size > MAX_REPLY_BYTES:
-                    raise errors.ExchangeFailed('the reply is too large')
+                if size > max_bytes:
+                    raise errors.ReplyTooLarge('the reply is too large')
                 chunks.append(chunk)
             pairs = {
                 name.decode('latin-1').lower(): value.decode('latin-1')
@@ -200,6 +211,7 @@
         *,
         timeout_s: float,
         fresh: bool = False,
+        max_bytes: int = MAX_REPLY_BYTES,
     ) -> Reply:
         """Makes one exchange on an idle or a new connection.
 
@@ -210,6 +222,7 @@
             body: Request body.
             timeout_s: Bound on the exchange, connecting included.
             fresh: Whether a new connection is wanted.
+            max_bytes: Largest body of a reply.
 
         Raises:
             errors.ConnectFailed: Nothing was sent.
@@ -221,7 +234,9 @@
         done = False
         try:
             with trio.fail_after(left):
-                reply = await conn.exchange(method, path, headers, body)
+                reply = await conn.exchange(
+                    method, path, headers, body, max_bytes
+                )
                 done = True
         except trio.TooSlowError as exc:
             raise errors.ExchangeFailed(f'{self.url}: timed out') from exc
@@ -242,6 +257,15 @@
         await self.drop_idle()
 
 
+def _make_failure(exc: BaseException) -> errors.ExchangeFailed:
+    """Returns the error for a reply whose head didn't come whole."""
+    # The parser gives up on a head that outgrows its buffer with this hint.
+    hint = getattr(exc.__cause__, 'error_status_hint', None)
+    if hint == HEAD_TOO_LARGE:
+        return errors.ReplyTooLarge(describe(exc))
+    return errors.ExchangeFailed(describe(exc))
+
+
 def describe(exc: BaseException) -> str:
     """Returns the type and text of an error."""
     return f'{type(exc).__name__}: {exc}'
--- a/packages/sardinebend-store/src/sardinebend_store/errors.py
+++ b/packages/sardinebend-store/src/sardinebend_store/errors.py
@@ -59,5 +59,9 @@
     """Raised when a connection failed after something may have been sent."""
 
 
+class ReplyTooLarge(ExchangeFailed):
+    """Raised when a reply is larger than it may be; it may have no end."""
+
+
 class BadReply(PlatformError):
     """Raised when a service answers in a form that its protocol excludes."""
