Keep interim answers and tiny pieces without end from holding up a host

One endpoint that sent interim answers (100) without end stopped a host: another request took 1.4 s where 8 ms are usual, as the client parses what it has read, thousands of heads at once, before any other task runs. Chunks of one byte did the same a little less (p50 0.5 s with 50 such answers).

Interim answers beyond eight end the connection. Each piece of an answer counts with what it takes of memory and of the processor, other tasks get their turn after eight, and beyond 256 pieces reading is paced as for large answers. An event's end is sought only in the new bytes.

The new cases of test_gateway_endless_answers.py ended before only with the route's time-out.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
@@ -2,6 +2,8 @@
 
 import typing
 
+MARKS: typing.Final = (b'\n\n', b'\r\n\r\n')
+LONGEST_MARK: typing.Final = 4
 # An event holds a few tokens; much larger ones have no end.
 MAX_EVENT_BYTES: typing.Final = 256 * 1024
 
@@ -17,7 +19,8 @@
     """Collects bytes and returns events once they are whole."""
 
     def __init__(self) -> None:
-        self._rest = b''
+        self._rest = bytearray()
+        self._searched = 0
 
     @property
     def has_rest(self) -> bool:
@@ -36,18 +39,19 @@
         """
         self._rest += data
         found = []
-        while (end := _find_end(self._rest)) > 0:
-            found.append(_make_event(self._rest[:end]))
-            self._rest = self._rest[end:]
+        while (end := _find_end(self._rest, self._searched)) > 0:
+            found.append(_make_event(bytes(self._rest[:end])))
+            del self._rest[:end]
+            self._searched = 0
+        # An end mark may have begun in the last bytes.
+        self._searched = max(0, len(self._rest) - LONGEST_MARK + 1)
         return found
 
 
-def _find_end(data: bytes) -> int:
-    """Returns where the first event ends, or 0."""
+def _find_end(data: bytearray, start: int) -> int:
+    """Returns where the first event ends, or 0; searches from a place on."""
     ends = [
-        at + len(mark)
-        for mark in (b'\n\n', b'\r\n\r\n')
-        if (at := data.find(mark)) >= 0
+        at + len(mark) for mark in MARKS if (at := data.find(mark, start)) >= 0
     ]
     return min(ends, default=0)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/held_answers.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/held_answers.py
@@ -15,8 +15,16 @@
 MAX_HELD_BYTES: typing.Final = 24 * 1024 * 1024
 # A plain answer is kept whole until it is known to be complete.
 MAX_ANSWER_BYTES: typing.Final = 16 * 1024 * 1024
-# Ordinary answers are smaller; beyond this, reading is slowed down.
+# What a piece takes besides its bytes, however small it is.
+PIECE_BYTES: typing.Final = 48
+# What a piece takes of the processor, in bytes of a large one.
+PIECE_WORK_BYTES: typing.Final = 8 * 1024
+# Pieces after which other tasks get their turn.
+PIECES_AT_ONCE: typing.Final = 8
+# Ordinary answers are smaller and come in fewer pieces; beyond these, reading
+# is slowed down.
 SMALL_BYTES: typing.Final = 256 * 1024
+FEW_PIECES: typing.Final = 256
 # All large answers together; a small host spends a tenth of its core on it.
 LARGE_BYTES_PER_S: typing.Final = 32 * 1024 * 1024
 
@@ -78,6 +86,7 @@
         self._limit = limit
         self._chunks: list[bytes] = []
         self._is_dropped = False
+        self._pieces = 0
 
     async def add(self, chunk: bytes) -> None:
         """Keeps more bytes.
@@ -86,14 +95,18 @@
             errors.TooLarge: The answer is larger than any may be, or has been
                 dropped to make room.
         """
-        if not self._is_dropped and self.size + len(chunk) <= self._limit:
-            self._chunks.append(chunk)
-            self.resize(self.size + len(chunk))
-        elif not self._is_dropped:
-            self.drop()
-        self._check()
-        if self.size > SMALL_BYTES:
-            await self._held.pace(len(chunk))
+        size = len(chunk) + PIECE_BYTES
+        self.resize(self.size + size)
+        self._chunks.append(chunk)
+        await self.take_turn(size)
+
+    async def take_turn(self, size: int) -> None:
+        """Lets other tasks run after a piece of some bytes."""
+        self._pieces += 1
+        if self.size > SMALL_BYTES or self._pieces > FEW_PIECES:
+            await self._held.pace(max(size, PIECE_WORK_BYTES))
+        elif self._pieces % PIECES_AT_ONCE == 0:
+            await trio.lowlevel.checkpoint()
 
     def resize(self, size: int) -> None:
         """Counts bytes that are kept elsewhere.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -151,6 +151,7 @@
             held.resize(self._splitter.rest_bytes)
             if not found:
                 self._progress.note_rest(self._splitter.rest_bytes)
+                await held.take_turn(len(chunk))
                 continue
             self._progress.note_move()
             self._check_order(found)
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -21,6 +21,9 @@
 MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
 IDLE_LIMIT_S: typing.Final = 20.0
 HEAD_TOO_LARGE: typing.Final = 431
+# One is usual, where a server takes its time over a long request.
+MAX_INTERIM: typing.Final = 8
+INTERIM_MARK: typing.Final = b'HTTP/1.1 1'
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 
@@ -43,14 +46,70 @@
     body: bytes
 
 
+class _GuardedStream(httpcore.AsyncNetworkStream):
+    """A network stream on which an answer's head has to come at some point.
+
+    The client below reads interim answers for ever, thousands of them without
+    letting another task run.
+    """
+
+    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
+        self._stream = stream
+        self._interim: int | None = None
+
+    def expect_head(self) -> None:
+        """Counts interim answers from now on."""
+        self._interim = 0
+
+    def end_head(self) -> None:
+        """Stops counting."""
+        self._interim = None
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
+        """Reads bytes."""
+        data = await self._stream.read(max_bytes, timeout)
+        if self._interim is not None:
+            self._interim += data.count(INTERIM_MARK)
+            if self._interim > MAX_INTERIM:
+                raise httpcore.RemoteProtocolError('interim answers, no end')
+        return data
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
+        """Writes bytes."""
+        await self._stream.write(buffer, timeout)
+
+    async def aclose(self) -> None:
+        """Closes the stream."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: ssl.SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,
+    ) -> httpcore.AsyncNetworkStream:
+        """Goes on encrypted."""
+        return await self._stream.start_tls(
+            ssl_context, server_hostname, timeout
+        )
+
+    def get_extra_info(self, info: str) -> typing.Any:
+        """Returns what is known of the connection."""
+        return self._stream.get_extra_info(info)
+
+
 class Connection:
     """One open HTTP/1.1 connection to one origin."""
 
     def __init__(
-        self, origin: 'Origin', conn: httpcore.AsyncHTTP11Connection
+        self,
+        origin: 'Origin',
+        conn: httpcore.AsyncHTTP11Connection,
+        stream: _GuardedStream,
     ) -> None:
         self._origin = origin
         self._conn = conn
+        self._stream = stream
         self._idle_since = 0.0
 
     @contextlib.asynccontextmanager
@@ -79,10 +138,13 @@
             headers=[*fixed, *headers],
             content=body,
         )
+        self._stream.expect_head()
         try:
             response = await self._conn.handle_async_request(req)
         except _FAILURES as exc:
             raise _make_failure(exc) from exc
+        finally:
+            self._stream.end_head()
         try:
             yield response
         except _FAILURES as exc:
@@ -183,7 +245,9 @@
         origin = httpcore.Origin(
             scheme.encode(), self._host.encode(), self._port
         )
-        return Connection(self, httpcore.AsyncHTTP11Connection(origin, stream))
+        guarded = _GuardedStream(stream)
+        conn = httpcore.AsyncHTTP11Connection(origin, guarded)
+        return Connection(self, conn, guarded)
 
     async def take(self, timeout_s: float) -> Connection:
         """Returns an idle connection, or opens a new one."""
--- a/tests/cover/test_gateway_endless_answers.py
+++ b/tests/cover/test_gateway_endless_answers.py
@@ -10,6 +10,7 @@
 BLOCK = b'x' * 65536
 MAX_HELD_BYTES = 64 * 1024 * 1024
 AT_ONCE = 50
+INTERIM = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
 async def flood(stream, block=BLOCK):
@@ -49,6 +50,10 @@
     'a failure': endless(lambda f: world_lib.head(500, f, 'none')),
     'a head': endless(torn_head),
     'garbage': endless(lambda f: b''),
+    'interim answers': endless(lambda f: b'', INTERIM * 2000),
+    'tiny pieces': endless(
+        lambda f: world_lib.head(200, f, 'chunked'), b'1\r\nx\r\n' * 8000
+    ),
 }
 
 
@@ -144,7 +149,9 @@
     assert answer[0] in (502, 503, 504)
 
 
-@pytest.mark.parametrize('kind', ['chunks', 'no length', 'a head'])
+@pytest.mark.parametrize(
+    'kind', ['chunks', 'no length', 'a head', 'tiny pieces']
+)
 async def test_many_answers_without_end_leave_the_memory_bounded(kind):
     # Guards against a bound on each answer that all of them together exceed.
     bad = world_lib.Server('app-1', 'app', FLOODS[kind])
