Quarantine lookups of the product's own interface too

A lookup under which its endpoints end was tried at up to four of them for each call, and came back unknown: all six endpoints of the test ended.

After a call without an answer the endpoint is asked for a connection; a refusal makes what ran there suspects, in the same quarantine that drafts use, and the other hosts are told. A lookup that is served is cleared. Checked before each try.

--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -210,7 +210,12 @@
                 draft_runner.DraftRunner(state, driver, peering.tell_crashes),
             ),
             operations.Operations(
-                state, client, platform, peering.ask_claimant, nursery
+                state,
+                client,
+                platform,
+                peering.ask_claimant,
+                peering.tell_crashes,
+                nursery,
             ),
             operators.Operators(
                 state,
--- a/packages/sardinebend-router/src/sardinebend_router/lookup.py
+++ b/packages/sardinebend-router/src/sardinebend_router/lookup.py
@@ -6,6 +6,7 @@
 from sardinebend_policy import outcomes
 from sardinebend_policy import quarantine
 from sardinebend_router import booking
+from sardinebend_router import service_crashes
 from sardinebend_router import services
 from sardinebend_router import state as state_lib
 from sardinebend_store import errors as platform_errors
@@ -21,12 +22,17 @@
         client: services.ServiceClient,
         plan: booking.Plan,
         reply_s: float,
+        crashes: service_crashes.ServiceCrashes,
+        fingerprint: str,
     ) -> None:
         self._session = session
         self._state = state
         self._client = client
         self._plan = plan
         self._reply_s = reply_s
+        self._crashes = crashes
+        self._fingerprint = fingerprint
+        self._runs = 0
 
     async def run(self, deadline: float) -> outcomes.Outcome:
         """Tries endpoints until there is an end."""
@@ -38,6 +44,11 @@
         step: outcomes.Outcome | lookups.Pause = lookups.Pause(0, frozenset())
         while isinstance(step, lookups.Pause):
             await trio.sleep(step.pause_s)
+            refusal = self._crashes.refuse(self._fingerprint)
+            if refusal is not None:
+                return self._session.give_up(
+                    refusal.reason, refusal.retry_after_s
+                )
             endpoint_id = services.choose_endpoint(
                 self._state.fleet, self._plan.service, step.avoid
             )
@@ -58,19 +69,22 @@
             now = trio.current_time()
             fleet.mark_suspect(endpoint_id, now)
             return self._session.on_connect_failed(endpoint_id, now)
-        request_id = self._plan.call.request_id
-        run = quarantine.Run(request_id, request_id)
+        self._runs += 1
+        run_id = f'{self._plan.call.request_id}/{self._runs}'
+        run = quarantine.Run(self._fingerprint, run_id)
         fleet.begin(endpoint_id, run)
         self._session.note_sent()
         try:
             with trio.fail_after(self._reply_s):
                 reply = await opened.send(self._plan.call)
         except (platform_errors.PlatformError, trio.TooSlowError):
+            await self._crashes.look_into(endpoint_id, run)
             now = trio.current_time()
             return self._session.on_reply_lost(endpoint_id, now)
         finally:
             fleet.finish(endpoint_id, run)
             await opened.close()
+        self._crashes.note_served(self._fingerprint)
         content_type = reply.headers.get('content-type', '')
         answer = outcomes.Answered(0, reply.status, content_type, reply.body)
         return self._session.on_reply(endpoint_id, answer, trio.current_time())
--- a/packages/sardinebend-router/src/sardinebend_router/operations.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operations.py
@@ -15,6 +15,7 @@
 from sardinebend_router import calls
 from sardinebend_router import errors
 from sardinebend_router import lookup
+from sardinebend_router import service_crashes
 from sardinebend_router import services
 from sardinebend_router import state as state_lib
 
@@ -43,12 +44,16 @@
         client: services.ServiceClient,
         platform: booking.Platform,
         ask_claimant: booking.AskClaimant,
+        tell_crashes: service_crashes.TellCrashes,
         nursery: trio.Nursery,
     ) -> None:
         self._state = state
         self._client = client
         self._platform = platform
         self._ask_claimant = ask_claimant
+        self._crashes = service_crashes.ServiceCrashes(
+            state, client, tell_crashes
+        )
         self._nursery = nursery
 
     async def serve(
@@ -135,7 +140,15 @@
         )
         reply_s = state.number('service.reply_s', ask.customer, '', ask.kind)
         carrier = lookup.LookupCarrier(
-            session, state, self._client, ask.plan, reply_s
+            session,
+            state,
+            self._client,
+            ask.plan,
+            reply_s,
+            self._crashes,
+            self._crashes.make_fingerprint(
+                ask.customer, ask.kind, ask.plan.call.body
+            ),
         )
         scope = trio.CancelScope()
         call.caller.on_left(scope.cancel)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,6 +10,8 @@
 EVERY_S = 1.2
 # Hosts that stay, so that there is someone to ask.
 MIN_HOSTS = 2
+# Each may end three servers, of two that a plain service has.
+MAX_FATAL = 2
 
 
 async def run(fleet):
@@ -159,8 +161,11 @@
 
 async def fatal_request(fleet):
     """A caller sends a request that ends what runs it, again and again."""
+    if len(fleet.fatal_contents) >= MAX_FATAL:
+        return
     kind = fleet.rng.choice(('look', 'draft', 'book'))
     content = fleet_lib.FATAL + str(fleet.rng.getrandbits(32)).encode()
+    fleet.fatal_contents.add(content)
     fleet.note(f'{content.decode()} ({kind}) begins')
     for number in range(fleet.rng.randint(6, 14)):
         up = [host for host in fleet.hosts if host.is_ready()]
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -327,6 +327,7 @@
         self.disturbances: list[list[float]] = []
         self.departures: list[Departure] = []
         self.fatal_runs: list[FatalRun] = []
+        self.fatal_contents: set[bytes] = set()
         self.withdrawn: dict[str, float] = {}
         self.config = world_lib.make_config()
         self.keys = {world_lib.KEY: None}
