Soak the real programs as processes, under faults from outside

Hosts run as `deploy/host.py` with settings as the platform writes them; the store, plain services and engines are stand-ins in processes of their own that write what they saw to files. Faults: SIGKILL, SIGTERM, SIGSTOP, SIGHUP of hosts, ends and pauses of servers and of the store, servers that leave, name a time or answer without end, requests that end what runs them, and a proxy that slows, silences or resets a host's way to the store. The checks are those of the soak in one process, which plays the two new kinds of servers as well.

Workers that two faults started at once are started once.

--- /dev/null
+++ b/tests/soak/process_faults.py
@@ -0,0 +1,168 @@
+"""Faults of a soak over processes, from outside them; several may overlap."""
+
+import signal
+
+import trio
+
+from tests.soak import faults
+from tests.soak import fleet as fleet_lib
+
+EVERY_S = 1.2
+MIN_HOSTS = 2
+# A planned stop's grace, and what a process takes to start.
+STOP_S = 12.0
+
+
+async def run(fleet):
+    """Begins one fault after another until cancelled."""
+    kinds = fleet.rng.sample(KINDS, fleet.rng.randint(1, len(KINDS)))
+    while True:
+        await trio.sleep(fleet.rng.expovariate(1 / EVERY_S))
+        fleet.nursery.start_soon(fleet.rng.choice(kinds), fleet)
+
+
+def _pick_host(fleet):
+    up = [host for host in fleet.hosts if host.is_ready()]
+    return fleet.rng.choice(up) if len(up) > MIN_HOSTS else None
+
+
+def _pick_worker(fleet):
+    """Returns a worker beside which another one does the same."""
+    worker = fleet.rng.choice(list(fleet.workers.values()))
+    same = [
+        w
+        for w in fleet.workers.values()
+        if (w.service, w.span) == (worker.service, worker.span)
+        and w.process.is_up
+        and not w.is_leaving
+    ]
+    return worker if worker in same and len(same) > 1 else None
+
+
+async def host_killed(fleet):
+    host = _pick_host(fleet)
+    if host is None:
+        return
+    with fleet.disturbed(f'{host.name} killed'):
+        host.process.kill()
+        await trio.sleep(fleet.rng.uniform(0.2, 2))
+        host.start()
+        await trio.sleep(1.0)
+
+
+async def host_stopped(fleet):
+    host = _pick_host(fleet)
+    if host is None:
+        return
+    fleet.note(f'{host.name} stops as planned')
+    host.process.send(signal.SIGTERM)
+    with trio.move_on_after(STOP_S):
+        while host.process.is_up:
+            await trio.sleep(0.05)
+    host.start()
+
+
+async def host_paused(fleet):
+    host = _pick_host(fleet)
+    if host is None:
+        return
+    with fleet.disturbed(f'{host.name} paused'):
+        pause = [trio.current_time(), float('inf')]
+        host.pauses.append(pause)
+        host.process.send(signal.SIGSTOP)
+        await trio.sleep(fleet.rng.uniform(0.3, 3))
+        host.process.send(signal.SIGCONT)
+        pause[1] = trio.current_time()
+
+
+async def host_reloads(fleet):
+    host = _pick_host(fleet)
+    if host is not None:
+        fleet.note(f'{host.name} reads its settings again')
+        host.process.send(signal.SIGHUP)
+
+
+async def store_link_bad(fleet):
+    host = fleet.rng.choice(fleet.hosts)
+    if host.proxy.mode != 'open':
+        return
+    mode = fleet.rng.choice(('slow', 'silent', 'reset'))
+    with fleet.disturbed(f'{host.name}: way to the store {mode}'):
+        host.proxy.set_mode(mode)
+        await trio.sleep(fleet.rng.uniform(0.5, 6))
+        host.proxy.set_mode('open')
+
+
+async def store_paused(fleet):
+    with fleet.disturbed('store paused'):
+        fleet.store.send(signal.SIGSTOP)
+        await trio.sleep(fleet.rng.uniform(0.3, 4))
+        fleet.store.send(signal.SIGCONT)
+
+
+async def worker_killed(fleet):
+    worker = _pick_worker(fleet)
+    if worker is None:
+        return
+    fleet.note(f'{worker.name} killed')
+    worker.process.kill()
+    await trio.sleep(fleet.rng.uniform(1, 5))
+    worker.start()
+
+
+async def worker_paused(fleet):
+    worker = _pick_worker(fleet)
+    if worker is None:
+        return
+    fleet.note(f'{worker.name} paused')
+    worker.process.send(signal.SIGSTOP)
+    await trio.sleep(fleet.rng.uniform(0.3, 3))
+    worker.process.send(signal.SIGCONT)
+
+
+async def worker_leaves(fleet):
+    worker = _pick_worker(fleet)
+    if worker is None:
+        return
+    fleet.note(f'{worker.name} leaves')
+    worker.is_leaving = True
+    fleet.departures.append(
+        fleet_lib.Departure(worker.name, worker.born, trio.current_time())
+    )
+    worker.process.send(signal.SIGTERM)
+    while worker.process.is_up:
+        await trio.sleep(0.1)
+    worker.start()
+
+
+async def worker_misbehaves(fleet):
+    worker = fleet.rng.choice(list(fleet.workers.values()))
+    number = fleet.rng.choice((signal.SIGUSR1, signal.SIGUSR2))
+    fleet.note(f'{worker.name} gets signal {number.name}')
+    worker.process.send(number)
+
+
+async def workers_revived(fleet):
+    """Starts workers again that a request has ended, for the whole soak."""
+    while True:
+        await trio.sleep(1.0)
+        for worker in fleet.workers.values():
+            if not worker.process.is_up and not worker.is_leaving:
+                await trio.sleep(fleet.rng.uniform(0.5, 2))
+                if not worker.process.is_up:
+                    worker.start()
+
+
+KINDS = (
+    host_killed,
+    host_stopped,
+    host_paused,
+    host_reloads,
+    store_link_bad,
+    store_paused,
+    worker_killed,
+    worker_paused,
+    worker_leaves,
+    worker_misbehaves,
+    faults.fatal_request,
+)
--- /dev/null
+++ b/tests/soak/store_process.py
@@ -0,0 +1,112 @@
+"""A stand-in of the platform's store of rows, as a process: `PORT`."""
+
+import base64
+import json
+import sys
+import urllib.parse
+
+import result
+import trio
+
+from sardinebend_gateway import http_server
+from sardinebend_policy import catalog
+from sardinebend_store import errors
+from sardinebend_store import feeds
+
+IP = '127.0.0.1'
+# A listing lapses after three heartbeats without a write.
+LAPSE_S = 3.6
+ROUND_S = 0.2
+LISTINGS = 'servers'
+JSON = [(b'content-type', b'application/json')]
+
+
+class Store:
+    """Rows over HTTP, as the platform's pages say."""
+
+    def __init__(self):
+        self.rows = feeds.MemoryFeeds()
+        self._written_at = {}
+
+    async def serve(self, req, out):
+        path, _, query = req.target.decode().partition('?')
+        fields = dict(urllib.parse.parse_qsl(query))
+        status, body = await self._answer(path, fields, req.body)
+        await out.answer(status, JSON, json.dumps(body).encode())
+
+    async def _answer(self, path, fields, body):
+        if path == '/-/rows-tx':
+            return await self._write(json.loads(body))
+        if path == '/-/rows-get':
+            found = (await self.rows.read_all(fields['table'])).ok_value
+            start = fields.get('from', '')
+            rows = [row for row in found.rows if row.key >= start]
+        else:
+            wait_s = int(fields['wait_ms']) / 1000
+            after = int(fields['after_revision'])
+            answer = await self.rows.follow(fields['table'], after, wait_s)
+            if isinstance(answer, result.Err):
+                return 410, {}
+            found = answer.ok_value
+            rows = found.rows
+        return 200, {
+            'rows': [make_row(row) for row in rows],
+            'row_version': found.version,
+            'has_more': False,
+        }
+
+    async def _write(self, body):
+        removed = [{**row, 'value': None} for row in body['remove']]
+        for row in [*body['puts'], *removed]:
+            expected = [
+                e['row_version']
+                for e in body['expected']
+                if e['key'] == row['key']
+            ]
+            value = row['value']
+            if value is not None:
+                value = base64.b64decode(value)
+            answer = await self.rows.write(
+                row['table'],
+                row['key'],
+                expected[0] if expected else None,
+                value,
+            )
+            if isinstance(answer, result.Err):
+                assert isinstance(answer.err_value, errors.Conflict)
+                found = [r for r in answer.err_value.rows.values() if r]
+                return 412, {'rows': [make_row(r) for r in found]}
+            if row['table'] == LISTINGS:
+                self._written_at[row['key']] = trio.current_time()
+            version = answer.ok_value
+        return 200, {'row_version': version}
+
+    async def lapse(self):
+        """Drops the listings of servers that have fallen silent."""
+        while True:
+            await trio.sleep(ROUND_S)
+            limit = trio.current_time() - LAPSE_S
+            for key, at in list(self._written_at.items()):
+                if at < limit:
+                    del self._written_at[key]
+                    await self.rows.write(LISTINGS, key, None, None)
+
+
+def make_row(row):
+    made = {'key': row.key, 'row_version': row.version, 'part': ''}
+    if row.value is None:
+        return {**made, 'deleted': True}
+    return {**made, 'value': base64.b64encode(row.value).decode()}
+
+
+async def run(port):
+    store = Store()
+    limits = catalog.Limits()._replace(max_body_bytes=1_000_000)
+    server = http_server.Server(store.serve, lambda: limits)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery, IP, port)
+        nursery.start_soon(store.lapse)
+
+
+if __name__ == '__main__':
+    trio.run(run, int(sys.argv[1]))
