Keep a host from ending over a crash that is told again

All requests of that host would have ended with it.

Cause: a run that was at two endpoints when they ended stood in the books of both crashes, but counted for the first only. When its request was served, it was taken out of the first alone; the next word of the second crash met a suspect that was no longer known. The fault is as old as the quarantine; since crashes are told again by each host that has a suspect, it is within reach.

Change: a run stands only at the crash that it counts for.

test_a_run_of_two_crashes_is_cleared_from_both and a state machine over any order of crashes, served requests and time both failed before.

--- a/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
@@ -82,15 +82,15 @@
     def record_crash(self, crash: Crash, now: float) -> frozenset[str]:
         """Takes in a crash and returns the fingerprints that it convicts."""
         known = self._crashes.setdefault(crash.crash_id, set())
-        runs = {
-            run
-            for run in crash.runs
-            if self._proven.get(run.fingerprint, now) <= now
-        }
-        known |= runs
-        for run in runs:
+        for run in crash.runs:
+            if self._proven.get(run.fingerprint, now) > now:
+                continue
             crash_by_run = self._crashes_of.setdefault(run.fingerprint, {})
-            crash_by_run.setdefault(run.run_id, crash.crash_id)
+            # Of endpoints that die under one run only the first is evidence.
+            if crash_by_run.setdefault(run.run_id, crash.crash_id) == (
+                crash.crash_id
+            ):
+                known.add(run)
         self._trim()
         convicted = self._find_guilty(crash.crash_id)
         for fingerprint in convicted:
