Soak with kept connections and judge planned stops

Callers of both soaks keep connections and use them again until the process is gone. A request of a plain kind that a host had read, and whose connection it closed without an answer during a planned stop, is a broken promise while nothing else disturbs hosts or store; a test shows that the check turns red when a stop doesn't wait.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -3,10 +3,13 @@
 import unittest.mock
 
 import pytest
+import trio
 
+from sardinebend_gateway import gateway as gateway_lib
 from sardinebend_policy import forwarding
 from sardinebend_policy import quarantine
 from tests.soak import faults
+from tests.soak import fleet as fleet_lib
 from tests.soak import soak
 
 LAST_S = 15.0
@@ -47,3 +50,22 @@
     ):
         result = soak.play(3, 2 * LAST_S)
     assert any('more servers' in line for line in result.broken)
+
+
+def test_a_soak_finds_a_planned_stop_that_cuts_requests_off():
+    run_plain = fleet_lib.Worker._run_plain
+
+    async def run_slowly(worker, run, stream):
+        await trio.sleep(0.5)
+        return await run_plain(worker, run, stream)
+
+    async def do_not_wait(gateway):
+        gateway.server.close()
+
+    with (
+        unittest.mock.patch.object(gateway_lib.Gateway, '_drain', do_not_wait),
+        unittest.mock.patch.object(fleet_lib.Worker, '_run_plain', run_slowly),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.host_stopped,)),
+    ):
+        result = soak.play(3, LAST_S)
+    assert any('closed without' in line for line in result.broken)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,9 @@
 STALE_SHARE = 0.3
 A_SECOND = 14
 OLD_KEY_SHARE = 0.2
+KEPT_SHARE = 0.6
+# Four fifths of the time for which hosts let a connection idle.
+KEPT_S = 1.6
 
 
 async def run(fleet):
@@ -39,7 +42,7 @@
         leaves_s = None
         if fleet.rng.random() < LEAVING_SHARE:
             leaves_s = fleet.rng.uniform(0.02, 1.0)
-        fleet.nursery.start_soon(ask, asked, leaves_s)
+        fleet.nursery.start_soon(ask, fleet, asked, leaves_s)
 
 
 def _choose_key(fleet):
@@ -49,15 +52,16 @@
     return fleet.rng.choice(list(fleet.keys))
 
 
-async def ask(asked, leaves_s=None):
+async def ask(fleet, asked, leaves_s=None):
     """Sends one request and reads its answer, or leaves before."""
     patience_s = PATIENCE_S[asked.kind]
     scope_s = leaves_s if leaves_s is not None else patience_s + 1
-    stream = None
+    stream, is_kept = None, False
     try:
         with trio.move_on_after(scope_s):
-            stream = await asked.host.world.connect()
-            await _exchange(asked, stream, patience_s)
+            stream = await _take_connection(fleet, asked.host)
+            is_kept = await _exchange(asked, stream, patience_s)
+            asked.was_closed = not asked.is_whole
     except OSError:
         # The host has gone meanwhile.
         pass
@@ -65,11 +69,32 @@
         asked.ended_at = trio.current_time()
         if asked.status == 0 and leaves_s is not None:
             asked.left_at = asked.ended_at
-        if stream is not None:
+        if is_kept:
+            _keep_connection(fleet, asked.host, stream)
+        elif stream is not None:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
 
+async def _take_connection(fleet, host):
+    """Returns a connection that was kept, or a new one.
+
+    Connections are kept until the process behind them is gone.
+    """
+    kept = fleet.kept.get(id(host.world), [])
+    while kept and fleet.rng.random() < KEPT_SHARE:
+        stream, since = kept.pop()
+        if trio.current_time() - since < KEPT_S:
+            return stream
+        await trio.aclose_forcefully(stream)
+    return await host.world.connect()
+
+
+def _keep_connection(fleet, host, stream):
+    kept = fleet.kept.setdefault(id(host.world), [])
+    kept.append((stream, trio.current_time()))
+
+
 async def ask_fatal(fleet, host, kind, content, request_id):
     """Sends one attempt of a request that ends what runs it."""
     asked = fleet_lib.Asked(
@@ -85,6 +110,7 @@
 
 
 async def _exchange(asked, stream, patience_s, content=None):
+    """Makes one exchange; returns whether the connection may be kept."""
     if content is None and asked.kind != 'look':
         content = b'body of ' + asked.request_id.encode()
     data = world_lib.make_request(
@@ -98,5 +124,7 @@
     # Closed while sending; an answer may have come before.
     with contextlib.suppress(trio.BrokenResourceError):
         await stream.send_all(data)
+        asked.sent_at = trio.current_time()
     answer = await world_lib.read_answer(stream)
-    asked.status, _, asked.body, asked.is_whole = answer
+    asked.status, headers, asked.body, asked.is_whole = answer
+    return asked.is_whole and headers.get('connection') != 'close'
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,13 +8,22 @@
 NOT_RUN = (408, 421, 429, 503)
 # A route's time-out, in seconds; a gateway's own answer comes no later.
 TIMEOUT_S = {'look': 2.0, 'book': 2.0, 'draft': 8.0}
+# Callers see the end of a process a little after it.
+TIMEOUT_SLACK_S = 0.1
 # Least share of requests that are served under these faults; a system that
 # refuses everything keeps all other promises.
 MIN_SERVED = 0.5
 
 
 # Bounds in time, which need a machine that isn't held up.
-TIMED = frozenset(('is_late', 'is_worked_on_for_nobody', 'is_key_withdrawn'))
+TIMED = frozenset(
+    (
+        'is_late',
+        'is_worked_on_for_nobody',
+        'is_key_withdrawn',
+        'is_lost_at_a_stop',
+    )
+)
 
 
 def check(fleet, is_timed=True):
@@ -38,6 +47,7 @@
             is_worked_on_for_nobody,
             is_key_passed_on,
             is_key_withdrawn,
+            is_lost_at_a_stop,
         ):
             if not is_timed and test.__name__ in TIMED:
                 continue
@@ -141,6 +151,27 @@
     return None
 
 
+def is_lost_at_a_stop(fleet, asked, runs):
+    """A host that stops as planned answers what it has read.
+
+    Only while nothing else disturbs hosts or store. A stream whose engine has
+    ended, or whose time is nearly over, isn't judged.
+    """
+    if not asked.was_closed or asked.sent_at is None or asked.kind == 'draft':
+        return None
+    for stop in fleet.stops:
+        if stop.host is not asked.host or not (
+            stop.begun_at <= asked.ended_at <= stop.ended_at + TIMEOUT_SLACK_S
+        ):
+            continue
+        was_read = runs or (
+            asked.ended_at - asked.sent_at > fleet_lib.LOSS_SLACK_S
+        )
+        if was_read and fleet.was_calm(asked.at, asked.ended_at):
+            return f'closed without an answer at {asked.host.name}'
+    return None
+
+
 def sent_to_leaving(fleet):
     """Returns requests that reached a server long after it said it leaves.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -84,9 +84,11 @@
     if host is None:
         return
     fleet.note(f'{host.name} stops as planned')
+    begun_at = trio.current_time()
     host.world.gateway.begin_stop()
     while host.is_up:
         await trio.sleep(0.05)
+    fleet.stops.append(fleet_lib.Stop(host, begun_at, trio.current_time()))
     fleet.nursery.start_soon(host.run)
 
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -36,6 +36,9 @@
 FATAL_REPEATS: typing.Final = 3
 FATAL_KNOWN_S: typing.Final = 3.0
 FATAL: typing.Final = b'fatal '
+# Longer after its last byte, a request at a host that stops as planned must
+# get its answer.
+LOSS_SLACK_S: typing.Final = 0.2
 # Around a disturbance of hosts or store, bounds in time aren't judged.
 CALM_S: typing.Final = 3.0
 
@@ -69,6 +72,16 @@
     is_whole: bool = False
     ended_at: float | None = None
     left_at: float | None = None
+    sent_at: float | None = None
+    was_closed: bool = False
+
+
+class Stop(typing.NamedTuple):
+    """A planned stop of a host, from its signal to its end."""
+
+    host: 'Host'
+    begun_at: float
+    ended_at: float
 
 
 class FatalRun(typing.NamedTuple):
@@ -348,6 +361,8 @@
         self.departures: list[Departure] = []
         self.fatal_runs: list[FatalRun] = []
         self.fatal_contents: set[bytes] = set()
+        self.stops: list[Stop] = []
+        self.kept: dict[int, list] = {}
         self.withdrawn: dict[str, float] = {}
         self.config = world_lib.make_config()
         self.keys = {world_lib.KEY: None}
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -55,10 +55,12 @@
     if host is None:
         return
     fleet.note(f'{host.name} stops as planned')
+    begun_at = trio.current_time()
     host.process.send(signal.SIGTERM)
     with trio.move_on_after(STOP_S):
         while host.process.is_up:
             await trio.sleep(0.05)
+    fleet.stops.append(fleet_lib.Stop(host, begun_at, trio.current_time()))
     host.start()
 
 
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -248,6 +248,8 @@
         self.runs = []
         self.fatal_runs = []
         self.fatal_contents = set()
+        self.stops = []
+        self.kept = {}
         self.departures = []
         self.withdrawn = {}
         self.disturbances = []
