--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -14,6 +14,8 @@
 FAILURES: typing.Final = ('request_failed', 'request_refused')
 CAUSES: typing.Final = (
     'attempt_failed',
+    'content_quarantined',
+    'endpoint_backoff',
     'endpoint_crashed',
     'endpoint_doubted',
     'endpoint_gone',
@@ -84,6 +86,7 @@
         used.update(line.fields.get('dead', ()))
         used.add(line.fields.get('endpoint', ''))
     hosts = {line.host for line in own}
+    contents = {line.fields.get('content') for line in own} - {None}
     context = [
         line
         for line in lines
@@ -91,7 +94,11 @@
         and first <= line.time <= last
         and line.host in hosts
         and line.fields.get('request') is None
-        and (line.event == 'store_lost' or line.fields.get('endpoint') in used)
+        and (
+            line.event == 'store_lost'
+            or line.fields.get('endpoint') in used
+            or line.fields.get('content') in contents
+        )
     ]
     return sorted(own + context)
 
--- a/packages/sardinebend-admin/tests/cover/test_explain.py
+++ b/packages/sardinebend-admin/tests/cover/test_explain.py
@@ -55,3 +55,27 @@
     files = [str(file) for file in sorted(tmp_path.iterdir())]
     explain.explain('r1', *files)
     assert 'ended as broken off' in capsys.readouterr().out
+
+
+def test_the_verdict_on_a_content_explains_a_request_that_has_it():
+    log = '\n'.join(
+        (
+            '{"time":1.0,"host":"h","event":"request_sent","request":"q1",'
+            '"endpoint":"e1","content":"abcd"}',
+            '{"time":1.1,"host":"h","event":"endpoint_crashed","endpoint":"e1",'
+            '"contents":["abcd"]}',
+            '{"time":1.2,"host":"h","event":"content_quarantined",'
+            '"content":"abcd","source":"e1/1"}',
+            '{"time":1.2,"host":"h","event":"content_quarantined",'
+            '"content":"other","source":"e1/1"}',
+            '{"time":1.3,"host":"h","event":"request_failed","request":"q1",'
+            '"end":"status 502","reason":"ends the endpoints that run it"}',
+        )
+    )
+    story = explain.find_story(explain.parse(log), 'q1')
+    assert [line.event for line in story] == [
+        'request_sent',
+        'endpoint_crashed',
+        'content_quarantined',
+        'request_failed',
+    ]
