Keep slow but sound streams, and move those that only send junk

Callers saw streams cut that were only slow: an event each 1.5 s was moved at its first pause and broken off at its second engine, with no attempt left. And a stalled stream that sent a comment now and then was never moved.

Cause: any silence of 2.2 targets ended the attempt, before anything asked whether another attempt, a retry or a path was left, or whether the engine was at that pace anyway. Any whole event counted as progress, comments and empty data too.

Ruled out: the probe of the engine; it answered in all these cases. A longer bound: it leaves the last attempt's end as it is, and finds real stalls late.

Change: a silence counts as a stall only beyond the pauses that the stream and its engine have shown of late; an attempt is given up only if the route, the retry budget and a path allow another at an engine of shorter pauses. Only events with a new id are progress. An engine that stalls several streams is passed over for 2 s.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
@@ -14,6 +14,11 @@
     data: bytes
     event_id: bytes | None
 
+    @property
+    def is_progress(self) -> bool:
+        """Whether the answer has come further; comments don't count."""
+        return bool(self.event_id)
+
 
 class Splitter:
     """Collects bytes and returns events once they are whole."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -22,6 +22,7 @@
 from sardinebend_policy import quarantine
 from sardinebend_policy import readers
 from sardinebend_policy import retries
+from sardinebend_policy import silences
 from sardinebend_policy import suspects as suspects_lib
 
 # A budget counts requests over up to twice the stated span, so half the ratio
@@ -53,6 +54,7 @@
         catalog_heard_at: When that answer came; it may have been under way
             for a while.
         endpoints: All known endpoints.
+        pauses: Pauses of streams by engine.
         held_answers: What is held of incomplete answers.
         leaving: Starts of endpoints that said that they leave.
         suspects: Requests under which an endpoint may end.
@@ -81,6 +83,7 @@
         self.endpoints = endpoints_lib.EndpointTable()
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
+        self.pauses = silences.PauseBook()
         self.held_answers = held_answers.HeldAnswers()
         self.leaving: news.News[tuple[str, int]] = news.News()
         self.suspects = suspects_lib.Suspects()
@@ -177,17 +180,16 @@
         return int(share * FLOOR_SHARE)
 
     def doubt(
-        self, endpoint: endpoints_lib.Endpoint, reason: str, is_dead: bool
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        reason: str,
+        is_dead: bool,
+        hold_s: float = endpoints_lib.FIRST_HOLD_S,
     ) -> None:
         """Passes an endpoint over for a while."""
-        hold_s = self.endpoints.doubt(
-            endpoint,
-            clocks.now(),
-            reason,
-            endpoints_lib.DEAD_HOLD_S
-            if is_dead
-            else endpoints_lib.FIRST_HOLD_S,
-        )
+        if is_dead:
+            hold_s = endpoints_lib.DEAD_HOLD_S
+        hold_s = self.endpoints.doubt(endpoint, clocks.now(), reason, hold_s)
         self.audit.log(
             events.ENDPOINT_DOUBTED,
             endpoint=endpoint.endpoint_id,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -30,12 +30,15 @@
         progress: stream_progress.StreamProgress,
         engine_calls: calls_lib.EngineCalls,
         last_id: bytes | None,
+        find_other: stream_watchdog.PathFinder,
     ) -> None:
         self.last_id = last_id
         self._progress = progress
         self._exchange = progress.exchange
         self._state = progress.exchange.state
-        self._watchdog = stream_watchdog.Watchdog(progress, engine_calls)
+        self._watchdog = stream_watchdog.Watchdog(
+            progress, engine_calls, find_other
+        )
         self._first = progress.path[0].endpoint
         self._splitter = event_stream.Splitter()
         self._end = forwarding.End.BROKEN
@@ -153,7 +156,6 @@
                 self._progress.note_rest(self._splitter.rest_bytes)
                 await held.take_turn(len(chunk))
                 continue
-            self._progress.note_move()
             self._check_order(found)
             if not out.is_started:
                 headers = self._state.edges.requests.make_answer_headers(
@@ -163,8 +165,15 @@
                 self._state.metrics.record_time(
                     'first_event', self._exchange.took_s()
                 )
-            self._progress.note_event()
+            has_progress = any(event.is_progress for event in found)
+            if has_progress:
+                self._progress.note_event()
+            else:
+                self._progress.note_rest(self._splitter.rest_bytes)
             await self._write(b''.join(event.data for event in found))
+            if has_progress:
+                # What the caller took its time for is no silence.
+                self._progress.note_move()
             ids = [event.event_id for event in found if event.event_id]
             self.last_id = ids[-1] if ids else self.last_id
         if self._splitter.has_rest:
@@ -195,4 +204,3 @@
             await self._exchange.out.write(data)
         finally:
             self._progress.waits_for_caller = False
-            self._progress.note_move()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
@@ -17,6 +18,7 @@
         path: The path that it runs along at the moment.
         tokens: Tokens that it is expected to reach.
         moved_at: When the last event came or was passed on, by trio's clock.
+        longest_s: The longest wait for an event so far.
         has_events: Whether any event has come.
         torn_since: When the first bytes of an event came that isn't whole.
         waits_for_caller: Whether the caller is what it waits for.
@@ -34,6 +36,7 @@
         self.path = path
         self.tokens = tokens
         self.moved_at = trio.current_time()
+        self.longest_s = 0.0
         self.has_events = False
         self.torn_since: float | None = None
         self.waits_for_caller = False
@@ -56,8 +59,20 @@
         elif self.torn_since is None:
             self.torn_since = trio.current_time()
 
+    def torn_s(self) -> float:
+        """Returns for how long an event has been coming; 0 if none is."""
+        if self.torn_since is None:
+            return 0.0
+        return trio.current_time() - self.torn_since
+
     def note_event(self) -> None:
         """Notes that an event came: all parts run the request."""
+        waited_s = self.silent_s()
+        self.longest_s = max(self.longest_s, waited_s)
+        if self.has_events:
+            first = self.path[0].endpoint.endpoint_id
+            self.exchange.state.pauses.record(first, waited_s, clocks.now())
+        self.note_move()
         if not self.has_events:
             self.exchange.note_harmless()
         self.has_events = True
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -14,7 +14,9 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import stream_progress
+from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
+from sardinebend_policy import silences
 from sardinebend_store import connections
 
 # Pause between events that is looked into, relative to the pause that callers
@@ -25,8 +27,14 @@
 # by then is moved while one is still there to see it.
 GIVE_UP_SHARE: typing.Final = 2.2
 MAX_REPAIRS: typing.Final = 6
+# Bytes that never become an event hold an attempt, without another place to
+# go on, for this many times as long.
+TORN_FACTOR: typing.Final = 4
 POLL_S: typing.Final = 0.02
 
+# Finds where a stream could go on without an engine.
+PathFinder = typing.Callable[[str], paths_lib.Path | None]
+
 
 class Verdict(enum.Enum):
     """What becomes of a stream after a silence.
@@ -49,8 +57,10 @@
         self,
         progress: stream_progress.StreamProgress,
         engine_calls: calls_lib.EngineCalls,
+        find_other: PathFinder,
     ) -> None:
         self._progress = progress
+        self._find_other = find_other
         self._state = progress.exchange.state
         self._calls = engine_calls
         self._poke = trio.Event()
@@ -124,23 +134,40 @@
         return await self._repair(dead)
 
     def _judge_silence(self, silent_s: float) -> Verdict:
-        give_up_s = (
-            self._progress.exchange.admitted.route.target_s * GIVE_UP_SHARE
-        )
-        if self._progress.has_events and silent_s > give_up_s:
-            self._progress.reason = 'silent without a cause'
+        progress = self._progress
+        first = progress.path[0].endpoint
+        now = clocks.now()
+        limit_s = progress.exchange.admitted.route.target_s * GIVE_UP_SHARE
+        torn_s = progress.torn_s()
+        if torn_s > limit_s and (
+            torn_s > TORN_FACTOR * limit_s
+            or self._find_other(first.endpoint_id) is not None
+        ):
+            progress.reason = 'bytes without an event'
+            progress.exchange.note_too_large(first)
             return Verdict.MOVE
-        torn_since = self._progress.torn_since
-        if (
-            torn_since is not None
-            and trio.current_time() - torn_since > give_up_s
+        silence = silences.Silence(
+            silent_s,
+            limit_s,
+            progress.longest_s,
+            self._state.pauses.usual_s(first.endpoint_id, now),
+        )
+        if not progress.has_events or not silence.is_unusual:
+            return Verdict.WAIT
+        other = self._find_other(first.endpoint_id)
+        if other is None or not silence.would_gain(
+            self._state.pauses.usual_s(other[0].endpoint.endpoint_id, now)
         ):
-            self._progress.reason = 'bytes without an event'
-            self._progress.exchange.note_too_large(
-                self._progress.path[0].endpoint
+            return Verdict.WAIT
+        progress.reason = 'silent without a cause'
+        if self._state.pauses.record_stall(first.endpoint_id, now):
+            self._state.doubt(
+                first,
+                'several streams stalled',
+                is_dead=False,
+                hold_s=endpoints_lib.STALL_HOLD_S,
             )
-            return Verdict.MOVE
-        return Verdict.WAIT
+        return Verdict.MOVE
 
     async def _doubt_stalled(self, report: edges_lib.Report) -> set[str]:
         dead = set()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -158,7 +158,7 @@
     def _is_connected(self) -> bool:
         service = self._exchange.admitted.service
         if not service.has_layers:
-            return self._find_single() is not None
+            return self._find_single(self._avoid) is not None
         return self._state.book_of(service).is_connected()
 
     def _why_no_path(self) -> str:
@@ -169,22 +169,42 @@
         return f'no path: no room for {self._tokens} tokens'
 
     def _find_path(self) -> paths_lib.Path | None:
+        path = self._search(self._avoid)
+        if path is not None and self._exchange.admitted.service.has_layers:
+            self._state.inflight.crossings.add(path, self._tokens, clocks.now())
+        return path
+
+    def _find_other_path(self, endpoint_id: str) -> paths_lib.Path | None:
+        """Returns where a stream could go on without an engine, if anywhere.
+
+        `None` also where the route or the retry budget allows no other send:
+        an attempt that isn't followed by another is better kept.
+        """
+        exchange = self._exchange
+        budget = self._state.budget_of(exchange.admitted.service.name)
+        if (
+            not exchange.admitted.route.may_repeat
+            or not exchange.ledger.can_send()
+            or not budget.can_spend(clocks.now())
+        ):
+            return None
+        return self._search({*self._avoid, endpoint_id})
+
+    def _search(self, avoid: set[str]) -> paths_lib.Path | None:
         service = self._exchange.admitted.service
         if not service.has_layers:
-            return self._find_single()
-        book = self._state.book_of(service)
+            return self._find_single(avoid)
         assert service.engine is not None
-        path = book.choose(
+        return self._state.book_of(service).choose(
             self._tokens,
             self._state.loads(),
-            self._avoid,
+            avoid,
             self._state.link_use(service.engine),
         )
-        if path is not None:
-            self._state.inflight.crossings.add(path, self._tokens, clocks.now())
-        return path
 
-    def _find_single(self) -> paths_lib.Path | None:
+    def _find_single(
+        self, avoid: typing.Collection[str]
+    ) -> paths_lib.Path | None:
         """Returns one endpoint that holds the whole model."""
         state = self._state
         now = clocks.now()
@@ -192,7 +212,7 @@
         found = [
             e
             for e in state.endpoints.open_of(name, now)
-            if e.endpoint_id not in self._avoid
+            if e.endpoint_id not in avoid
         ]
         endpoint = state.balancer.choose(found, state.cfg.domain, now)
         if endpoint is None:
@@ -236,7 +256,7 @@
             )
         progress = stream_progress.StreamProgress(exchange, path, self._tokens)
         attempt = stream_attempt.StreamAttempt(
-            progress, self._calls, self._last_id
+            progress, self._calls, self._last_id, self._find_other_path
         )
         try:
             end, reply = await attempt.run(conn)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -137,7 +137,9 @@
         self._state.audit.log(
             events.ENDPOINT_GONE, endpoint=key, source='listing'
         )
-        self._state.balancer.forget(self._state.endpoints.names())
+        names = self._state.endpoints.names()
+        self._state.balancer.forget(names)
+        self._state.pauses.forget(names)
         if not endpoint.is_draining:
             self._crashes.record_lapse(endpoint)
         return True
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -9,6 +9,9 @@
 # Shortest and longest time for which an endpoint is passed over.
 FIRST_HOLD_S: typing.Final = 0.5
 MAX_HOLD_S: typing.Final = 4.0
+# Callers leave a stream after a silence of 2 s, so a shorter look at an engine
+# that stalls several costs another one.
+STALL_HOLD_S: typing.Final = 2.0
 # A silent endpoint's listing lapses after three heartbeats of 1.2 s.
 DEAD_HOLD_S: typing.Final = 4.0
 # Starts that have left and are remembered; some 120 a day leave.
--- a/packages/sardinebend-policy/src/sardinebend_policy/retries.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/retries.py
@@ -45,13 +45,17 @@
 
     def try_spend(self, now: float) -> bool:
         """Takes one retry from the budget, or returns false."""
-        self._roll(now)
-        allowed = self._floor + self._ratio * sum(self._successes)
-        if sum(self._retries) >= allowed:
+        if not self.can_spend(now):
             return False
         self._retries[0] += 1
         return True
 
+    def can_spend(self, now: float) -> bool:
+        """Tells whether a retry is left."""
+        self._roll(now)
+        allowed = self._floor + self._ratio * sum(self._successes)
+        return sum(self._retries) < allowed
+
     def _roll(self, now: float) -> None:
         window = int(now / self._window_s)
         passed = window - self._window
