Send no prompt over links that are taken, and give scarce domains a copy

Cost rose with their use, but was never a refusal; a repair didn't look at the links at all, nor at its part's domain; and a domain a few layers short of a copy sent all its prompts over them.

Ruled out: slow hosts, the store, memory of engines (1 to 5 requests preempted).

Tests: four in test_layered_fleet; the placement's failed before, the others can't be stated on the old interface.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -186,10 +186,8 @@
         started = trio.current_time()
         while first not in dead and self._may_repair():
             self._repairs += 1
-            book = self._state.book_of(self._progress.exchange.admitted.service)
-            loads = self._state.loads()
             path = paths_lib.repair(
-                book.finder.with_loads(loads),
+                self._find_room(),
                 self._progress.path,
                 dead,
                 self._progress.tokens,
@@ -201,6 +199,9 @@
                 self._progress.exchange.admitted.facts.request_id, path
             )
             if reply is not None and reply.status in calls_lib.ACCEPTED:
+                self._state.inflight.crossings.add(
+                    path, self._progress.tokens, clocks.now()
+                )
                 self._take_path(path, dead, started)
                 return Verdict.REPAIRED
             blamed = self._blame_part(path, reply)
@@ -210,6 +211,16 @@
         self._progress.reason = f'dead engines {sorted(dead)}'
         return Verdict.MOVE
 
+    def _find_room(self) -> paths_lib.Finder:
+        """Returns a finder over what is free at the moment."""
+        service = self._progress.exchange.admitted.service
+        assert service.engine is not None
+        return self._state.book_of(service).finder.with_loads(
+            self._state.loads(),
+            self._state.link_use(service.engine),
+            paths_lib.BEGUN_LINK_LIMIT,
+        )
+
     def _may_repair(self) -> bool:
         return (
             self._repairs < MAX_REPAIRS
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -200,6 +200,9 @@
             self._state.loads(),
             avoid,
             self._state.link_use(service.engine),
+            paths_lib.BEGUN_LINK_LIMIT
+            if self._exchange.out.is_started
+            else paths_lib.LINK_LIMIT,
         )
 
     def _find_single(
--- a/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/pathbook.py
@@ -99,6 +99,7 @@
         loads: typing.Mapping[str, paths.Load],
         avoid: typing.Collection[str] = (),
         link_use: float = 0.0,
+        link_limit: float = paths.LINK_LIMIT,
     ) -> paths.Path | None:
         """Returns the path that costs least for a request of some tokens.
 
@@ -107,8 +108,9 @@
             loads: Load of each endpoint.
             avoid: Names of endpoints to pass over.
             link_use: Share of the links between domains that is taken.
+            link_limit: Share from which no path crosses them.
         """
-        pricer = self._finder.with_loads(loads, link_use)
+        pricer = self._finder.with_loads(loads, link_use, link_limit)
         best, best_cost = None, math.inf
         for path in self._paths:
             if any(p.endpoint.endpoint_id in avoid for p in path):
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -20,6 +20,10 @@
 CROSSING_MS: typing.Final = 0.8
 # Free share of memory below which an endpoint's cost stops rising.
 MIN_LEFT: typing.Final = 0.05
+# Use of the links from which no prompt more is sent over them: beyond, prompts
+# queue for longer than callers wait. Streams under way go before new ones.
+LINK_LIMIT: typing.Final = 0.8
+BEGUN_LINK_LIMIT: typing.Final = 1.0
 # A prompt that crosses holds up all other crossings, which share one link.
 CROSSING_WEIGHT: typing.Final = 1.0
 # Weight of a token step's time against the time to the first event.
@@ -115,6 +119,7 @@
         endpoints: typing.Iterable[endpoints_lib.Endpoint],
         loads: typing.Mapping[str, Load],
         link_use: float = 0.0,
+        link_limit: float = LINK_LIMIT,
     ) -> None:
         """Makes a finder.
 
@@ -123,6 +128,7 @@
             endpoints: Those that may be used.
             loads: Their load.
             link_use: Share of the links between domains that is taken.
+            link_limit: Share from which no path crosses them.
         """
         self._engine = engine
         self._link_use = link_use
@@ -138,12 +144,17 @@
         self._crossing = CROSSING_WEIGHT * prompt_ms / free**2 + (
             CROSSING_MS * (1 + STEP_WEIGHT)
         )
+        if link_use >= link_limit:
+            self._crossing = math.inf
 
     def with_loads(
-        self, loads: typing.Mapping[str, Load], link_use: float = 0.0
+        self,
+        loads: typing.Mapping[str, Load],
+        link_use: float = 0.0,
+        link_limit: float = LINK_LIMIT,
     ) -> 'Finder':
         """Returns a finder over the same endpoints under another load."""
-        return Finder(self._engine, self._holders, loads, link_use)
+        return Finder(self._engine, self._holders, loads, link_use, link_limit)
 
     def cost_of_path(self, path: Path, tokens: float) -> float:
         """Returns what a whole path costs, in ms; infinite without room."""
@@ -197,6 +208,16 @@
         )
         return None if best is None else best.path()
 
+    def find_detour(
+        self, tokens: float, part: Part, avoid: typing.Collection[str]
+    ) -> Path | None:
+        """Returns a way around a part; beyond its domain if links are free."""
+        start, end = part.span
+        near = self.find(tokens, start, end, avoid, part.endpoint.domain)
+        if near is not None or math.isinf(self._crossing):
+            return near
+        return self.find(tokens, start, end, avoid)
+
     def _layer_cost(
         self, endpoint: endpoints_lib.Endpoint, tokens: float
     ) -> float:
@@ -248,6 +269,8 @@
         last_stop = bisect.bisect_right(cuts, min(span.end, end)) - 1
         for stop in cuts[max(index + 1, last_stop - 1) : last_stop + 1]:
             total = cost + layer_cost * (stop - at)
+            if math.isinf(total):
+                continue
             best = reached.setdefault(stop, {})
             known = best.get(endpoint.domain)
             if known is not None and known.cost <= total:
@@ -280,9 +303,7 @@
             parts.append(part)
             continue
         avoid = kept | set(dead) | {p.endpoint.endpoint_id for p in parts}
-        detour = finder.find(
-            tokens, part.span.start, part.span.end, avoid=avoid
-        )
+        detour = finder.find_detour(tokens, part, avoid)
         if detour is None:
             return None
         parts += detour
--- a/packages/sardinebend-policy/src/sardinebend_policy/placement.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/placement.py
@@ -20,6 +20,11 @@
 # A path names at most 32 parts; half of that leaves room for repairs, in which
 # one part is replaced by two.
 MAX_PARTS: typing.Final = 16
+# A copy that fits into a domain only with less memory for requests may have
+# more parts: without it every request of the domain crosses the links.
+TIGHT_PARTS: typing.Final = 24
+# Steps from the planned memory for requests towards the least.
+TIGHT_STEPS: typing.Final = (0.25, 0.5, 0.75)
 # Need of a layer without any holder, and of one without a holder in its
 # domain, next to that of one which only lacks a stand-in.
 NO_HOLDER_NEED: typing.Final = 1000.0
@@ -88,8 +93,10 @@
     for domain in sorted({card.domain for card in cards}):
         own = [card for card in cards if card.domain == domain]
         own.sort(key=lambda c: (-c.capacity, c.endpoint_id))
-        while copy := _take_copy(layers, own):
+        copy = _take_copy(layers, own) or _take_tight_copy(layers, own)
+        while copy:
             plan.update(_divide(layers, copy))
+            copy = _take_copy(layers, own)
         rest += own
     if not plan:
         # No domain holds a whole copy: one over all of them, domain by domain,
@@ -117,6 +124,27 @@
     return []
 
 
+def _take_tight_copy(layers: int, rest: list[Card]) -> list[Card]:
+    """Takes a copy that leaves less memory for requests than planned."""
+    for step in TIGHT_STEPS:
+        grown = [
+            card._replace(
+                capacity=max(
+                    card.capacity,
+                    card.capacity + int(step * (card.most - card.capacity)),
+                )
+            )
+            for card in rest
+        ]
+        grown.sort(key=lambda c: (-c.capacity, c.endpoint_id))
+        copy = _take_copy(layers, grown, TIGHT_PARTS)
+        if copy:
+            taken = {card.endpoint_id for card in copy}
+            rest[:] = [c for c in rest if c.endpoint_id not in taken]
+            return copy
+    return []
+
+
 def _divide(
     layers: int, copy: typing.Sequence[Card]
 ) -> dict[str, endpoints_lib.Span]:
--- a/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
+++ b/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
@@ -400,3 +400,82 @@
     cards = [card for card, _ in make_cards(engine, fleet)]
     plan = placement.make_plan(engine.layers, cards)
     assert len(plan) == len(cards) == 1596
+
+
+SCARCE = {
+    'east': {'middle': 2, 'small': 3, 'tiny': 5},
+    'north': {'big': 1, 'middle': 2, 'small': 3},
+}
+
+
+def test_a_domain_short_of_memory_holds_a_copy_with_less_for_requests():
+    # Guards against every prompt of a domain crossing the links for want of a
+    # few layers.
+    engine = make_engine()
+    cards = [
+        card._replace(
+            most=placement.capacity_of(engine, kind, placement.TIGHT_SHARE)
+        )
+        for card, kind in make_cards(engine, SCARCE)
+    ]
+    assert sum(c.capacity for c in cards if c.domain == 'east') < 80
+    plan = placement.make_plan(80, cards)
+    for domain in SCARCE:
+        held = set()
+        for card in cards:
+            if card.domain == domain and card.endpoint_id in plan:
+                span = plan[card.endpoint_id]
+                assert span.size <= card.most
+                held |= set(range(*span))
+        assert held == set(range(80))
+
+
+def split_copy():
+    """One copy over two domains: each path crosses."""
+    return [
+        make_endpoint('a', 'east', 'big', (0, 40)),
+        make_endpoint('b', 'west', 'big', (40, 80)),
+    ]
+
+
+def test_no_new_prompt_crosses_links_that_are_taken():
+    # Guards against prompts that queue for the links until all callers leave.
+    engine = make_engine()
+    finder = paths.Finder(engine, split_copy(), {}, link_use=0.79)
+    assert finder.find(USUAL_TOKENS) is not None
+    full = finder.with_loads({}, link_use=paths.LINK_LIMIT)
+    assert full.find(USUAL_TOKENS) is None
+    begun = finder.with_loads(
+        {}, paths.LINK_LIMIT, link_limit=paths.BEGUN_LINK_LIMIT
+    )
+    assert begun.find(USUAL_TOKENS) is not None
+
+
+def test_paths_within_a_domain_are_used_while_the_links_are_taken():
+    engine = make_engine()
+    near = [
+        make_endpoint('c', 'east', 'small', (0, 40)),
+        make_endpoint('d', 'east', 'small', (40, 80)),
+    ]
+    cards = {
+        **CARDS,
+        'small': CARDS['small']._replace(memory_mb=100000.0),
+    }
+    engine = engine._replace(cards=cards)
+    finder = paths.Finder(engine, [*split_copy(), *near], {}, link_use=2.0)
+    path = finder.find(USUAL_TOKENS)
+    assert {part.endpoint.domain for part in path} == {'east'}
+
+
+def test_a_repair_over_links_that_are_taken_is_left_undone():
+    engine = make_engine()
+    stand_in = make_endpoint('s', 'west', 'big', (0, 40))
+    keeper = make_endpoint('a', 'east', 'big', (0, 40))
+    last = make_endpoint('b', 'east', 'big', (40, 80))
+    other = make_endpoint('t', 'west', 'big', (40, 80))
+    finder = paths.Finder(engine, [keeper, last, stand_in, other], {})
+    path = finder.find(USUAL_TOKENS, domain='east')
+    free = paths.repair(finder, path, {'b'}, USUAL_TOKENS)
+    assert [part.endpoint.endpoint_id for part in free] == ['a', 't']
+    full = finder.with_loads({}, link_use=3.0)
+    assert paths.repair(full, path, {'b'}, USUAL_TOKENS) is None
