Tell other hosts of engines that can't be reached

Cause: a host that found an engine unreachable by its own connection told nobody, and held the doubt of a refusal (0.5 s) even when the connection after it failed.

Ruled out: letting one host's word count; a host that is cut off can't reach anything.

Change: life signs carry starts of engines that a host couldn't connect to; the word of two hosts passes an engine over for new work for 4 s; what runs there goes on. A doubt is made longer by better evidence. A refusal for want of a path says if links are taken.

Tests: test_hearsay, test_gateway_unreachable (its first test fails without the change), the codec's round trip.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/beats.py
@@ -53,7 +53,10 @@
             peers = self._members.peers()
             self._members.note_changes()
             data = self._encode()
-            self._state.leaving.forget_old(clocks.now())
+            now = clocks.now()
+            self._state.leaving.forget_old(now)
+            self._state.unreachable.forget_old(now)
+            self._state.hearsay.forget_old(now)
             for name in liveness.choose_peers(sorted(peers)):
                 address = settings_lib.Address.parse(peers[name]['beats'])
                 try:
@@ -90,9 +93,13 @@
                 for crash in self._quarantine.recent()
             ),
             tuple(
-                messages.LeavingStart(*start)
+                messages.EndpointStart(*start)
                 for start in self._state.leaving.recent(now)
             ),
+            tuple(
+                messages.EndpointStart(*start)
+                for start in self._state.unreachable.recent(now)
+            ),
         )
         return codec.encode(codec.Envelope(0, False, beat))
 
@@ -130,6 +137,9 @@
         for start in beat.leaving:
             incarnation = (start.endpoint_id, start.born)
             self._state.mark_leaving(incarnation, 'another host')
+        for start in beat.unreachable:
+            incarnation = (start.endpoint_id, start.born)
+            self._state.hear_unreachable(incarnation, beat.host)
         for notice in beat.crashes:
             self._quarantine.record(quarantine.Crash(*notice))
         self._state.inflight.hear(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -113,11 +113,15 @@
             if not self._state.endpoints.is_doubted(endpoint, clocks.now()):
                 self._state.doubt(endpoint, 'nothing listens', is_dead=True)
             self.record(endpoint, 'nothing listens')
+        if life is not Life.LISTENS:
+            self._state.note_unreachable(endpoint)
         return life
 
     def note(self, endpoint: endpoints_lib.Endpoint, life: Life) -> None:
         """Takes in what another call to an endpoint has shown."""
         self._probes[endpoint.address] = (clocks.now(), life)
+        if life is not Life.LISTENS:
+            self._state.note_unreachable(endpoint)
 
     def record(
         self,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/news.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/news.py
@@ -16,8 +16,9 @@
 class News(typing.Generic[Item]):
     """Items that have been seen or heard, and those still to be told."""
 
-    def __init__(self) -> None:
+    def __init__(self, seen_s: float = SEEN_S) -> None:
         self._seen: dict[Item, float] = {}
+        self._seen_s = seen_s
 
     def add(self, item: Item, now: float) -> bool:
         """Takes in an item; returns whether it is new."""
@@ -36,5 +37,5 @@
     def forget_old(self, now: float) -> None:
         """Drops what no host tells of any more."""
         self._seen = {
-            k: at for k, at in self._seen.items() if now - at < SEEN_S
+            k: at for k, at in self._seen.items() if now - at < self._seen_s
         }
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -16,6 +16,7 @@
 from sardinebend_policy import balancing
 from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import hearsay
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import pathbook
 from sardinebend_policy import paths as paths_lib
@@ -37,6 +38,8 @@
 # Endpoints that may end under one request. A lone suspect isn't told apart
 # earlier: parts of a path that end together make suspects of passers-by.
 CRASHES_BORNE: typing.Final = 3
+# An endpoint is told of again once others may have stopped passing it over.
+UNREACHABLE_S: typing.Final = endpoints_lib.DEAD_HOLD_S
 
 
 DeathWatcher = typing.Callable[[str], None]
@@ -57,6 +60,8 @@
         pauses: Pauses of streams by engine.
         held_answers: What is held of incomplete answers.
         leaving: Starts of endpoints that said that they leave.
+        unreachable: Starts of endpoints that this host couldn't connect to.
+        hearsay: What other hosts say of endpoints.
         suspects: Requests under which an endpoint may end.
         quarantine: Requests under which endpoints have ended.
         is_stopping: Whether a planned stop has begun.
@@ -85,6 +90,8 @@
         self.inflight = inflight_lib.InFlight()
         self.pauses = silences.PauseBook()
         self.held_answers = held_answers.HeldAnswers()
+        self.unreachable: news.News[tuple[str, int]] = news.News(UNREACHABLE_S)
+        self.hearsay = hearsay.Hearsay()
         self.leaving: news.News[tuple[str, int]] = news.News()
         self.suspects = suspects_lib.Suspects()
         self.quarantine = quarantine.Quarantine(
@@ -197,6 +204,35 @@
         if is_dead:
             self.tell_death(endpoint.endpoint_id)
 
+    def note_unreachable(self, endpoint: endpoints_lib.Endpoint) -> None:
+        """Passes over an endpoint that this host can't connect to.
+
+        What runs there goes on: silence may be the network's.
+        """
+        if self.unreachable.add(endpoint.incarnation, clocks.now()):
+            self.doubt(
+                endpoint,
+                'unreachable',
+                is_dead=False,
+                hold_s=endpoints_lib.DEAD_HOLD_S,
+            )
+
+    def hear_unreachable(self, incarnation: tuple[str, int], host: str) -> None:
+        """Takes in that another host can't connect to an endpoint."""
+        now = clocks.now()
+        known = self.endpoints.get(incarnation[0])
+        if known is None or known.incarnation != incarnation:
+            return
+        if self.hearsay.hear(incarnation, host, now) and not (
+            self.endpoints.is_doubted(known, now)
+        ):
+            self.doubt(
+                known,
+                'unreachable for other hosts',
+                is_dead=False,
+                hold_s=endpoints_lib.DEAD_HOLD_S,
+            )
+
     def heed(
         self, endpoint: endpoints_lib.Endpoint, facts: edges_lib.AnswerFacts
     ) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -162,10 +162,13 @@
         return self._state.book_of(service).is_connected()
 
     def _why_no_path(self) -> str:
-        if not self._exchange.admitted.service.has_layers:
+        engine = self._exchange.admitted.service.engine
+        if engine is None or not self._exchange.admitted.service.has_layers:
             return 'no engine'
         if not self._is_connected():
             return 'no path: layers without a holder'
+        if self._state.link_use(engine) >= paths_lib.LINK_LIMIT:
+            return 'no path: no room, or only over links that are taken'
         return f'no path: no room for {self._tokens} tokens'
 
     def _find_path(self) -> paths_lib.Path | None:
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -145,10 +145,17 @@
         heard=message.heard,
         crossing_tokens=message.crossing_tokens,
         crashes=_make_crashes(message.crashes),
-        leaving=[_IDL.LeavingStart(**s._asdict()) for s in message.leaving],
+        leaving=_make_starts(message.leaving),
+        unreachable=_make_starts(message.unreachable),
     )
 
 
+def _make_starts(
+    starts: typing.Iterable[messages.EndpointStart],
+) -> list[typing.Any]:
+    return [_IDL.EndpointStart(**start._asdict()) for start in starts]
+
+
 def _put_feed_question(
     frame: typing.Any, message: messages.FeedQuestion
 ) -> None:
@@ -268,12 +275,20 @@
         _need(item.heard, bytes),
         item.crossing_tokens or 0,
         _decode_crashes(item.crashes or ()),
-        tuple(
-            messages.LeavingStart(
-                _need(start.endpoint_id, str), _need(start.born, int)
-            )
-            for start in item.leaving or ()
-        ),
+        _decode_starts(item.leaving or ()),
+        # Hosts of the release before leave these out.
+        _decode_starts(item.unreachable or ()),
+    )
+
+
+def _decode_starts(
+    items: typing.Iterable[typing.Any],
+) -> tuple[messages.EndpointStart, ...]:
+    return tuple(
+        messages.EndpointStart(
+            _need(start.endpoint_id, str), _need(start.born, int)
+        )
+        for start in items
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -81,8 +81,8 @@
     token_layers: int
 
 
-class LeavingStart(typing.NamedTuple):
-    """A start of an endpoint that is about to end.
+class EndpointStart(typing.NamedTuple):
+    """One start of an endpoint.
 
     Attributes:
         endpoint_id: The endpoint.
@@ -106,6 +106,7 @@
             domains.
         crashes: Ends of endpoints that it has seen or heard of lately.
         leaving: Endpoints that said lately that they leave.
+        unreachable: Endpoints that it couldn't connect to lately.
     """
 
     host: str
@@ -115,7 +116,8 @@
     heard: bytes
     crossing_tokens: int = 0
     crashes: tuple[CrashNotice, ...] = ()
-    leaving: tuple[LeavingStart, ...] = ()
+    leaving: tuple[EndpointStart, ...] = ()
+    unreachable: tuple[EndpointStart, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -53,7 +53,7 @@
   3: i64 token_layers,
 }
 
-struct LeavingStart {
+struct EndpointStart {
   1: string endpoint_id,
   2: i64 born,
 }
@@ -66,7 +66,8 @@
   5: binary heard,
   6: i32 crossing_tokens,
   7: optional list<CrashNotice> crashes,
-  8: optional list<LeavingStart> leaving,
+  8: optional list<EndpointStart> leaving,
+  9: optional list<EndpointStart> unreachable,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -64,7 +64,10 @@
         NUMBER,
         st.lists(NOTICES, max_size=3).map(tuple),
         st.lists(
-            st.builds(messages.LeavingStart, TEXT, NUMBER), max_size=3
+            st.builds(messages.EndpointStart, TEXT, NUMBER), max_size=3
+        ).map(tuple),
+        st.lists(
+            st.builds(messages.EndpointStart, TEXT, NUMBER), max_size=3
         ).map(tuple),
     ),
     st.just(messages.Ack()),
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -166,7 +166,13 @@
         """
         last = self._doubts.get(endpoint.incarnation)
         if last is not None and last.until > now:
-            return last.until - now
+            if now + first_hold_s > last.until:
+                # Better evidence than that of the doubt so far.
+                self._doubts[endpoint.incarnation] = _Doubt(
+                    now + first_hold_s, last.hold_s, reason
+                )
+                self.revision += 1
+            return max(first_hold_s, last.until - now)
         hold_s = first_hold_s
         if last is not None and now < last.until + 2 * last.hold_s:
             hold_s = max(hold_s, min(MAX_HOLD_S, last.hold_s * 2))
