Keep unexpected errors from ending a host

It can happen here: a caller that reset its connection while it was told to go on with its body (100 Continue) ended the whole host, and so did any exception in a background task, or a connection of a peer that wasn't taken for want of descriptors.

Cause: tasks share one nursery, and nothing stood between an unforeseen exception and it; only request handlers were guarded.

Ruled out, by fuzzing: life signs of odd values and arbitrary datagrams.

A connection's failure ends that connection.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -64,6 +64,7 @@
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed', True)
 ROLE_CHANGED = Event('role_changed', 'reader, is_shared, live')
+TASK_FAILED = Event('task_failed', 'task, error, again_in_s', True)
 LINES_DROPPED = Event('lines_dropped', 'counts by event')
 
 ALL: typing.Final = tuple(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -22,6 +22,7 @@
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
+from sardinebend_gateway import supervisor
 from sardinebend_gateway import watch
 from sardinebend_store import feeds
 
@@ -52,6 +53,7 @@
     Attributes:
         state: What it believes.
         members: The hosts of the fleet.
+        supervisor: Runs the background tasks.
     """
 
     def __init__(
@@ -100,6 +102,9 @@
             addresses.beats,
             self.incarnation,
         )
+        self.supervisor = supervisor.Supervisor(
+            self.state.audit, self.state.metrics
+        )
         self._addresses = addresses
         self._stop_asked = trio.Event()
 
@@ -112,13 +117,17 @@
         async with trio.open_nursery() as nursery:
             await self.server.start(nursery, cfg.callers.ip, cfg.callers.port)
             self._start_relay(nursery)
-            nursery.start_soon(self._catalog.run)
-            nursery.start_soon(self._endpoints.run)
-            nursery.start_soon(self._shared.run)
-            nursery.start_soon(self._beats.run)
-            nursery.start_soon(self._crashes.run)
-            nursery.start_soon(self._quarantine.run)
-            nursery.start_soon(self.keeper.run)
+            jobs: dict[str, supervisor.Job] = {
+                'catalog': self._catalog.run,
+                'endpoints': self._endpoints.run,
+                'shared rows': self._shared.run,
+                'life signs': self._beats.run,
+                'crashes': self._crashes.run,
+                'quarantine': self._quarantine.run,
+                'keeper': self.keeper.run,
+            }
+            for name, job in jobs.items():
+                nursery.start_soon(self.supervisor.run, name, job)
             nursery.start_soon(self.members.publish, False)
             await self._stop_asked.wait()
             nursery.start_soon(self.members.publish, True)
@@ -166,6 +175,8 @@
         state = self.state
         if state.is_stopping or state.catalog is None:
             return False
+        if not self.supervisor.is_healthy():
+            return False
         return state.catalog_age_s() < state.cfg.revoke_s
 
     async def _drain(self) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -139,7 +139,15 @@
                 self._early_bytes = 0
         except errors.BadRequest as exc:
             await self._refuse(exc)
-        except errors.CallerGone:
+        except (
+            errors.CallerGone,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+        ):
+            self._reset()
+        except Exception:
+            # One connection must not end the process that serves the others.
+            _LOGGER.exception('a connection failed')
             self._reset()
         finally:
             with trio.CancelScope(shield=True):
--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -8,6 +8,7 @@
 import collections.abc
 import hashlib
 import hmac
+import logging
 import secrets
 import ssl
 import struct
@@ -19,7 +20,10 @@
 from sardinebend_peers import errors
 from sardinebend_peers import messages
 
+_LOGGER = logging.getLogger(__name__)
+
 NONCE_BYTES: typing.Final = 32
+ACCEPT_RETRY_S: typing.Final = 0.1
 HANDSHAKE_S: typing.Final = 3.0
 MAX_SERVER_CONNECTIONS: typing.Final = 1024
 IDLE_LIMIT_S: typing.Final = 60.0
@@ -113,7 +117,13 @@
         """Serves until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
-                stream = await listener.accept()
+                try:
+                    stream = await listener.accept()
+                except OSError:
+                    # Out of descriptors; some are free again soon.
+                    _LOGGER.exception('a connection was not taken')
+                    await trio.sleep(ACCEPT_RETRY_S)
+                    continue
                 if self._open >= MAX_SERVER_CONNECTIONS:
                     await trio.aclose_forcefully(stream)
                     continue
@@ -136,6 +146,9 @@
             trio.ClosedResourceError,
         ):
             pass
+        except* Exception:
+            # One connection must not end the process that serves the others.
+            _LOGGER.exception('a connection of a peer failed')
         finally:
             self._open -= 1
             with trio.CancelScope(shield=True):
--- /dev/null
+++ b/tests/cover/test_gateway_unexpected_errors.py
@@ -0,0 +1,171 @@
+"""Errors that nobody expected, and messages that nobody should send."""
+
+import socket
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import trio
+
+from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import supervisor
+from sardinebend_peers import codec
+from sardinebend_peers import messages
+from tests.common import gateway_world as world_lib
+
+TEXT = st.text(max_size=12)
+NUMBER = st.integers(-(2**31), 2**31 - 1)
+STARTS = st.lists(
+    st.builds(messages.EndpointStart, TEXT, NUMBER), max_size=4
+).map(tuple)
+BEATS = st.builds(
+    messages.HostBeat,
+    TEXT,
+    TEXT,
+    st.booleans(),
+    st.lists(
+        st.builds(
+            messages.EndpointLoad,
+            st.sampled_from(['engine-0', 'engine-1', 'x']),
+            NUMBER,
+            NUMBER,
+        ),
+        max_size=4,
+    ).map(tuple),
+    st.binary(max_size=30),
+    NUMBER,
+    st.just(()),
+    STARTS,
+    STARTS,
+)
+
+
+async def whole(headers, stream):
+    fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+    head = world_lib.head(200, fixed, 'chunked')
+    return world_lib.Answer(
+        head, world_lib.chunk(world_lib.event(1)), b'0\r\n\r\n'
+    )
+
+
+async def ask(world, number=1):
+    with trio.fail_after(10):
+        return await world.ask(
+            '/draft/x',
+            'POST',
+            b'p',
+            token_usage='10,10',
+            model='m',
+            request_id=f'q{number}',
+        )
+
+
+async def test_a_caller_that_resets_when_told_to_go_on_ends_only_its_connection(
+    monkeypatch,
+):
+    # Guards against one reset connection ending the whole process.
+    send = trio.SocketStream.send_all
+
+    async def reset_at_100(self, data):
+        if bytes(data).startswith(b'HTTP/1.1 100'):
+            raise trio.BrokenResourceError('reset')
+        await send(self, data)
+
+    server = world_lib.Server('app-1', 'app')
+    async with world_lib.running(server) as world:
+        monkeypatch.setattr(trio.SocketStream, 'send_all', reset_at_100)
+        stream = await world.connect()
+        async with stream:
+            head = world_lib.make_request(
+                '/book/x',
+                'POST',
+                expect='100-continue',
+                content_length='3',
+            )
+            await stream.send_all(head)
+            with pytest.raises(trio.BrokenResourceError):
+                assert await stream.receive_some(100) == b''
+                raise trio.BrokenResourceError
+        assert (await world.ask())[0] == 200
+
+
+@pytest.mark.parametrize('task', ['beats', 'endpoints', 'keeper', 'crashes'])
+async def test_a_fault_in_a_background_task_restarts_that_task_only(
+    task, monkeypatch, clock
+):
+    servers = world_lib.engines((0, 4), script=whole)
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, servers)
+        part = getattr(world.gateway, f'_{task}', None) or world.gateway.keeper
+        run = part.run
+        failures = []
+
+        async def fail_once():
+            if not failures:
+                failures.append(1)
+                raise ZeroDivisionError('a bug')
+            await run()
+
+        monkeypatch.setattr(part, 'run', fail_once)
+        await world.start()
+        assert failures
+        assert (await ask(world))[3]
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_task_that_fails_again_and_again_shows_in_readiness(
+    monkeypatch, clock
+):
+    server = world_lib.Server('app-1', 'app')
+    async with world_lib.running(server) as world:
+        assert world.gateway.is_ready()
+
+        async def fail():
+            raise ZeroDivisionError('a bug')
+
+        world.nursery.start_soon(world.gateway.supervisor.run, 'a part', fail)
+        with trio.fail_after(supervisor.WINDOW_S):
+            while world.gateway.is_ready():
+                await trio.sleep(0.05)
+        assert (await world.ask())[0] == 200
+
+
+@hypothesis.given(st.lists(BEATS, min_size=1, max_size=6))
+@hypothesis.settings(
+    derandomize=True, max_examples=60, deadline=None, database=None
+)
+def test_no_life_sign_ends_a_host_or_keeps_it_from_serving(found):
+    async def play():
+        servers = world_lib.engines((0, 4), (0, 4), script=whole)
+        async with world_lib.running(*servers) as world:
+            for beat in found:
+                world.gateway._beats._take(beat)
+            book = world.gateway.state.book_of(
+                world.gateway.state.catalog.services['llm']
+            )
+            book.choose(20, world.gateway.state.loads())
+            world.gateway._beats._encode()
+            world.gateway.members.note_changes()
+
+    trio.run(play)
+
+
+@hypothesis.given(st.lists(st.binary(max_size=120), min_size=1, max_size=20))
+@hypothesis.settings(
+    derandomize=True, max_examples=25, deadline=None, database=None
+)
+def test_no_datagram_ends_a_host(found):
+    async def play():
+        server = world_lib.Server('app-1', 'app')
+        async with world_lib.running(server) as world:
+            address = world.gateway._addresses.beats
+            assert isinstance(address, settings_lib.Address)
+            beat = messages.HostBeat('h', 'i', False, (), b'')
+            good = codec.encode(codec.Envelope(0, False, beat))
+            with socket.socket(type=socket.SOCK_DGRAM) as sock:
+                for data in [*found, good[:-1], good + b'x']:
+                    sock.sendto(data, tuple(address))
+            await trio.sleep(0.01)
+            assert (await world.ask())[0] == 200
+
+    trio.run(play)
