Pass over an engine that breaks off before any event

Cause: such an engine listens, so it wasn't taken for dead, and a broken attempt kept only the same request away from it; the next request chose it again.

Test: test_an_engine_that_resets_its_connections_is_passed_by served 0 of 12 before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -274,6 +274,13 @@
             life = await exchange.watch.look_into(first)
             if life is not crashes.Life.LISTENS:
                 exchange.ledger.excuse(first.endpoint_id)
+            elif not progress.has_events:
+                self._state.doubt(
+                    first,
+                    'broke off before an event',
+                    is_dead=False,
+                    hold_s=endpoints_lib.STALL_HOLD_S,
+                )
         if end is not forwarding.End.ANSWERED:
             self._reason = progress.reason
             self._avoid |= progress.dead
--- a/tests/cover/test_gateway_streams.py
+++ b/tests/cover/test_gateway_streams.py
@@ -240,3 +240,25 @@
         with trio.fail_after(20):
             await ask(world)
     assert 1 <= len(set(got)) <= 2
+
+
+async def test_an_engine_that_resets_its_connections_is_passed_by(clock):
+    # Guards against an engine that listens, and answers nobody, being the
+    # first choice of every request.
+    async def resets(headers, stream):
+        return Answer(ends='reset')
+
+    servers = world_lib.engines((0, 4), (0, 4), (0, 4), script=resets)
+    servers[2].script = whole
+    async with world_lib.running(*servers) as world:
+        for number in range(12):
+            await world.ask(
+                '/draft/x',
+                'POST',
+                b'p',
+                token_usage='10,10',
+                model='m',
+                request_id=f'q{number}',
+            )
+    assert len(servers[2].requests) >= 11
+    assert sum(len(server.requests) for server in servers[:2]) <= 4
