Scale only the other hosts' prompts when the links' use is judged

Cause, by the logged use of the links: a host multiplied its own prompts by the hosts it hadn't heard of late as well, so one of its own looked like one of each host, and a repair counted each crossing of the whole path although only prompts to and from new parts move.

Ruled out: the decay of the rate (2 s).

Change: only what other hosts tell is scaled; a repair counts the ways to and from new parts.

Tests: three in test_layered_fleet.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -200,7 +200,10 @@
             )
             if reply is not None and reply.status in calls_lib.ACCEPTED:
                 self._state.inflight.crossings.add(
-                    path, self._progress.tokens, clocks.now()
+                    path,
+                    self._progress.tokens,
+                    clocks.now(),
+                    self._progress.path,
                 )
                 self._take_path(path, dead, started)
                 return Verdict.REPAIRED
--- a/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
@@ -34,10 +34,18 @@
     crossing_tokens: float = 0.0
 
 
-def count_crossings(path: paths.Path) -> int:
-    """Returns how often a path goes from one failure domain to another."""
+def count_crossings(path: paths.Path, kept: paths.Path = ()) -> int:
+    """Returns how often a prompt goes from one failure domain to another.
+
+    Args:
+        path: The path.
+        kept: Parts that hold the prompt already; only the ways to and from
+            the other parts count.
+    """
+    known = set(kept)
     return sum(
         one.endpoint.domain != other.endpoint.domain
+        and not (one in known and other in known)
         for one, other in zip(path, path[1:], strict=False)
     )
 
@@ -49,10 +57,16 @@
         self._level = 0.0
         self._at = 0.0
 
-    def add(self, path: paths.Path, tokens: int, now: float) -> None:
-        """Counts a prompt that is sent along a path."""
+    def add(
+        self,
+        path: paths.Path,
+        tokens: int,
+        now: float,
+        kept: paths.Path = (),
+    ) -> None:
+        """Counts a prompt that is sent along a path, but for kept parts."""
         self._level = self.read(now)
-        self._level += count_crossings(path) * tokens / CROSSING_WINDOW_S
+        self._level += count_crossings(path, kept) * tokens / CROSSING_WINDOW_S
         self._at = now
 
     def read(self, now: float) -> float:
@@ -120,9 +134,13 @@
             for counts in self._peers.values()
             if now - counts.at <= PEER_LIFE_S
         ]
-        total = self.crossings.read(now)
-        total += sum(counts.crossing_tokens for counts in heard)
-        return total * max(1.0, hosts / (1 + len(heard)))
+        own = self.crossings.read(now)
+        if not heard:
+            return own * max(1, hosts)
+        # This host's own prompts are known, so only the others' are scaled:
+        # one of its own must not look like one of each host.
+        others = sum(counts.crossing_tokens for counts in heard)
+        return own + others * max(1.0, (hosts - 1) / len(heard))
 
     def _change(self, path: paths.Path, tokens: int, sign: int) -> None:
         for part in path:
--- a/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
+++ b/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
@@ -536,3 +536,45 @@
     assert not found
     book.refresh(many, {}, 1, 1.3)
     assert found
+
+
+def test_a_prompt_of_one_host_does_not_look_like_one_of_each_host():
+    # Guards against a large fleet that leaves its links idle: each host took
+    # its own few prompts for the whole fleet's.
+    counts = inflight.InFlight()
+    for number in range(12):
+        peer = inflight.PeerCounts(0.0, {}, {}, 0.0)
+        counts.hear(f'host-{number}', peer)
+    path = tuple(paths.Part(e, e.span) for e in split_copy())
+    counts.crossings.add(path, 1000, 0.0)
+    assert counts.crossing_tokens(0.0, hosts=195) == pytest.approx(500.0)
+
+
+def test_what_other_hosts_send_over_the_links_stands_for_all():
+    counts = inflight.InFlight()
+    for number in range(10):
+        peer = inflight.PeerCounts(0.0, {}, {}, 30.0)
+        counts.hear(f'host-{number}', peer)
+    assert counts.crossing_tokens(0.0, hosts=101) == pytest.approx(3000.0)
+    assert inflight.InFlight().crossing_tokens(0.0, hosts=9) == 0.0
+
+
+def test_a_repair_moves_a_prompt_only_to_and_from_its_new_parts():
+    ends = [
+        paths.Part(
+            make_endpoint(name, domain, 'big', span), endpoints.Span(*span)
+        )
+        for name, domain, span in (
+            ('a', 'east', (0, 20)),
+            ('b', 'west', (20, 40)),
+            ('c', 'west', (40, 60)),
+            ('d', 'west', (60, 80)),
+        )
+    ]
+    new = paths.Part(
+        make_endpoint('e', 'east', 'big', (60, 80)), endpoints.Span(60, 80)
+    )
+    before, after = tuple(ends), (*ends[:3], new)
+    assert inflight.count_crossings(after) == 2
+    assert inflight.count_crossings(after, before) == 1
+    assert inflight.count_crossings(before, before) == 0
