Let newcomers to a domain short of memory hold more than planned

Cause: what the lost engines held was larger than what the newcomers were planned for (a card keeps three tenths of its memory for requests), so each plan left a few layers without a holder in the domain, and moves close one gap each half second.

Change: where a domain's engines together can't hold a copy at the planned share, newcomers hold more, up to three quarters of the way to the least memory for requests.

Tests: two in test_layered_fleet; the first failed before.

--- a/packages/sardinebend-policy/src/sardinebend_policy/placement.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/placement.py
@@ -128,13 +128,7 @@
     """Takes a copy that leaves less memory for requests than planned."""
     for step in TIGHT_STEPS:
         grown = [
-            card._replace(
-                capacity=max(
-                    card.capacity,
-                    card.capacity + int(step * (card.most - card.capacity)),
-                )
-            )
-            for card in rest
+            card._replace(capacity=_grow_capacity(card, step)) for card in rest
         ]
         grown.sort(key=lambda c: (-c.capacity, c.endpoint_id))
         copy = _take_copy(layers, grown, TIGHT_PARTS)
@@ -169,12 +163,34 @@
     placed = [card for card in cards if card.held is not None]
     empty = [card for card in cards if card.held is None]
     for card in sorted(empty, key=lambda c: (-c.capacity, c.endpoint_id)):
-        span = _neediest(_needs(layers, placed, card.domain), card.capacity)
+        size = _size_for(layers, card, cards)
+        span = _neediest(_needs(layers, placed, card.domain), size)
         plan[card.endpoint_id] = span
         placed.append(card._replace(held=span))
     return plan
 
 
+def _size_for(layers: int, card: Card, cards: typing.Sequence[Card]) -> int:
+    """Returns how many layers a card is to hold.
+
+    More than planned where its domain has too little memory for a copy.
+    """
+    sizes = [
+        c.held.size if c.held is not None else c.capacity
+        for c in cards
+        if c.domain == card.domain
+    ]
+    if sum(sizes) >= layers:
+        return card.capacity
+    return _grow_capacity(card, TIGHT_STEPS[-1])
+
+
+def _grow_capacity(card: Card, step: float) -> int:
+    """Returns a capacity between what is planned and the most that fits."""
+    more = int(step * (card.most - card.capacity))
+    return card.capacity + max(0, more)
+
+
 class Move(typing.NamedTuple):
     """A card that is to hold other layers than it does."""
 
--- a/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
+++ b/packages/sardinebend-policy/tests/cover/test_layered_fleet.py
@@ -578,3 +578,25 @@
     assert inflight.count_crossings(after) == 2
     assert inflight.count_crossings(after, before) == 1
     assert inflight.count_crossings(before, before) == 0
+
+
+def test_a_newcomer_to_a_domain_short_of_memory_holds_more_than_planned():
+    # Guards against a domain that stays a few layers short of a copy after a
+    # loss, however many engines come.
+    cards = [
+        placement.Card('a', 'east', 30, endpoints.Span(0, 30), 38),
+        placement.Card('b', 'east', 30, endpoints.Span(30, 60), 38),
+        placement.Card('new', 'east', 14, None, 22),
+    ]
+    plan = placement.make_plan(80, cards)
+    assert plan == {'new': endpoints.Span(60, 80)}
+
+
+def test_a_newcomer_to_a_domain_with_enough_memory_keeps_room_for_requests():
+    cards = [
+        placement.Card('a', 'east', 40, endpoints.Span(0, 40), 48),
+        placement.Card('b', 'east', 40, endpoints.Span(40, 80), 48),
+        placement.Card('new', 'east', 14, None, 22),
+    ]
+    plan = placement.make_plan(80, cards)
+    assert plan['new'].size == 14
