Keep a begun stream at its engine when nothing else is left for it

Change: an attempt of a begun stream is given up only if it can go on elsewhere; else the watchdog looks again, and repairs once a stand-in is there. A search without a path no longer counts as a repair.

Test: test_a_begun_stream_waits_for_a_stand_in_when_nothing_else_is_left was broken off before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -125,8 +125,7 @@
                     'report unanswered',
                     is_dead=True,
                 )
-                self._progress.reason = 'first engine silent'
-                return Verdict.MOVE
+                return self._give_up('first engine silent')
             dead = await self._doubt_stalled(report)
         if not dead:
             return self._judge_silence(silent_s)
@@ -185,7 +184,6 @@
         first = self._progress.path[0].endpoint.endpoint_id
         started = trio.current_time()
         while first not in dead and self._may_repair():
-            self._repairs += 1
             path = paths_lib.repair(
                 self._find_room(),
                 self._progress.path,
@@ -194,6 +192,7 @@
             )
             if path is None:
                 break
+            self._repairs += 1
             self._progress.expose(path)
             reply = await self._calls.repath(
                 self._progress.exchange.admitted.facts.request_id, path
@@ -211,7 +210,19 @@
             if blamed is None:
                 break
             dead = dead | {blamed}
-        self._progress.reason = f'dead engines {sorted(dead)}'
+        return self._give_up(f'dead engines {sorted(dead)}')
+
+    def _give_up(self, reason: str) -> Verdict:
+        """Gives the attempt up, unless the caller's stream would end with it.
+
+        A begun stream that can't go on elsewhere may still go on here: a
+        stand-in may come, and a silent engine may be back.
+        """
+        self._progress.reason = reason
+        first = self._progress.path[0].endpoint.endpoint_id
+        is_begun = self._progress.exchange.out.is_started
+        if is_begun and self._find_other(first) is None:
+            return Verdict.WAIT
         return Verdict.MOVE
 
     def _find_room(self) -> paths_lib.Finder:
--- a/tests/cover/test_gateway_streams.py
+++ b/tests/cover/test_gateway_streams.py
@@ -262,3 +262,38 @@
             )
     assert len(servers[2].requests) >= 11
     assert sum(len(server.requests) for server in servers[:2]) <= 4
+
+
+async def test_a_begun_stream_waits_for_a_stand_in_when_nothing_else_is_left(
+    clock,
+):
+    # Guards against breaking off the last attempt, which helps nobody, while
+    # its engine still holds the request.
+    async def stalls(headers, stream):
+        for piece in start(headers, chunk(event(1))).pieces:
+            await stream.send_all(piece)
+        servers[0].stalled = [servers[1].address]
+        with trio.fail_after(5):
+            while not servers[0].orders:
+                await trio.sleep(0.01)
+        for number in range(2, 6):
+            await stream.send_all(chunk(event(number)))
+        await stream.send_all(LAST)
+
+    servers = world_lib.engines((0, 2), (2, 4))
+    servers[0].script = stalls
+    async with world_lib.running(*servers) as world:
+        stand_in = world_lib.engines((2, 4))[0]
+        stand_in.name = 'stand-in'
+        await stand_in.start(world.nursery)
+
+        async def list_later():
+            while not servers[0].requests:
+                await trio.sleep(0.001)
+            await trio.sleep(1.0)
+            await world.list_server(stand_in)
+
+        world.nursery.start_soon(list_later)
+        status, _, body, is_whole = await ask(world)
+    assert (status, body, is_whole) == (200, all_events(), True)
+    assert servers[0].orders[0]['path'].endswith(f'{stand_in.address}=2-4')
