Count a link for each pair of failure domains again

Change: the use of links is divided by the pairs of domains, as before. The bounds on prompts that cross stay.

Test: test_each_pair_of_domains_has_a_link_of_its_own failed before for 3 and 5 domains.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -154,10 +154,13 @@
     def link_use(self, engine: catalog_lib.EngineModel) -> float:
         """Returns the share of the links between domains that is taken.
 
-        All domains share one link, on which prompts go one after another.
+        Each pair of domains has a link, on which prompts go one after another;
+        the use of all links is taken to be even.
         """
         tokens = self.inflight.crossing_tokens(clocks.now(), self.live_count)
-        return tokens * paths_lib.crossing_ms(engine) / 1000
+        domains = max(2, self.endpoints.count_domains())
+        links = domains * (domains - 1) / 2
+        return tokens * paths_lib.crossing_ms(engine) / 1000 / links
 
     def budget_of(self, service: str) -> retries.RetryBudget:
         """Returns this host's share of a service's retry budget."""
--- a/packages/sardinebend-gateway/tests/cover/test_state.py
+++ b/packages/sardinebend-gateway/tests/cover/test_state.py
@@ -4,10 +4,13 @@
 
 import pytest
 
+from sardinebend_gateway import clocks
 from sardinebend_gateway import edges
 from sardinebend_gateway import settings
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog
+from sardinebend_policy import endpoints
+from sardinebend_policy import inflight
 
 RATIO = 0.2
 EXTRA = 196
@@ -77,3 +80,33 @@
             catalog.Catalog(version, [], [], catalog.Limits(), None)
         )
     assert state.catalog.version == 5
+
+
+@pytest.mark.parametrize(('domains', 'links'), [(2, 1), (3, 3), (5, 10)])
+def test_each_pair_of_domains_has_a_link_of_its_own(domains, links):
+    state = make_state()
+    for number in range(domains):
+        state.endpoints.put(
+            endpoints.Endpoint(
+                f'e{number}', 's', '10.0.0.1:1', f'd{number}', 8, False, 1
+            )
+        )
+    # 200 prompt tokens a second take one link for the whole second.
+    engine = catalog.EngineModel(
+        layers=80,
+        layer_mb=1.0,
+        token_layer_mb=0.01,
+        step_ms=1.0,
+        per_request_ms=0.0,
+        read_tokens_per_ms=100.0,
+        activation_mb=5.0,
+        pipe_mb_per_ms=1.0,
+        usual_prompt=100.0,
+        usual_answer=10.0,
+        load_s=1.0,
+        cards={},
+    )
+    counts = inflight.PeerCounts(clocks.now(), {}, {}, 200.0)
+    state.inflight.hear('peer', counts)
+    state.live_count = 2
+    assert state.link_use(engine) == pytest.approx(1.0 / links)
