--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -10,6 +10,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import http_server
+from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
@@ -58,7 +59,7 @@
         state: state_lib.State,
         req: http_server.Request,
         admitted: admission.Admitted,
-        out: http_server.Responder,
+        out: responder.Responder,
         watch: crashes.CrashWatch,
     ) -> None:
         self.state = state
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import http_server
 from sardinebend_gateway import plain
+from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_gateway import streams
 
@@ -35,7 +36,7 @@
         self._watch = watch
 
     async def serve(
-        self, req: http_server.Request, out: http_server.Responder
+        self, req: http_server.Request, out: responder.Responder
     ) -> None:
         """Serves one request."""
         codec = self._state.edges.requests
@@ -77,7 +78,7 @@
         self,
         facts: edges_lib.RequestFacts,
         refusal: admission.Refusal,
-        out: http_server.Responder,
+        out: responder.Responder,
     ) -> None:
         self._state.audit.log(
             events.REQUEST_REFUSED,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -17,6 +17,7 @@
 import trio
 
 from sardinebend_gateway import errors
+from sardinebend_gateway import responder as responder_lib
 from sardinebend_policy import catalog
 
 READ_BYTES: typing.Final = 65536
@@ -33,8 +34,6 @@
 
 _LOGGER = logging.getLogger('sardinebend.decisions')
 
-Pairs = typing.Sequence[tuple[bytes, bytes]]
-
 
 class Request(typing.NamedTuple):
     """A request that has been read whole.
@@ -49,75 +48,24 @@
 
     method: bytes
     target: bytes
-    headers: Pairs
+    headers: responder_lib.Pairs
     body: bytes
     arrived_at: float
 
 
-class Responder:
-    """Sends the answer to one request.
-
-    Attributes:
-        is_started: Whether the status line has been sent.
-        is_finished: Whether the answer is complete.
-    """
-
-    def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
-        self.is_started = False
-        self.is_finished = False
-        self.closes = False
-        self._conn = conn
-        self._stream = stream
-
-    async def answer(self, status: int, headers: Pairs, body: bytes) -> None:
-        """Sends a whole answer."""
-        length = (b'content-length', str(len(body)).encode())
-        await self._start(status, [*headers, length])
-        data = self._conn.send(h11.Data(data=body)) if body else b''
-        await self._send((data or b'') + (self._end() or b''))
-        self.is_finished = True
-
-    async def start(self, status: int, headers: Pairs) -> None:
-        """Begins an answer whose length isn't known."""
-        await self._start(
-            status, [*headers, (b'transfer-encoding', b'chunked')]
-        )
-
-    async def write(self, data: bytes) -> None:
-        """Sends a part of the answer."""
-        await self._send(self._conn.send(h11.Data(data=data)) or b'')
-
-    async def finish(self) -> None:
-        """Ends an answer as complete."""
-        await self._send(self._end() or b'')
-        self.is_finished = True
-
-    def _end(self) -> bytes | None:
-        return self._conn.send(h11.EndOfMessage())
-
-    async def _start(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
-        if self.closes:
-            headers.append((b'connection', b'close'))
-        head = h11.Response(status_code=status, headers=headers)
-        self.is_started = True
-        await self._send(self._conn.send(head) or b'')
-
-    async def _send(self, data: bytes) -> None:
-        if not data:
-            return
-        try:
-            await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise errors.CallerGone(str(exc)) from exc
-
-
 Handler = typing.Callable[
-    [Request, Responder], typing.Coroutine[typing.Any, typing.Any, None]
+    [Request, responder_lib.Responder],
+    typing.Coroutine[typing.Any, typing.Any, None],
 ]
 
 
+_GONE: typing.Final = (
+    errors.CallerGone,
+    trio.BrokenResourceError,
+    trio.ClosedResourceError,
+)
+
+
 class _CallerConnection:
     """One connection of a caller."""
 
@@ -139,11 +87,7 @@
                 self._early_bytes = 0
         except errors.BadRequest as exc:
             await self._refuse(exc)
-        except (
-            errors.CallerGone,
-            trio.BrokenResourceError,
-            trio.ClosedResourceError,
-        ):
+        except _GONE:
             self._reset()
         except Exception:
             # One connection must not end the process that serves the others.
@@ -163,7 +107,7 @@
             body = await self._read_body(head)
             headers = list(head.headers)
             req = Request(head.method, head.target, headers, body, arrived_at)
-            responder = Responder(self._conn, self._stream)
+            responder = responder_lib.Responder(self._conn, self._stream)
             responder.closes = self._server.is_stopping
             await self._handle(req, responder)
         finally:
@@ -176,7 +120,9 @@
             and not self._is_eof
         )
 
-    async def _handle(self, req: Request, responder: Responder) -> None:
+    async def _handle(
+        self, req: Request, responder: responder_lib.Responder
+    ) -> None:
         """Runs the handler and cancels it when the caller has gone."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
@@ -256,7 +202,7 @@
             return b''
         try:
             data = await self._stream.receive_some(READ_BYTES)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
+        except _GONE:
             data = b''
         self._is_eof = not data
         return bytes(data)
@@ -265,7 +211,7 @@
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             self._reset()
             return
-        responder = Responder(self._conn, self._stream)
+        responder = responder_lib.Responder(self._conn, self._stream)
         responder.closes = True
         with trio.move_on_after(1.0):
             try:
@@ -275,7 +221,7 @@
                 # could destroy the answer on its way.
                 while await self._receive():
                     pass
-            except (errors.CallerGone, trio.BrokenResourceError):
+            except _GONE:
                 self._reset()
 
     def _reset(self) -> None:
