Let other hosts take a free lease when all readers are cut off

Nobody gave orders to engines while both readers were alive and cut off from the store: only hosts that read the store tried for the lease, and with two readers in a fleet that is likelier than with one in each domain.

Cause: the rule that keeps a large fleet from writing to a free lease all at once had no end.

Change: a host behind a reader tries once the lease has been free for two to six seconds, a time of its own, so that they come one after another; a conflict tells the others.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
@@ -29,6 +29,9 @@
 ROUND_S: typing.Final = 0.25
 # A host that has just started doesn't know yet who else is there to try.
 FIRST_TRY_S: typing.Final = 1.5
+# Hosts that don't read the store leave a free lease to those that do for this
+# long, and are spread over the rest of it.
+LATE_TRY_S: typing.Final = (2.0, 6.0)
 # Time for the first listings to gather, so that the plan of an empty fleet
 # sees all of it.
 SETTLE_S: typing.Final = 1.0
@@ -68,6 +71,8 @@
         self._last_new_at = clocks.now()
         self._known: set[str] = set()
         self._move_after = float('-inf')
+        self._free_since: float | None = None
+        self._late_try_s = state.rng.uniform(*LATE_TRY_S)
 
     @property
     def holds_lease(self) -> bool:
@@ -114,15 +119,25 @@
     def _may_try(self) -> bool:
         """Tells whether this host may take or renew the lease.
 
-        In a large fleet only the hosts that read the store do, so that a free
-        lease isn't written to by all hosts at once.
+        Only the hosts that read the store do at first, so that a free lease
+        isn't written to by all hosts at once. They may all be cut off from the
+        store, so others follow, one after another.
         """
         if self._state.is_stopping:
             return False
         if self.holds_lease:
             return True
-        is_new = clocks.now() - self._started_at < FIRST_TRY_S
-        return not is_new and self._state.role.reader is None
+        now = clocks.now()
+        if now - self._started_at < FIRST_TRY_S:
+            return False
+        if self._lease.next_attempt(now) is None:
+            self._free_since = None
+            return False
+        if self._free_since is None:
+            self._free_since = now
+        if self._state.role.reader is None:
+            return True
+        return now - self._free_since > self._late_try_s
 
     async def _try_lease(self) -> None:
         attempt = self._lease.next_attempt(clocks.now())
--- a/tests/cover/test_gateway_readers.py
+++ b/tests/cover/test_gateway_readers.py
@@ -184,3 +184,21 @@
         with trio.fail_after(follower.SEEDS_S + 1):
             await host.start_gateway()
         nursery.cancel_scope.cancel()
+
+
+async def test_the_lease_is_taken_by_others_when_all_readers_lose_the_store(
+    clock,
+):
+    # Guards against engines that nobody gives orders to while both readers
+    # are alive and cut off from the store.
+    async with fleet() as hosts:
+        chosen, others = split(hosts)
+        with trio.fail_after(20):
+            while not any(h.gateway.keeper.holds_lease for h in chosen):
+                await trio.sleep(0.02)
+        for host in chosen:
+            host.store.is_cut = True
+        with trio.fail_after(20):
+            while not any(h.gateway.keeper.holds_lease for h in others):
+                await trio.sleep(0.02)
+        assert not any(h.gateway.keeper.holds_lease for h in chosen)
