Show one view of the fleet from any host

An operator of some hundred hosts had to ask each of them, or read logs, to learn which versions are in force, who reads the store, who gives orders and where layers lack a holder.

Change: a page /status on the metrics address, from what a host believes anyway, and `sardinebendctl status ip:port`.

Tests: test_status_page (the page through the command, a layer without a holder, no configuration yet, bad input, no answer).

--- a/packages/sardinebend-admin/src/sardinebend_admin/cli.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/cli.py
@@ -12,6 +12,7 @@
 from sardinebend_admin import errors
 from sardinebend_admin import explain
 from sardinebend_admin import simulate
+from sardinebend_admin import status
 
 COMMANDS = {
     'settings': {
@@ -30,6 +31,7 @@
     'drain': commands.drain,
     'explain': explain.explain,
     'simulate': simulate.simulate,
+    'status': status.status,
 }
 
 
--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/status.py
@@ -0,0 +1,138 @@
+"""One view of the fleet, as one host believes it to be."""
+
+import typing
+
+from sardinebend_gateway import clocks
+from sardinebend_gateway import keeper as keeper_lib
+from sardinebend_gateway import members as members_lib
+from sardinebend_gateway import state as state_lib
+from sardinebend_policy import catalog as catalog_lib
+
+
+class Coverage(typing.TypedDict):
+    """How well a failure domain holds a service's model.
+
+    Attributes:
+        domain: The domain.
+        engines: Engines that hold layers there, leaving ones left out.
+        fewest_holders: Engines behind the layer with the fewest; 0 means
+            that no path stays within the domain.
+    """
+
+    domain: str
+    engines: int
+    fewest_holders: int
+
+
+class ServiceStatus(typing.TypedDict):
+    """One service's endpoints.
+
+    Attributes:
+        name: The service.
+        endpoints: Those that are listed.
+        leaving: Those that are about to end.
+        doubted: Those that this host passes over for a while.
+        retries_left: Whether this host may still send a request again.
+        coverage: By failure domain; empty where endpoints hold no layers.
+    """
+
+    name: str
+    endpoints: int
+    leaving: int
+    doubted: int
+    retries_left: bool
+    coverage: list[Coverage]
+
+
+class Status(typing.TypedDict):
+    """What one host believes of the fleet.
+
+    Attributes:
+        host: The host.
+        is_stopping: Whether its planned stop has begun.
+        catalog_version: Version of the configuration in force; -1 if none.
+        catalog_age_s: Age of the evidence for it; -1 if there is none.
+        reads_store: Whether it reads the platform's store itself.
+        reader: The host that it asks instead, if any.
+        holds_lease: Whether it gives orders to engines.
+        live_hosts: Names of the hosts that are taken to live.
+        leaving_hosts: Names of those whose planned stop has begun.
+        services: Their endpoints.
+    """
+
+    host: str
+    is_stopping: bool
+    catalog_version: int
+    catalog_age_s: float
+    reads_store: bool
+    reader: str | None
+    holds_lease: bool
+    live_hosts: list[str]
+    leaving_hosts: list[str]
+    services: list[ServiceStatus]
+
+
+def make_status(
+    state: state_lib.State,
+    members: members_lib.Members,
+    keeper: keeper_lib.Keeper,
+) -> Status:
+    """Returns what a host believes at the moment."""
+    catalog = state.catalog
+    peers = members.peers()
+    leaving = [name for name, row in peers.items() if row['is_leaving']]
+    services = catalog.services.values() if catalog else ()
+    return {
+        'host': state.cfg.name,
+        'is_stopping': state.is_stopping,
+        'catalog_version': catalog.version if catalog else -1,
+        'catalog_age_s': round(state.catalog_age_s(), 3) if catalog else -1.0,
+        'reads_store': state.role.reader is None,
+        'reader': state.role.reader,
+        'holds_lease': keeper.holds_lease,
+        'live_hosts': sorted([*members.live_peers(), state.cfg.name]),
+        'leaving_hosts': sorted(leaving),
+        'services': [_make_service(state, service) for service in services],
+    }
+
+
+def _make_service(
+    state: state_lib.State, service: catalog_lib.Service
+) -> ServiceStatus:
+    now = clocks.now()
+    listed = state.endpoints.all_of(service.name)
+    return {
+        'name': service.name,
+        'endpoints': len(listed),
+        'leaving': sum(e.is_draining for e in listed),
+        'doubted': sum(state.endpoints.is_doubted(e, now) for e in listed),
+        'retries_left': state.budget_of(service.name).can_spend(now),
+        'coverage': _make_coverage(state, service),
+    }
+
+
+def _make_coverage(
+    state: state_lib.State, service: catalog_lib.Service
+) -> list[Coverage]:
+    if service.engine is None or not service.has_layers:
+        return []
+    counts: dict[str, list[int]] = {}
+    engines: dict[str, int] = {}
+    for endpoint in state.endpoints.all_of(service.name):
+        holders = counts.setdefault(
+            endpoint.domain, [0] * service.engine.layers
+        )
+        if endpoint.span is None or endpoint.is_draining:
+            continue
+        engines[endpoint.domain] = engines.get(endpoint.domain, 0) + 1
+        for layer in range(*endpoint.span):
+            if layer < len(holders):
+                holders[layer] += 1
+    return [
+        {
+            'domain': domain,
+            'engines': engines.get(domain, 0),
+            'fewest_holders': min(holders, default=0),
+        }
+        for domain, holders in sorted(counts.items())
+    ]
