Have the soak's servers list themselves again after an outage of the store

Cause, by a trace of what each host knew every four seconds: both plain servers had started again while the store was down; the stand-in wrote its listing once, the store didn't take it, and all four hosts went on with the newest version that the store had, in which neither server was. The platform's pages say that such entries are back within about two seconds of the store's return.

Change: a stand-in repeats its write until the store takes it. The check and its bound stay.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -10,6 +10,7 @@
 import random
 import typing
 
+import result
 import trio
 
 from sardinebend_store import feeds
@@ -41,6 +42,9 @@
 LOSS_SLACK_S: typing.Final = 0.2
 # Around a disturbance of hosts or store, bounds in time aren't judged.
 CALM_S: typing.Final = 3.0
+# The platform's servers write about once a second, so a listing that the store
+# didn't take is back soon after its return.
+RELIST_S: typing.Final = 0.5
 
 
 @dataclasses.dataclass
@@ -443,5 +447,12 @@
         await self.store.write('op', 'config', None, value)
 
     async def list_worker(self, worker, is_gone=False):
+        """Writes a worker's listing; it is back soon after an outage."""
         value = None if is_gone else json.dumps(worker.entry()).encode()
-        await self.store.write('servers', worker.name, None, value)
+        while True:
+            answer = await self.store.write('servers', worker.name, None, value)
+            if isinstance(answer, result.Ok):
+                return
+            await trio.sleep(RELIST_S)
+            if worker.is_down and not is_gone:
+                return
