Name the parts of a bound that hosts wait

The waits of a host, a relay and a reader stood as lists of bare numbers. They are named constants now, with what they are parts of and why they add up as they do. No value changes; the tests of followers and readers pass as before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
@@ -56,32 +56,42 @@
     peer_age_s: float
     gather_s: float
 
-    @classmethod
-    def for_endpoints(cls, drain_s: float) -> 'Pace':
-        """Returns a pace by which a leaving endpoint is known in time.
-
-        Args:
-            drain_s: Time after which a leaving endpoint must get nothing new.
-        """
-        shares = cls(0.9, 0.4, 0.12, 0.25, 0.8, 0.1)
-        return cls(*(share * drain_s for share in shares))
-
-    @classmethod
-    def for_keys(cls, revoke_s: float) -> 'Pace':
-        """Returns a pace by which withdrawn keys are known in time.
-
-        A host that has lost the store goes on for as long as its evidence is
-        young enough: with these for over 0.6 of the bound.
-
-        Args:
-            revoke_s: Time after which a withdrawn key must not be let in.
-        """
-        shares = cls(0.16, 0.16, 0.05, 0.1, 0.33, 0.04)
-        return cls(*(share * revoke_s for share in shares))
-
-
+    def scale(self, bound_s: float) -> 'Pace':
+        """Returns a pace whose times are these parts of a bound."""
+        return Pace(*(part * bound_s for part in self))
+
+
+# Parts of the time after which a leaving endpoint must get nothing new. The
+# waits of a reader, a relay and the host itself add up to less than the oldest
+# evidence, so that a host turns to the store only when its reader has lost it.
+ENDPOINT_PARTS: typing.Final = Pace(
+    alone_s=0.9,
+    reader_s=0.4,
+    relay_s=0.12,
+    peer_s=0.25,
+    peer_age_s=0.8,
+    gather_s=0.1,
+)
+# Parts of the time after which a withdrawn key must not be let in. A host that
+# has lost the store goes on while its evidence is young enough; callers are
+# owed an answer for 0.6 of that time.
+KEY_PARTS: typing.Final = Pace(
+    alone_s=0.16,
+    reader_s=0.16,
+    relay_s=0.05,
+    peer_s=0.1,
+    peer_age_s=0.33,
+    gather_s=0.04,
+)
 # Rows that hosts share change rarely, and none of them bounds a rule.
-UNBOUNDED: typing.Final = Pace(5.0, 5.0, 3.0, 4.0, 15.0, 0.5)
+UNBOUNDED: typing.Final = Pace(
+    alone_s=5.0,
+    reader_s=5.0,
+    relay_s=3.0,
+    peer_s=4.0,
+    peer_age_s=15.0,
+    gather_s=0.5,
+)
 
 
 class Relayed(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/keeper.py
@@ -29,8 +29,8 @@
 ROUND_S: typing.Final = 0.25
 # A host that has just started doesn't know yet who else is there to try.
 FIRST_TRY_S: typing.Final = 1.5
-# Hosts that don't read the store leave a free lease to those that do for this
-# long, and are spread over the rest of it.
+# Range of the time for which a host that doesn't read the store leaves a free
+# lease to those that do; each host draws its own.
 LATE_TRY_S: typing.Final = (2.0, 6.0)
 # Time for the first listings to gather, so that the plan of an empty fleet
 # sees all of it.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -27,7 +27,7 @@
             state,
             table,
             self._take,
-            follower_lib.Pace.for_keys(state.cfg.revoke_s),
+            follower_lib.KEY_PARTS.scale(state.cfg.revoke_s),
         )
 
     async def run(self) -> None:
@@ -68,7 +68,7 @@
             state,
             table,
             self._take,
-            follower_lib.Pace.for_endpoints(state.cfg.drain_s),
+            follower_lib.ENDPOINT_PARTS.scale(state.cfg.drain_s),
         )
 
     async def run(self) -> None:
--- a/packages/sardinebend-gateway/tests/cover/test_watch.py
+++ b/packages/sardinebend-gateway/tests/cover/test_watch.py
@@ -270,7 +270,7 @@
         state,
         't',
         lambda rows: None,
-        follower_lib.Pace.for_keys(state.cfg.revoke_s),
+        follower_lib.KEY_PARTS.scale(state.cfg.revoke_s),
     )
     oldest_s = 0.0
     async with trio.open_nursery() as nursery:
--- a/tests/cover/test_gateway_readers.py
+++ b/tests/cover/test_gateway_readers.py
@@ -67,7 +67,7 @@
             # What was asked before, alone, is answered by now, and so is what
             # was asked because the reader's own evidence was still old.
             await trio.sleep(
-                2 * follower.Pace.for_endpoints(DRAIN_S).alone_s + 1
+                2 * follower.ENDPOINT_PARTS.scale(DRAIN_S).alone_s + 1
             )
         yield hosts
         nursery.cancel_scope.cancel()
