Bound what hearsay of unreachable endpoints takes away

Cause: the word of two hosts was believed for any number of endpoints.

Change: others' word passes over no more endpoints once a quarter of a service's are passed over. What a host finds out by its own connections isn't bounded.

Test: test_hosts_that_wake_together_cannot_take_a_service_away left 0 of 40 endpoints before, 30 now.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -40,6 +40,9 @@
 CRASHES_BORNE: typing.Final = 3
 # An endpoint is told of again once others may have stopped passing it over.
 UNREACHABLE_S: typing.Final = endpoints_lib.DEAD_HOLD_S
+# Share of a service's endpoints beyond which others' word keeps work from no
+# more of them.
+MAX_HEARSAY_SHARE: typing.Final = 0.25
 
 
 DeathWatcher = typing.Callable[[str], None]
@@ -226,9 +229,9 @@
         known = self.endpoints.get(incarnation[0])
         if known is None or known.incarnation != incarnation:
             return
-        if self.hearsay.hear(incarnation, host, now) and not (
-            self.endpoints.is_doubted(known, now)
-        ):
+        if not self.hearsay.hear(incarnation, host, now):
+            return
+        if self._may_pass_over(known):
             self.doubt(
                 known,
                 'unreachable for other hosts',
@@ -236,6 +239,19 @@
                 hold_s=endpoints_lib.DEAD_HOLD_S,
             )
 
+    def _may_pass_over(self, endpoint: endpoints_lib.Endpoint) -> bool:
+        """Tells whether hearsay may still keep work from an endpoint.
+
+        Hosts that wake from a pause find everything unreachable for a moment,
+        so what they say must not take most of a service away.
+        """
+        now = clocks.now()
+        listed = self.endpoints.all_of(endpoint.service)
+        doubted = sum(self.endpoints.is_doubted(e, now) for e in listed)
+        return not self.endpoints.is_doubted(
+            endpoint, now
+        ) and doubted < MAX_HEARSAY_SHARE * len(listed)
+
     def heed(
         self, endpoint: endpoints_lib.Endpoint, facts: edges_lib.AnswerFacts
     ) -> None:
--- a/packages/sardinebend-gateway/tests/cover/test_state.py
+++ b/packages/sardinebend-gateway/tests/cover/test_state.py
@@ -110,3 +110,20 @@
     state.inflight.hear('peer', counts)
     state.live_count = 2
     assert state.link_use(engine) == pytest.approx(1.0 / links)
+
+
+def test_hosts_that_wake_together_cannot_take_a_service_away():
+    # Guards against two hosts that were suspended, and find every endpoint
+    # unreachable for a moment, emptying the whole fleet's paths.
+    state = make_state()
+    starts = []
+    for number in range(40):
+        endpoint = endpoints.Endpoint(
+            f'e{number}', 's', '10.0.0.1:1', 'd', 8, False, 1
+        )
+        state.endpoints.put(endpoint)
+        starts.append(endpoint.incarnation)
+    for host in ('a', 'b'):
+        for start in starts:
+            state.hear_unreachable(start, host)
+    assert len(state.endpoints.open_of('s', clocks.now())) >= 30
