Log the shared parts of prompts, and reproduce the crashing part

On-call could see that engines ended under ever new contents, but not what these had in common. request_sent and endpoint_crashed now name the parts of prompts that others may share.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -1,5 +1,6 @@
 """Detects crashed endpoints and the requests that they were running."""
 
+import collections
 import enum
 import typing
 
@@ -22,7 +23,7 @@
 # one probe.
 PROBE_REUSE_S: typing.Final = 0.15
 CLEANUP_INTERVAL_S: typing.Final = 2.0
-MAX_LOGGED_CONTENTS: typing.Final = 8
+MAX_LOGGED_NAMES: typing.Final = 8
 
 
 class ProbeResult(enum.Enum):
@@ -51,15 +52,29 @@
     the endpoints that each repair of its path adds.
     """
 
-    def __init__(self, state: state_lib.State, run: quarantine.Run) -> None:
+    def __init__(
+        self,
+        state: state_lib.State,
+        run: quarantine.Run,
+        shared_parts: tuple[str, ...],
+    ) -> None:
+        """Creates an exposure to no endpoint.
+
+        Args:
+            state: The state of the host.
+            run: The attempt.
+            shared_parts: Ids of the parts of its prompt that other requests may
+                share.
+        """
         self._state = state
         self._run = run
+        self._shared_parts = shared_parts
         self._reached: set[suspects_lib.Incarnation] = set()
 
     def add(self, endpoints: typing.Iterable[endpoints_lib.Endpoint]) -> None:
         """Records that the request is about to reach endpoints."""
         found = {endpoint.incarnation for endpoint in endpoints}
-        self._state.suspects.begin(self._run, found)
+        self._state.suspects.begin(self._run, found, self._shared_parts)
         self._reached |= found
 
     def clear(
@@ -161,7 +176,8 @@
             born=endpoint.born,
             evidence=evidence,
             requests=len(crash.runs),
-            contents=_shorten(crash.runs),
+            contents=_shorten(run.fingerprint for run in crash.runs),
+            prompt_parts=_shorten(use.part for use in crash.part_uses),
         )
         self._shared.record(crash)
 
@@ -203,8 +219,9 @@
     return ProbeResult.LISTENS
 
 
-def _shorten(runs: typing.Iterable[quarantine.Run]) -> list[str]:
-    found = sorted(
-        {quarantine.abbreviate_fingerprint(run.fingerprint) for run in runs}
+def _shorten(names: typing.Iterable[str]) -> list[str]:
+    """Returns the most frequent names first, abbreviated."""
+    counts = collections.Counter(
+        quarantine.abbreviate_fingerprint(name) for name in sorted(names)
     )
-    return found[:MAX_LOGGED_CONTENTS]
+    return [name for name, _ in counts.most_common(MAX_LOGGED_NAMES)]
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -23,6 +23,8 @@
         answer_tokens: Maximum number of tokens of the answer.
         expected_tokens: The caller's estimate of the answer's tokens.
         resume_after: Id of the last event that the caller has received.
+        shared_parts: Ids of the parts of the prompt that other requests may
+            share, in order; without the last part, which is the request's own.
     """
 
     request_id: str
@@ -33,6 +35,7 @@
     answer_tokens: int = 0
     expected_tokens: int | None = None
     resume_after: bytes | None = None
+    shared_parts: tuple[str, ...] = ()
 
 
 class Dispatch(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -36,7 +36,9 @@
 )
 ENDPOINT_BACKOFF = Event('endpoint_backoff', 'endpoint, for_s', True)
 ENDPOINT_CRASHED = Event(
-    'endpoint_crashed', 'endpoint, born, evidence, requests, contents', True
+    'endpoint_crashed',
+    'endpoint, born, evidence, requests, contents, prompt_parts',
+    True,
 )
 ENDPOINT_DOUBTED = Event('endpoint_doubted', 'endpoint, reason, for_s', True)
 STORE_LOST = Event('store_lost', 'table, reason, evidence_age_s', True)
@@ -49,7 +51,8 @@
     'request_refused', 'request, route, status, reason, evidence_age_s', True
 )
 REQUEST_SENT = Event(
-    'request_sent', 'request, route, endpoint, parts, attempt, time_left_s'
+    'request_sent',
+    'request, route, endpoint, parts, prompt_parts, attempt, time_left_s',
 )
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -24,6 +24,8 @@
 # Upper end of the random factor that spreads the retries of callers, relative
 # to the time that the endpoint asked for.
 BACKOFF_SPREAD: typing.Final = 1.5
+# Number of shared parts of a prompt that a log line shows.
+MAX_LOGGED_PARTS: typing.Final = 8
 # Reason for refusing a request because endpoints crashed while they ran it.
 QUARANTINED: typing.Final = 'ends the endpoints that run it'
 
@@ -169,7 +171,9 @@
         self._exposure_count += 1
         run_id = f'{self.admitted.facts.request_id}/{self._exposure_count}'
         exposure = crashes.Exposure(
-            self.state, quarantine.Run(self.content_fingerprint, run_id)
+            self.state,
+            quarantine.Run(self.content_fingerprint, run_id),
+            self.admitted.facts.shared_parts,
         )
         exposure.add(endpoints)
         return exposure
@@ -194,6 +198,10 @@
             endpoint=endpoint.endpoint_id,
             parts=parts,
             content=quarantine.abbreviate_fingerprint(self.content_fingerprint),
+            prompt_parts=[
+                quarantine.abbreviate_fingerprint(part)
+                for part in self.admitted.facts.shared_parts[:MAX_LOGGED_PARTS]
+            ],
             attempt=len(self.ledger.sent_to),
             time_left_s=round(self.time_left_s(), 3),
             after_s=self.took_s(),
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -90,7 +90,7 @@
             self._members.liveness.digest(now, len(self._members.peers())),
             int(inflight.crossings.read(now)),
             tuple(
-                messages.CrashReport(*crash)
+                messages.CrashReport(crash.crash_id, crash.runs)
                 for crash in self._quarantine.recent()
             ),
             tuple(
--- a/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
@@ -39,6 +39,18 @@
     run_id: str
 
 
+class PartUse(typing.NamedTuple):
+    """The use of a part of a prompt by a request.
+
+    Attributes:
+        part: Id of the part, which other requests may share.
+        fingerprint: Fingerprint of the request.
+    """
+
+    part: str
+    fingerprint: str
+
+
 class Crash(typing.NamedTuple):
     """The crash of one endpoint incarnation and the runs it was serving.
 
@@ -46,10 +58,12 @@
         crash_id: Endpoint and incarnation. Two hosts that observe the same
             crash use the same id, so it counts once.
         runs: Runs at the endpoint that the reporting host knows of.
+        part_uses: The shared parts of the prompts of these runs.
     """
 
     crash_id: str
     runs: frozenset[Run]
+    part_uses: frozenset[PartUse] = frozenset()
 
 
 class Quarantine:
--- a/packages/sardinebend-policy/src/sardinebend_policy/suspects.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/suspects.py
@@ -25,6 +25,18 @@
     return f'{name}/{born}'
 
 
+class _Suspect(typing.NamedTuple):
+    """A run at an endpoint.
+
+    Attributes:
+        shared_parts: Ids of the parts of its prompt that others may share.
+        until: When an ended run stops being a suspect.
+    """
+
+    shared_parts: tuple[str, ...]
+    until: float = float('inf')
+
+
 class Suspects:
     """Runs that may have crashed an endpoint, by its incarnation.
 
@@ -32,20 +44,30 @@
     """
 
     def __init__(self) -> None:
-        self._uncleared: dict[Incarnation, dict[quarantine.Run, float]] = {}
-        self._ended: dict[Incarnation, dict[quarantine.Run, float]] = {}
+        self._uncleared: dict[Incarnation, dict[quarantine.Run, _Suspect]] = {}
+        self._ended: dict[Incarnation, dict[quarantine.Run, _Suspect]] = {}
         self._crashed: dict[Incarnation, float] = {}
 
     def begin(
-        self, run: quarantine.Run, incarnations: typing.Iterable[Incarnation]
+        self,
+        run: quarantine.Run,
+        incarnations: typing.Iterable[Incarnation],
+        shared_parts: tuple[str, ...] = (),
     ) -> None:
         """Records that a request is about to be sent to endpoints.
 
         A request sent to an endpoint that has crashed already is no suspect,
         since it can't be the cause.
+
+        Args:
+            run: The attempt.
+            incarnations: The endpoints.
+            shared_parts: Ids of the parts of its prompt that other requests may
+                share.
         """
         for incarnation in set(incarnations) - self._crashed.keys():
-            self._uncleared.setdefault(incarnation, {})[run] = 0.0
+            runs = self._uncleared.setdefault(incarnation, {})
+            runs[run] = _Suspect(shared_parts)
 
     def clear(
         self, run: quarantine.Run, incarnations: typing.Iterable[Incarnation]
@@ -67,9 +89,10 @@
     ) -> None:
         """Records the end of an attempt; if not cleared, it stays suspect."""
         for incarnation in incarnations:
-            if _discard(self._uncleared, incarnation, run):
+            suspect = _discard(self._uncleared, incarnation, run)
+            if suspect is not None:
                 ended = self._ended.setdefault(incarnation, {})
-                ended[run] = now + SUSPECT_TTL_S
+                ended[run] = suspect._replace(until=now + SUSPECT_TTL_S)
 
     def record_crash(
         self,
@@ -88,19 +111,30 @@
                 suspects, and none that still run.
         """
         self._crashed[incarnation] = now + SUSPECT_TTL_S
-        ended = self._ended.pop(incarnation, {})
-        runs = {run for run, until in ended.items() if until > now}
+        suspects = {
+            run: suspect
+            for run, suspect in self._ended.pop(incarnation, {}).items()
+            if suspect.until > now
+        }
         if not only_finished_attempts:
-            runs |= self._uncleared.pop(incarnation, {}).keys()
-        if not runs:
+            suspects |= self._uncleared.pop(incarnation, {})
+        if not suspects:
             return None
-        return quarantine.Crash(make_crash_id(incarnation), frozenset(runs))
+        return quarantine.Crash(
+            make_crash_id(incarnation),
+            frozenset(suspects),
+            frozenset(
+                quarantine.PartUse(part, run.fingerprint)
+                for run, suspect in suspects.items()
+                for part in suspect.shared_parts
+            ),
+        )
 
     def drop_expired(self, now: float) -> None:
         """Drops ended attempts that no crash has followed in time."""
         self._crashed = {k: t for k, t in self._crashed.items() if t > now}
         for incarnation, runs in list(self._ended.items()):
-            for run in [r for r, until in runs.items() if until <= now]:
+            for run in [r for r, s in runs.items() if s.until <= now]:
                 _discard(self._ended, incarnation, run)
 
     def __len__(self) -> int:
@@ -112,14 +146,13 @@
 
 
 def _discard(
-    table: dict[Incarnation, dict[quarantine.Run, float]],
+    table: dict[Incarnation, dict[quarantine.Run, _Suspect]],
     incarnation: Incarnation,
     run: quarantine.Run,
-) -> bool:
-    """Removes a run; returns whether it was there."""
+) -> _Suspect | None:
+    """Removes a run; returns its record, or `None` if it wasn't there."""
     runs = table.get(incarnation)
-    if runs is None or runs.pop(run, None) is None:
-        return False
-    if not runs:
+    suspect = None if runs is None else runs.pop(run, None)
+    if not runs and runs is not None:
         del table[incarnation]
-    return True
+    return suspect
--- a/tests/common/crashing_world.py
+++ b/tests/common/crashing_world.py
@@ -1,4 +1,4 @@
-"""A small fleet with a request that crashes each server that runs it."""
+"""A small fleet with requests that crash each server that runs them."""
 
 import contextlib
 import typing
@@ -21,6 +21,11 @@
 CRASHES_BEFORE_QUARANTINE: typing.Final = 3
 MAX_LATE_REPEATS: typing.Final = 3
 FATAL: typing.Final = b'fatal'
+# Any request whose prompt has this part crashes the engines that run it. Limits
+# promised to callers: this long after the fifth crash, all hosts know the part.
+# Later, at most MAX_LATE_REPEATS more requests with it may reach engines.
+FATAL_PART: typing.Final = 'fa7a1'
+CRASHES_BEFORE_PART_QUARANTINE: typing.Final = 5
 
 
 class Arrival(typing.NamedTuple):
@@ -68,7 +73,8 @@
         if self.fleet.renames:
             self.name = f'{old_name}-again'
             await self.fleet.store.write('servers', old_name, None, None)
-        await self.start(self.fleet.nursery)
+        port = 0 if self.fleet.renames else self.port
+        await self.start(self.fleet.nursery, port)
         self.is_up = True
         await self.fleet.write_listing(self)
 
@@ -89,7 +95,10 @@
         return await self.serve(headers, stream)
 
     async def _run_path(self, headers, stream):
-        is_fatal = self.requests[-1][3] == FATAL
+        *shared_parts, _ = headers.get('prefix-hash', '').split(',')
+        is_fatal = self.requests[-1][3] == FATAL or any(
+            part.startswith(f'{FATAL_PART}:') for part in shared_parts
+        )
         request_id = headers['request-id']
         answer_headers = [('Request-Id', request_id), world_lib.SEAL]
         path = self.fleet.read_path(headers['hop-count'])
@@ -139,9 +148,10 @@
         renames: Whether a server restarts under another name.
     """
 
-    def __init__(self, nursery, renames=False):
+    def __init__(self, nursery, renames=False, **settings):
         self.nursery = nursery
         self.renames = renames
+        self.settings = settings
         self.arrivals = []
         self.crashes = []
         self.store = feeds.MemoryFeeds()
@@ -170,11 +180,17 @@
         for number in range(HOSTS):
             await self.start_host(f'host-{number}')
 
-    async def start_host(self, name):
+    async def start_host(self, name, **ports):
         """Starts a host and waits until it knows the servers."""
-        ports = [h.gateway._addresses.relay.port for h in self.hosts]
+        seeds = [h.gateway._addresses.relay.port for h in self.hosts]
         host = world_lib.World(
-            self.nursery, (), seeds=ports, store=self.store, name=name
+            self.nursery,
+            (),
+            seeds=seeds,
+            store=self.store,
+            name=name,
+            **ports,
+            **self.settings,
         )
         scope = trio.CancelScope()
         self.nursery.start_soon(self._run_host, host, scope)
@@ -192,6 +208,17 @@
         with scope:
             await host.gateway.run()
 
+    async def replace_host(self, number):
+        """Kills a host and starts it anew at its addresses."""
+        old = self.hosts.pop(number).gateway
+        self._scopes.pop(number).cancel()
+        await trio.sleep(0.1)
+        await self.start_host(
+            old.state.cfg.name,
+            relay_port=old._addresses.relay.port,
+            heartbeat_port=old._addresses.heartbeats.port,
+        )
+
     def kill_hosts(self):
         """Ends all hosts without a planned stop."""
         for scope in self._scopes:
@@ -199,37 +226,57 @@
         self.hosts.clear()
         self._scopes.clear()
 
-    async def ask(self, target='/look/x', body=FATAL, host=None):
+    async def ask(self, target='/look/x', body=FATAL, host=None, **headers):
         """Sends one attempt of a request; returns status and headers."""
         self._request_count += 1
         if host is None:
             host = self.hosts[self._request_count % len(self.hosts)]
         answer = await host.ask(
-            target, 'POST', body, request_id=f'q{self._request_count}'
+            target,
+            'POST',
+            body,
+            request_id=f'q{self._request_count}',
+            **headers,
         )
         return answer[0], answer[1]
 
+    async def ask_with_parts(self, *shared_parts, host=None):
+        """Sends a draft that is like no other but for parts of its prompt."""
+        number = self._request_count
+        entries = [f'{part}:10' for part in (*shared_parts, f'e{number}')]
+        return await self.ask(
+            f'/draft/{number}',
+            b'body %d' % number,
+            host,
+            prefix_hash=','.join(entries),
+        )
+
+    async def send_fatal_parts(self, times, every_s=0.6):
+        """Sends different requests that share the fatal part."""
+        for number in range(times):
+            subject = f'5ab{number % 4}'
+            self.nursery.start_soon(self.ask_with_parts, subject, FATAL_PART)
+            await trio.sleep(every_s)
+
     async def repeat(self, target, times, every_s=0.6):
         """Sends the fatal request repeatedly, as its callers do."""
         for _ in range(times):
             self.nursery.start_soon(self.ask, target)
             await trio.sleep(every_s)
 
-    def late_arrivals(self):
-        """Returns arrivals over QUARANTINE_KNOWN_S after the third crash."""
-        if len(self.crashes) < CRASHES_BEFORE_QUARANTINE:
+    def late_arrivals(self, crashes=CRASHES_BEFORE_QUARANTINE):
+        """Returns arrivals over QUARANTINE_KNOWN_S after so many crashes."""
+        if len(self.crashes) < crashes:
             return []
-        known_at = (
-            self.crashes[CRASHES_BEFORE_QUARANTINE - 1] + QUARANTINE_KNOWN_S
-        )
+        known_at = self.crashes[crashes - 1] + QUARANTINE_KNOWN_S
         return [a for a in self.arrivals if a.at > known_at]
 
 
 @contextlib.asynccontextmanager
-async def running(renames=False):
-    """Yields a running fleet."""
+async def running(renames=False, **settings):
+    """Yields a running fleet; settings are those of its hosts."""
     async with trio.open_nursery() as nursery:
-        fleet = Fleet(nursery, renames)
+        fleet = Fleet(nursery, renames, **settings)
         await fleet.start()
         yield fleet
         nursery.cancel_scope.cancel()
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -286,7 +286,14 @@
     """A running gateway, its store and its servers."""
 
     def __init__(
-        self, nursery, servers, relay_port=0, seeds=(), store=None, **settings
+        self,
+        nursery,
+        servers,
+        relay_port=0,
+        heartbeat_port=0,
+        seeds=(),
+        store=None,
+        **settings,
     ):
         self.nursery = nursery
         self.servers = {server.name: server for server in servers}
@@ -303,7 +310,7 @@
                 self.store,
             ),
             gateway_lib.PeerAddresses(
-                settings_lib.Address(IP, free_port()),
+                settings_lib.Address(IP, heartbeat_port or free_port()),
                 settings_lib.Address(IP, relay_port or free_port()),
                 tuple(settings_lib.Address(IP, port) for port in seeds),
             ),
