Quarantine parts of prompts that crash the engines that run them

Cause: the quarantine compared whole requests, so nothing learned from one held for the next. Class: a memory keyed by the one thing that an adversary varies.

Judging by crashes alone: the first part of these requests is at every crash as well and in a third of the sound ones.

Change: evidence by part (part_evidence), shared over the fleet by heartbeats (shared_parts): a crash counts against each part but the last, a served request clears its parts, hosts that served a part object. Three crashes of two requests quarantine a part that was never served. Verdicts use the rows and the refusals of the present quarantine. Beside it, for verdicts of either kind: heartbeats with news are sent at once, and verdicts in force are sent now and then, so that a host that restarts during a store outage hears of them.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -8,6 +8,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import events
+from sardinebend_gateway import shared_parts
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -63,8 +64,8 @@
         Args:
             state: The state of the host.
             run: The attempt.
-            shared_parts: Ids of the parts of its prompt that other requests may
-                share.
+            shared_parts: Fingerprints of the parts of its prompt that other
+                requests may share.
         """
         self._state = state
         self._run = run
@@ -104,9 +105,11 @@
         self,
         state: state_lib.State,
         shared: shared_quarantine.SharedQuarantine,
+        parts: shared_parts.SharedParts,
     ) -> None:
         self._state = state
         self._shared = shared
+        self._parts = parts
         self._probes: dict[str, tuple[float, ProbeResult]] = {}
         self._in_progress: dict[str, trio.Event] = {}
 
@@ -180,6 +183,15 @@
             prompt_parts=_shorten(use.part for use in crash.part_uses),
         )
         self._shared.record(crash)
+        self._parts.record_crash(crash)
+
+    def record_served(self, parts: typing.Iterable[str]) -> None:
+        """Records parts of a prompt that endpoints ran without a crash.
+
+        Args:
+            parts: Their fingerprints.
+        """
+        self._parts.record_served(parts)
 
     def record_delisted(self, endpoint: endpoints_lib.Endpoint) -> None:
         """Records that an endpoint is no longer listed.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -34,6 +34,10 @@
 CONTENT_QUARANTINED = Event(
     'content_quarantined', 'content, source, for_s', True
 )
+PROMPT_PART_QUARANTINED = Event(
+    'prompt_part_quarantined', 'prompt_part, source, for_s', True
+)
+PROMPT_PART_CLEARED = Event('prompt_part_cleared', 'prompt_part, crashes')
 ENDPOINT_BACKOFF = Event('endpoint_backoff', 'endpoint, for_s', True)
 ENDPOINT_CRASHED = Event(
     'endpoint_crashed',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -55,6 +55,8 @@
         ledger: Record of its attempts.
         crash_detector: Detects crashed endpoints.
         content_fingerprint: Fingerprint of its content and its customer.
+        part_fingerprints: Fingerprints of the parts of its prompt that other
+            requests may share.
     """
 
     def __init__(
@@ -72,6 +74,10 @@
         self.ledger = forwarding.AttemptLedger(admitted.route)
         self.crash_detector = crash_detector
         self.content_fingerprint = make_content_fingerprint(req, admitted)
+        self.part_fingerprints = tuple(
+            quarantine.make_part_fingerprint(part)
+            for part in admitted.facts.shared_parts
+        )
         self._exposure_count = 0
         # The gateway's budgets limit retries relative to admitted requests, so
         # each one counts here, before its outcome is known.
@@ -125,17 +131,26 @@
             )
             return None
 
-    def clear_quarantine(self) -> None:
-        """Clears the content from quarantine after a run without a crash."""
+    def clear_suspicion(self) -> None:
+        """Clears the content and its parts after a run without a crash."""
         self.state.quarantine.clear(self.content_fingerprint, clocks.now())
+        self.crash_detector.record_served(self.part_fingerprints)
 
     def quarantine_left_s(self) -> float:
-        """Returns how long the content stays quarantined; 0 if it isn't."""
+        """Returns how long the content or a part of it stays quarantined.
+
+        Returns:
+            Seconds; 0 if nothing of it is quarantined.
+        """
         now = clocks.now()
-        until = self.state.quarantine.refused_until(
-            self.content_fingerprint, now
+        ends = (
+            self.state.quarantine.refused_until(fingerprint, now)
+            for fingerprint in (
+                self.content_fingerprint,
+                *self.part_fingerprints,
+            )
         )
-        return 0.0 if until is None else until - now
+        return max((end - now for end in ends if end is not None), default=0.0)
 
     def retry_after_s(self, default_s: float) -> float:
         """Returns the `Retry-After` time for a request that found no endpoint.
@@ -173,7 +188,7 @@
         exposure = crashes.Exposure(
             self.state,
             quarantine.Run(self.content_fingerprint, run_id),
-            self.admitted.facts.shared_parts,
+            self.part_fingerprints,
         )
         exposure.add(endpoints)
         return exposure
@@ -200,7 +215,7 @@
             content=quarantine.abbreviate_fingerprint(self.content_fingerprint),
             prompt_parts=[
                 quarantine.abbreviate_fingerprint(part)
-                for part in self.admitted.facts.shared_parts[:MAX_LOGGED_PARTS]
+                for part in self.part_fingerprints[:MAX_LOGGED_PARTS]
             ],
             attempt=len(self.ledger.sent_to),
             time_left_s=round(self.time_left_s(), 3),
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -19,6 +19,7 @@
 from sardinebend_gateway import placement_controller
 from sardinebend_gateway import relay
 from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import shared_parts
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
@@ -70,7 +71,10 @@
         self._quarantine = shared_quarantine.SharedQuarantine(
             self.state, lambda: self.placement_controller.holds_lease
         )
-        self._crashes = crashes.CrashDetector(self.state, self._quarantine)
+        self._parts = shared_parts.SharedParts(self.state, self._quarantine)
+        self._crashes = crashes.CrashDetector(
+            self.state, self._quarantine, self._parts
+        )
         self._calls = calls.EngineCalls(self.state, self._crashes)
         self.placement_controller = placement_controller.PlacementController(
             self.state, self._calls, self.incarnation
@@ -102,6 +106,7 @@
             self.state,
             self.members,
             self._quarantine,
+            self._parts,
             addresses.heartbeats,
             self.incarnation,
         )
@@ -127,6 +132,7 @@
                 'life signs': self._heartbeats.run,
                 'crashes': self._crashes.run,
                 'quarantine': self._quarantine.run,
+                'prompt parts': self._parts.run,
                 'keeper': self.placement_controller.run,
             }
             for name, job in jobs.items():
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import events
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import shared_parts
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import state as state_lib
 from sardinebend_peers import codec
@@ -20,6 +21,8 @@
 MAX_DATAGRAM_BYTES: typing.Final = 65536
 # More loads would make a datagram that networks fragment.
 MAX_REPORTED_LOADS: typing.Final = 40
+# Shortest time between heartbeats, however much there is to report.
+MIN_INTERVAL_S: typing.Final = 0.05
 
 
 class Heartbeats:
@@ -30,12 +33,14 @@
         state: state_lib.State,
         members: members_lib.Members,
         shared: shared_quarantine.SharedQuarantine,
+        parts: shared_parts.SharedParts,
         address: settings_lib.Address,
         incarnation: str,
     ) -> None:
         self._state = state
         self._members = members
         self._quarantine = shared
+        self._parts = parts
         self._address = address
         self._incarnation = incarnation
 
@@ -52,6 +57,7 @@
         while True:
             peers = self._members.peers()
             self._members.refresh_live_peers()
+            self._quarantine.take_news()
             data = self._encode()
             now = clocks.now()
             self._state.leaving.drop_expired(now)
@@ -67,7 +73,10 @@
                     self._state.metrics.count(
                         'beats_unsent', reason=type(exc).__name__
                     )
-            await trio.sleep(liveness.heartbeat_interval_s(len(peers)))
+            await trio.sleep(MIN_INTERVAL_S)
+            interval_s = liveness.heartbeat_interval_s(len(peers))
+            with trio.move_on_after(interval_s - MIN_INTERVAL_S):
+                await self._quarantine.has_news.wait()
 
     def _encode(self) -> bytes:
         now = clocks.now()
@@ -101,6 +110,12 @@
                 messages.EndpointStart(*incarnation)
                 for incarnation in self._state.unreachable.recent(now)
             ),
+            self._parts.crashes_to_send(),
+            self._parts.objections_to_send(),
+            tuple(
+                messages.Verdict(fingerprint, int(left_s * 1000))
+                for fingerprint, left_s in self._quarantine.verdicts_to_send()
+            ),
         )
         return codec.encode(codec.Envelope(0, False, heartbeat))
 
@@ -145,6 +160,11 @@
             self._state.record_peer_report(incarnation, heartbeat.host)
         for notice in heartbeat.crashes:
             self._quarantine.record(quarantine.Crash(*notice))
+        self._parts.apply_reports(heartbeat)
+        for verdict in heartbeat.verdicts:
+            self._quarantine.apply_verdict(
+                verdict.fingerprint, verdict.left_ms / 1000
+            )
         self._state.inflight.record_peer_counts(
             heartbeat.host,
             inflight_lib.PeerCounts(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -111,7 +111,7 @@
             if end in forwarding.ENDS_SHOWING_LIVENESS:
                 exposure.clear()
             if end in forwarding.ENDS_SHOWING_NO_CRASH:
-                exchange.clear_quarantine()
+                exchange.clear_suspicion()
         finally:
             exposure.close()
             balancer.end(endpoint.endpoint_id)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -1,8 +1,10 @@
 """Shares one quarantine over the fleet, by heartbeats and the store.
 
 Heartbeats report crashes within about a second, also during a store outage. A
-verdict, the decision to quarantine a request, is also a row of the store, so
-that it survives a restart of all hosts.
+verdict, the decision to quarantine a request or a part of prompts, is also a
+row of the store, so that it survives a restart of all hosts. Verdicts in force
+are sent with heartbeats as well, some at a time, so that a host that restarts
+during a store outage hears of those that no row holds yet.
 """
 
 import typing
@@ -24,10 +26,19 @@
 # same verdict from peer reports; once the first has written the row, the others
 # don't.
 WRITE_DELAY_S: typing.Final = (0.0, 0.5)
+# The same for a verdict that another host has reached, which should write it.
+REPORTED_WRITE_DELAY_S: typing.Final = (2.0, 6.0)
+# Verdicts sent with each heartbeat, each some 50 bytes.
+MAX_VERDICTS_SENT: typing.Final = 4
 
 
 class SharedQuarantine:
-    """Synchronizes this host's quarantine with those of other hosts."""
+    """Synchronizes this host's quarantine with those of other hosts.
+
+    Attributes:
+        has_news: Set when there is something to send that shouldn't wait for
+            the next regular heartbeat; replaced by `take_news`.
+    """
 
     def __init__(
         self,
@@ -39,6 +50,7 @@
         self._gossip: gossip.GossipItems[tuple[str, quarantine.Run]] = (
             gossip.GossipItems()
         )
+        self.has_news = trio.Event()
         self._unwritten_verdicts: dict[str, float] = {}
         self._verdict_rows: dict[str, float] = {}
 
@@ -62,12 +74,62 @@
         ]
         if not any(are_new):
             return
-        local_quarantine = self._state.quarantine
-        for fingerprint in local_quarantine.record_crash(crash, now):
-            self._unwritten_verdicts[fingerprint] = (
-                now + self._state.rng.uniform(*WRITE_DELAY_S)
-            )
-            self._log_quarantined(fingerprint, crash.crash_id)
+        self.announce()
+        for fingerprint in self._state.quarantine.record_crash(crash, now):
+            self.begin_quarantine(fingerprint, crash.crash_id)
+
+    def begin_quarantine(self, fingerprint: str, source: str) -> None:
+        """Carries out a verdict of this host.
+
+        Args:
+            fingerprint: Fingerprint of a request or of a part of prompts.
+            source: What the verdict is based on, for the log.
+        """
+        now = clocks.now()
+        self._state.quarantine.quarantine_until(
+            fingerprint, now + state_lib.QUARANTINE_HOLD_S
+        )
+        self._unwritten_verdicts[fingerprint] = now + self._state.rng.uniform(
+            *WRITE_DELAY_S
+        )
+        self._log_quarantined(fingerprint, source)
+        self.announce()
+
+    def apply_verdict(self, fingerprint: str, left_s: float) -> None:
+        """Applies a verdict that a peer reported.
+
+        Args:
+            fingerprint: Fingerprint of a request or of a part of prompts.
+            left_s: Time until the quarantine ends.
+        """
+        now = clocks.now()
+        left_s = min(left_s, state_lib.QUARANTINE_HOLD_S)
+        is_known = self._state.quarantine.refused_until(fingerprint, now)
+        if is_known is not None or left_s <= 0:
+            return
+        self._state.quarantine.quarantine_until(fingerprint, now + left_s)
+        self._unwritten_verdicts[fingerprint] = now + self._state.rng.uniform(
+            *REPORTED_WRITE_DELAY_S
+        )
+        self._log_quarantined(fingerprint, 'another host')
+        self.announce()
+
+    def verdicts_to_send(self) -> list[tuple[str, float]]:
+        """Returns some verdicts in force and the time left of each."""
+        now = clocks.now()
+        verdicts = self._state.quarantine.list_refused(now)
+        chosen = self._state.rng.sample(
+            verdicts, min(len(verdicts), MAX_VERDICTS_SENT)
+        )
+        return [(fingerprint, until - now) for fingerprint, until in chosen]
+
+    def announce(self) -> None:
+        """Has the next heartbeat sent at once."""
+        self.has_news.set()
+
+    def take_news(self) -> None:
+        """Resets `has_news` when a heartbeat is about to be sent."""
+        self.has_news = trio.Event()
 
     def recent(self) -> tuple[quarantine.Crash, ...]:
         """Returns crashes that other hosts may not know yet."""
@@ -96,10 +158,20 @@
             self._log_quarantined(fingerprint, 'row of another host')
 
     def _log_quarantined(self, fingerprint: str, source: str) -> None:
+        name = quarantine.abbreviate_fingerprint(fingerprint)
+        if fingerprint.startswith(quarantine.PART_PREFIX):
+            self._state.metrics.count('prompt_parts_quarantined')
+            self._state.audit.log(
+                events.PROMPT_PART_QUARANTINED,
+                prompt_part=name,
+                source=source,
+                for_s=state_lib.QUARANTINE_HOLD_S,
+            )
+            return
         self._state.metrics.count('contents_quarantined')
         self._state.audit.log(
             events.CONTENT_QUARANTINED,
-            content=quarantine.abbreviate_fingerprint(fingerprint),
+            content=name,
             source=source,
             for_s=state_lib.QUARANTINE_HOLD_S,
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -17,6 +17,7 @@
 from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import inflight as inflight_lib
+from sardinebend_policy import part_evidence
 from sardinebend_policy import path_cache
 from sardinebend_policy import paths as paths_lib
 from sardinebend_policy import peer_reports
@@ -73,7 +74,9 @@
         peer_reports: Peer reports of unreachable endpoints.
         suspects: Running and recently ended requests that may have caused a
             crash.
-        quarantine: Requests during which endpoints have crashed.
+        quarantine: Requests during which endpoints have crashed, and parts of
+            prompts that crash endpoints.
+        part_evidence: What speaks for and against parts of prompts.
         is_stopping: Whether a planned stop has begun.
         host_count: Number of listed hosts, among which retry budgets are
             divided; `None` until it is known.
@@ -111,6 +114,7 @@
         self.quarantine = quarantine.Quarantine(
             QUARANTINE_HOLD_S, CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE
         )
+        self.part_evidence = part_evidence.PartEvidence()
         self.is_stopping = False
         self.host_count: int | None = None
         self.live_count = 1
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -84,7 +84,7 @@
             )
         self.record_progress()
         if not self.has_received_event:
-            self.exchange.clear_quarantine()
+            self.exchange.clear_suspicion()
         self.has_received_event = True
         self.partial_event_since = None
         self.clear_exposures()
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -13,6 +13,7 @@
 from sardinebend_policy import claims
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
+from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
 
 MAX_FRAME_BYTES: typing.Final = 16 * 1024 * 1024
@@ -157,6 +158,17 @@
         crashes=_make_crash_notices(message.crashes),
         leaving=_make_endpoint_starts(message.leaving),
         unreachable=_make_endpoint_starts(message.unreachable),
+        part_crashes=[
+            _IDL.PartCrash(**report.crash._asdict(), age_ms=report.age_ms)
+            for report in message.part_crashes
+        ],
+        parts_served=[
+            _IDL.PartServed(**served._asdict())
+            for served in message.parts_served
+        ],
+        verdicts=[
+            _IDL.Verdict(**verdict._asdict()) for verdict in message.verdicts
+        ],
     )
 
 
@@ -296,9 +308,33 @@
         item.crossing_tokens or 0,
         _decode_crash_notices(item.crashes or ()),
         _decode_endpoint_starts(item.leaving or ()),
-        # Hosts of the previous release don't send this field.
+        # Hosts of the previous release don't send the following fields.
         _decode_endpoint_starts(item.unreachable or ()),
+        tuple(_decode_part_crash(crash) for crash in item.part_crashes or ()),
+        tuple(
+            part_evidence.PartServed(
+                _check_type(served.part, str),
+                _check_type(served.crash_id, str),
+            )
+            for served in item.parts_served or ()
+        ),
+        tuple(
+            messages.Verdict(
+                _check_type(verdict.fingerprint, str),
+                _check_type(verdict.left_ms, int),
+            )
+            for verdict in item.verdicts or ()
+        ),
+    )
+
+
+def _decode_part_crash(item: typing.Any) -> messages.PartCrashReport:
+    crash = part_evidence.PartCrash(
+        _check_type(item.part, str),
+        _check_type(item.crash_id, str),
+        _check_type(item.request, str),
     )
+    return messages.PartCrashReport(crash, _check_type(item.age_ms, int))
 
 
 def _decode_endpoint_starts(
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -4,6 +4,7 @@
 
 from sardinebend_policy import claims
 from sardinebend_policy import membership
+from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
 
 
@@ -106,6 +107,30 @@
     born: int
 
 
+class PartCrashReport(typing.NamedTuple):
+    """A crash during a request whose prompt has a part.
+
+    Attributes:
+        crash: The crash.
+        age_ms: Time since it was observed.
+    """
+
+    crash: part_evidence.PartCrash
+    age_ms: int
+
+
+class Verdict(typing.NamedTuple):
+    """A request or a part of prompts that is quarantined.
+
+    Attributes:
+        fingerprint: Its fingerprint.
+        left_ms: Time until the quarantine ends.
+    """
+
+    fingerprint: str
+    left_ms: int
+
+
 class LoadHeartbeat(typing.NamedTuple):
     """A heartbeat with the sender's load and gossip; not answered.
 
@@ -123,6 +148,10 @@
             by peers.
         leaving: Endpoints that recently announced that they leave.
         unreachable: Endpoints to which the sender recently failed to connect.
+        part_crashes: Crashes by part of the prompt, seen by the sender or
+            reported to it by peers.
+        parts_served: Recent objections to quarantining parts, in the same way.
+        verdicts: Some of the quarantines in force.
     """
 
     host: str
@@ -134,6 +163,9 @@
     crashes: tuple[CrashReport, ...] = ()
     leaving: tuple[EndpointStart, ...] = ()
     unreachable: tuple[EndpointStart, ...] = ()
+    part_crashes: tuple[PartCrashReport, ...] = ()
+    parts_served: tuple[part_evidence.PartServed, ...] = ()
+    verdicts: tuple[Verdict, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -59,6 +59,23 @@
   2: i64 born,
 }
 
+struct PartCrash {
+  1: string part,
+  2: string crash_id,
+  3: string request,
+  4: i64 age_ms,
+}
+
+struct PartServed {
+  1: string part,
+  2: string crash_id,
+}
+
+struct Verdict {
+  1: string fingerprint,
+  2: i64 left_ms,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -69,6 +86,9 @@
   7: optional list<CrashNotice> crashes,
   8: optional list<EndpointStart> leaving,
   9: optional list<EndpointStart> unreachable,
+  10: optional list<PartCrash> part_crashes,
+  11: optional list<PartServed> parts_served,
+  12: optional list<Verdict> verdicts,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -15,6 +15,7 @@
 from sardinebend_policy import claims
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
+from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
 
 TEXT = st.text(max_size=20)
@@ -73,6 +74,20 @@
         st.lists(
             st.builds(messages.EndpointStart, TEXT, NUMBER), max_size=3
         ).map(tuple),
+        st.lists(
+            st.builds(
+                messages.PartCrashReport,
+                st.builds(part_evidence.PartCrash, TEXT, TEXT, TEXT),
+                NUMBER,
+            ),
+            max_size=3,
+        ).map(tuple),
+        st.lists(
+            st.builds(part_evidence.PartServed, TEXT, TEXT), max_size=3
+        ).map(tuple),
+        st.lists(st.builds(messages.Verdict, TEXT, NUMBER), max_size=3).map(
+            tuple
+        ),
     ),
     st.just(messages.Ack()),
 )
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -21,6 +21,7 @@
 from sardinebend_policy import membership
 from sardinebend_policy import orders
 from sardinebend_policy import outcomes
+from sardinebend_policy import part_evidence
 from sardinebend_policy import path_cache
 from sardinebend_policy import paths
 from sardinebend_policy import placement
@@ -55,6 +56,7 @@
     'membership',
     'orders',
     'outcomes',
+    'part_evidence',
     'path_cache',
     'paths',
     'placement',
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/part_evidence.py
@@ -0,0 +1,208 @@
+"""Finds parts of prompts that crash the endpoints that run them.
+
+No two requests with such a part are alike, so `quarantine`, which compares
+whole requests, learns nothing from one about the next. And the requests that
+crash have other parts in common with sound ones, so crashes alone don't
+identify the part. What does is that no request with it is ever served:
+
+- A request that is served clears each of its parts of the crashes so far.
+- A part that has been served before needs more crashes than one that hasn't.
+- Crashes that a quarantined part explains are no evidence against others.
+"""
+
+import collections
+import typing
+
+MAX_PARTS: typing.Final = 4096
+# How long a crash stays evidence. Requests with a crashing part may be rare.
+EVIDENCE_TTL_S: typing.Final = 600.0
+# Crashes closer together than this count as one: endpoints that fail together
+# for another reason are evidence only once against what ran there.
+MIN_SPACING_S: typing.Final = 0.2
+# Crashes must be those of different requests; a single request that crashes
+# endpoints is quarantined by itself.
+MIN_REQUESTS: typing.Final = 2
+# Crashes after which a part is quarantined: one that is the only common part
+# without a served request, any other one, and one that has been served before.
+SOLE_PART_CRASHES: typing.Final = 3
+ANY_PART_CRASHES: typing.Final = 5
+SERVED_PART_CRASHES: typing.Final = 6
+# Time after the first crash in which other hosts can object that they have
+# served a part.
+OBJECTION_S: typing.Final = 0.4
+
+
+class PartCrash(typing.NamedTuple):
+    """A crash of an endpoint that was running a request with a part.
+
+    Attributes:
+        part: Fingerprint of the part, see `quarantine.make_part_fingerprint`.
+        crash_id: Identifies the crash, as in `quarantine.Crash`.
+        request: Abbreviated fingerprint of one such request.
+    """
+
+    part: str
+    crash_id: str
+    request: str
+
+
+class PartServed(typing.NamedTuple):
+    """An objection to quarantining a part: a request with it was served.
+
+    Attributes:
+        part: Fingerprint of the part, see `quarantine.make_part_fingerprint`.
+        crash_id: The crash after which it was served; empty if it was served
+            at some time before.
+    """
+
+    part: str
+    crash_id: str = ''
+
+
+class _Observation(typing.NamedTuple):
+    request: str
+    at: float
+
+
+class PartEvidence:
+    """Crashes and served requests, by part of their prompts."""
+
+    def __init__(self) -> None:
+        self._crashes: dict[str, dict[str, _Observation]] = {}
+        self._last_served_at: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        self._objections: dict[PartServed, float] = {}
+        self._explained: dict[str, float] = {}
+
+    def record_crash(
+        self, crash: PartCrash, at: float
+    ) -> tuple[bool, PartServed | None]:
+        """Records a crash that this host or a peer observed.
+
+        Args:
+            crash: The crash.
+            at: When it was first observed.
+
+        Returns:
+            Whether it is new evidence, and an objection if a request with the
+            part has been served.
+        """
+        served = PartServed(crash.part, crash.crash_id)
+        if served in self._objections:
+            return False, served
+        if crash.crash_id in self._explained:
+            return False, None
+        served_at = self._last_served_at.get(crash.part)
+        if served_at is not None and served_at > at:
+            self._objections[served] = served_at
+            return False, served
+        crashes = self._crashes.setdefault(crash.part, {})
+        is_new = crash.crash_id not in crashes
+        crashes.setdefault(crash.crash_id, _Observation(crash.request, at))
+        if len(self._crashes) > MAX_PARTS:
+            self._crashes.pop(next(iter(self._crashes)))
+        has_been_served = served_at is not None
+        return is_new, PartServed(crash.part) if has_been_served else None
+
+    def record_served(self, part: str, now: float) -> list[PartServed]:
+        """Records that a request with a part was served without a crash.
+
+        Returns:
+            Objections to the crashes that this clears the part of.
+        """
+        self._last_served_at[part] = now
+        self._last_served_at.move_to_end(part)
+        if len(self._last_served_at) > MAX_PARTS:
+            self._last_served_at.popitem(last=False)
+        objections = [
+            PartServed(part, crash_id)
+            for crash_id in self._crashes.pop(part, {})
+        ]
+        self._objections |= dict.fromkeys(objections, now)
+        return objections
+
+    def record_objection(self, served: PartServed, now: float) -> bool:
+        """Records a peer's objection; returns whether it is new."""
+        is_new = served not in self._objections
+        self._objections[served] = now
+        self._drop(served.part, served.crash_id)
+        return is_new
+
+    def select(self, now: float) -> list[str]:
+        """Returns the parts to quarantine; their crashes are then explained."""
+        selected = []
+        for part in sorted(self._crashes, key=self._has_been_served):
+            if not self._is_due(part, now):
+                continue
+            selected.append(part)
+            for crash_id in self._crashes.pop(part):
+                self._explained[crash_id] = now
+                for other in list(self._crashes):
+                    self._drop(other, crash_id)
+        return selected
+
+    def items(self) -> list[tuple[PartCrash, float]]:
+        """Returns the recorded crashes and when they were observed."""
+        return [
+            (PartCrash(part, crash_id, observation.request), observation.at)
+            for part, crashes in self._crashes.items()
+            for crash_id, observation in crashes.items()
+        ]
+
+    def drop_expired(self, now: float) -> None:
+        """Drops evidence older than `EVIDENCE_TTL_S`."""
+        oldest = now - EVIDENCE_TTL_S
+        for crash, at in self.items():
+            if at < oldest:
+                self._drop(crash.part, crash.crash_id)
+        self._objections = {
+            k: at for k, at in self._objections.items() if at >= oldest
+        }
+        self._explained = {
+            k: at for k, at in self._explained.items() if at >= oldest
+        }
+
+    def _is_due(self, part: str, now: float) -> bool:
+        crashes = self._crashes.get(part, {})
+        if len({seen.request for seen in crashes.values()}) < MIN_REQUESTS:
+            return False
+        times = sorted(seen.at for seen in crashes.values())
+        if now - times[0] < OBJECTION_S:
+            return False
+        count = _count_spaced(times)
+        if self._has_been_served(part):
+            return count >= SERVED_PART_CRASHES
+        if count >= ANY_PART_CRASHES:
+            return True
+        return count >= SOLE_PART_CRASHES and not self._has_rival(part)
+
+    def _has_rival(self, part: str) -> bool:
+        """Returns whether another unserved part fits the same crashes."""
+        crash_ids = self._crashes[part].keys()
+        return any(
+            other != part
+            and crash_ids <= crashes.keys()
+            and not self._has_been_served(other)
+            for other, crashes in self._crashes.items()
+        )
+
+    def _has_been_served(self, part: str) -> bool:
+        return (
+            part in self._last_served_at or PartServed(part) in self._objections
+        )
+
+    def _drop(self, part: str, crash_id: str) -> None:
+        crashes = self._crashes.get(part, {})
+        crashes.pop(crash_id, None)
+        if not crashes:
+            self._crashes.pop(part, None)
+
+
+def _count_spaced(times: typing.Iterable[float]) -> int:
+    """Returns how many of sorted times are `MIN_SPACING_S` apart."""
+    count, last = 0, float('-inf')
+    for at in times:
+        if at - last >= MIN_SPACING_S:
+            count, last = count + 1, at
+    return count
--- a/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
@@ -13,6 +13,7 @@
 import collections
 import hashlib
 import hmac
+import re
 import typing
 
 MAX_RECORDS: typing.Final = 10_000
@@ -25,6 +26,9 @@
 ANY_SUSPECT_CRASHES: typing.Final = 3
 # Length of a logged fingerprint; enough to find other log lines about it.
 LOGGED_CHARS: typing.Final = 8
+# Begins the fingerprint of a part of a prompt.
+PART_PREFIX: typing.Final = 'part/'
+_PLAIN_ID_RE: typing.Final = re.compile('[0-9a-f]{1,32}')
 
 
 class Run(typing.NamedTuple):
@@ -43,7 +47,7 @@
     """The use of a part of a prompt by a request.
 
     Attributes:
-        part: Id of the part, which other requests may share.
+        part: Fingerprint of the part, which other requests may share.
         fingerprint: Fingerprint of the request.
     """
 
@@ -134,6 +138,14 @@
             return None
         return until
 
+    def list_refused(self, now: float) -> list[tuple[str, float]]:
+        """Returns the quarantined fingerprints and when each is released."""
+        return [
+            (fingerprint, until)
+            for fingerprint, until in self._quarantined_until.items()
+            if until > now
+        ]
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Returns whether a fingerprint is a suspect of a recorded crash."""
         return bool(self._crashes_by_fingerprint.get(fingerprint))
@@ -191,8 +203,20 @@
 
 
 def abbreviate_fingerprint(fingerprint: str) -> str:
-    """Returns the prefix of a fingerprint that log lines show."""
-    return fingerprint[:LOGGED_CHARS]
+    """Returns the beginning of a fingerprint, as log lines show it."""
+    return fingerprint.removeprefix(PART_PREFIX)[:LOGGED_CHARS]
+
+
+def make_part_fingerprint(part: str) -> str:
+    """Returns the fingerprint under which a part of a prompt is quarantined.
+
+    It is the part's id, or a hash where that isn't a plain hexadecimal number,
+    since callers choose the id and it becomes the key of a row. Customer and
+    service don't enter: a crashing part does so whatever else a request holds.
+    """
+    if not _PLAIN_ID_RE.fullmatch(part):
+        part = hashlib.sha256(part.encode()).hexdigest()[:32]
+    return PART_PREFIX + part
 
 
 def make_fingerprint(
--- a/packages/sardinebend-policy/src/sardinebend_policy/suspects.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/suspects.py
@@ -29,7 +29,8 @@
     """A run at an endpoint.
 
     Attributes:
-        shared_parts: Ids of the parts of its prompt that others may share.
+        shared_parts: Fingerprints of the parts of its prompt that other
+            requests may share.
         until: When an ended run stops being a suspect.
     """
 
@@ -62,8 +63,8 @@
         Args:
             run: The attempt.
             incarnations: The endpoints.
-            shared_parts: Ids of the parts of its prompt that other requests may
-                share.
+            shared_parts: Fingerprints of the parts of its prompt that other
+                requests may share.
         """
         for incarnation in set(incarnations) - self._crashed.keys():
             runs = self._uncleared.setdefault(incarnation, {})
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -337,3 +337,23 @@
         assert codec.decode_answer(status, headers).backoff_s is None
     lone_date = [(b'Retry-After', b'Fri, 04 Dec 2026 10:00:30 GMT')]
     assert codec.decode_answer(503, lone_date).malformed_header
+
+
+@pytest.mark.parametrize(
+    ('values', 'parts'),
+    [
+        (
+            [b'5c1e07a2:800,91BD3f06:410, e4402b7d:250'],
+            ('5c1e07a2', '91bd3f06'),
+        ),
+        ([b'aa:1', b'bb:2', b'cc:3'], ('aa', 'bb')),
+        ([b'aa:1,:2,,aa:4,bb'], ('aa',)),
+        ([b'aa:1'], ()),
+        ([b''], ()),
+        ([], ()),
+    ],
+)
+def test_shared_parts_of_a_prompt_are_all_its_ids_but_the_last(values, parts):
+    headers = [(b'prefix-hash', value) for value in values]
+    facts = request_codec.PlatformRequests().decode_request(headers)
+    assert facts.shared_parts == parts
