Send the whole head and every event of an answer whose attempt is cancelled

Cause: the responder counted an answer as started before its head was on the wire, and h11 had made the head by then. An attempt that the watchdog cancelled at that moment took the head with it, and the next attempt went on with events. An event cut in the middle of a write had the same cause. Class: state that is advanced before a cancellable step.

Ruled out: the splitter and the resume id; the bytes that were lost had been handed over already.

Change: bytes stay with the responder until the socket has taken them; a cancelled call leaves them to the next one. An event counts as handed over before its write is awaited. An answer that has its end isn't taken for broken when the watchdog or the route's time limit acts while it is being sent.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -128,6 +128,8 @@
             nursery.start_soon(self._watch_caller, nursery.cancel_scope)
             try:
                 await self._server.handler(req, responder)
+                if responder.is_ended:
+                    await responder.flush()
             except errors.ConnectionAborted:
                 # The answer stays incomplete, which resets the connection.
                 pass
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
@@ -13,59 +13,76 @@
 class Responder:
     """Sends the answer to one request.
 
+    A call that is cancelled leaves its unsent bytes to the next one, so that
+    another attempt can go on with the answer.
+
     Attributes:
-        is_started: Whether the status line has been sent.
-        is_finished: Whether the answer is complete.
+        is_started: Whether the answer has a head, sent or not.
+        is_ended: Whether the answer has its end, sent or not.
         closes_connection: Whether the answer tells the caller that the
             connection is closed.
     """
 
     def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
         self.is_started = False
-        self.is_finished = False
+        self.is_ended = False
         self.closes_connection = False
         self._conn = conn
         self._stream = stream
+        self._unsent = bytearray()
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the whole answer has been sent."""
+        return self.is_ended and not self._unsent
 
     async def answer(self, status: int, headers: Pairs, body: bytes) -> None:
         """Sends a complete answer."""
         length = (b'content-length', str(len(body)).encode())
-        await self._start(status, [*headers, length])
-        data = self._conn.send(h11.Data(data=body)) if body else b''
-        await self._send((data or b'') + (self._end() or b''))
-        self.is_finished = True
+        self._start(status, [*headers, length])
+        if body:
+            self._add(h11.Data(data=body))
+        self._end()
+        await self.flush()
 
     async def start(self, status: int, headers: Pairs) -> None:
         """Starts an answer of unknown length."""
-        await self._start(
-            status, [*headers, (b'transfer-encoding', b'chunked')]
-        )
+        self._start(status, [*headers, (b'transfer-encoding', b'chunked')])
+        await self.flush()
 
     async def write(self, data: bytes) -> None:
         """Sends a part of the answer's body."""
-        await self._send(self._conn.send(h11.Data(data=data)) or b'')
+        self._add(h11.Data(data=data))
+        await self.flush()
 
     async def finish(self) -> None:
-        """Marks the answer as complete."""
-        await self._send(self._end() or b'')
-        self.is_finished = True
+        """Sends the end of the answer."""
+        self._end()
+        await self.flush()
 
-    def _end(self) -> bytes | None:
-        return self._conn.send(h11.EndOfMessage())
+    async def flush(self) -> None:
+        """Sends what earlier calls have left unsent.
+
+        Raises:
+            errors.ConnectionAborted: The caller has disconnected.
+        """
+        try:
+            while self._unsent:
+                # Unlike `send_all`, returns how much a cancelled call has sent.
+                sent = await self._stream.socket.send(self._unsent)
+                del self._unsent[:sent]
+        except (OSError, trio.ClosedResourceError) as exc:
+            raise errors.ConnectionAborted(str(exc)) from exc
 
-    async def _start(
-        self, status: int, headers: list[tuple[bytes, bytes]]
-    ) -> None:
+    def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
         if self.closes_connection:
             headers.append((b'connection', b'close'))
-        head = h11.Response(status_code=status, headers=headers)
+        self._add(h11.Response(status_code=status, headers=headers))
         self.is_started = True
-        await self._send(self._conn.send(head) or b'')
 
-    async def _send(self, data: bytes) -> None:
-        if not data:
-            return
-        try:
-            await self._stream.send_all(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-            raise errors.ConnectionAborted(str(exc)) from exc
+    def _end(self) -> None:
+        self._add(h11.EndOfMessage())
+        self.is_ended = True
+
+    def _add(self, event: h11.Event) -> None:
+        self._unsent += self._conn.send(event) or b''
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -63,7 +63,8 @@
 
     async def _watch(self, scope: trio.CancelScope) -> None:
         await self._watchdog.run()
-        self._end = forwarding.End.BROKEN
+        if not self._exchange.out.is_ended:
+            self._end = forwarding.End.BROKEN
         scope.cancel()
 
     async def _read(self, conn: connections.Connection) -> None:
@@ -182,13 +183,15 @@
                 self._progress.record_partial_event(
                     self._splitter.partial_event_bytes
                 )
+            # Set first: events whose writing is cancelled are sent all the
+            # same, before those of the next attempt.
+            ids = [event.event_id for event in new_events if event.event_id]
+            self.last_id = ids[-1] if ids else self.last_id
             await self._write(b''.join(event.data for event in new_events))
             if has_progress:
                 # Time spent waiting for the caller to read must not count as
                 # a stall of the engine.
                 self._progress.record_progress()
-            ids = [event.event_id for event in new_events if event.event_id]
-            self.last_id = ids[-1] if ids else self.last_id
         if self._splitter.has_partial_event:
             self._progress.reason = 'ended within an event'
             return
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -65,6 +65,9 @@
         with trio.move_on_after(max(0.0, exchange.time_left_s())):
             await self._run_attempts()
             return
+        if exchange.out.is_ended:
+            # The whole answer is there; what is unsent is sent, if late.
+            return
         if exchange.out.is_started:
             self._abort_stream('route timeout')
         elif exchange.ledger.sent_to:
