End attempts whose part is quarantined meanwhile; explain crashes by it

Cause: a request that had reached an engine before the verdict was left there until it began its answer; and the quarantine of whole requests took each crash as evidence against all that ran there, also when the part accounted for it. Class: two judges of one event that don't tell each other.

Ruled out: late verdicts; hosts had them within 0.1 s.

Change: an attempt without an event ends when what it carries is quarantined, and its engine isn't marked for that. A crash at which a quarantined part ran is explained: no evidence against other parts or contents.

Failing before: test_an_attempt_ends_when_its_part_is_quarantined_meanwhile (seen failing with the task left out), and test_later_crashes_under_a_quarantined_part_are_explained_at_once.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -182,8 +182,9 @@
             contents=_shorten(run.fingerprint for run in crash.runs),
             prompt_parts=_shorten(use.part for use in crash.part_uses),
         )
-        self._shared.record(crash)
+        # First, since a part that is known to crash explains the crash.
         self._parts.record_crash(crash)
+        self._shared.record(crash)
 
     def record_served(self, parts: typing.Iterable[str]) -> None:
         """Records parts of a prompt that endpoints ran without a crash.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -68,6 +68,8 @@
 
     def record(self, crash: quarantine.Crash) -> None:
         """Records a crash that this host observed or that a peer reported."""
+        if self._state.part_evidence.explains(crash.crash_id):
+            return
         now = clocks.now()
         are_new = [
             self._gossip.add((crash.crash_id, run), now) for run in crash.runs
@@ -92,7 +94,7 @@
         self._unwritten_verdicts[fingerprint] = now + self._state.rng.uniform(
             *WRITE_DELAY_S
         )
-        self._log_quarantined(fingerprint, source)
+        self._report_quarantined(fingerprint, source)
         self.announce()
 
     def apply_verdict(self, fingerprint: str, left_s: float) -> None:
@@ -111,7 +113,7 @@
         self._unwritten_verdicts[fingerprint] = now + self._state.rng.uniform(
             *REPORTED_WRITE_DELAY_S
         )
-        self._log_quarantined(fingerprint, 'another host')
+        self._report_quarantined(fingerprint, 'another host')
         self.announce()
 
     def verdicts_to_send(self) -> list[tuple[str, float]]:
@@ -155,9 +157,10 @@
             local_quarantine.quarantine_until(
                 fingerprint, now + state_lib.QUARANTINE_HOLD_S
             )
-            self._log_quarantined(fingerprint, 'row of another host')
+            self._report_quarantined(fingerprint, 'row of another host')
 
-    def _log_quarantined(self, fingerprint: str, source: str) -> None:
+    def _report_quarantined(self, fingerprint: str, source: str) -> None:
+        self._state.notify_quarantined()
         name = quarantine.abbreviate_fingerprint(fingerprint)
         if fingerprint.startswith(quarantine.PART_PREFIX):
             self._state.metrics.count('prompt_parts_quarantined')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -123,6 +123,7 @@
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._failure_listeners: set[FailureListener] = set()
         self.endpoints_changed = trio.Event()
+        self.quarantine_changed = trio.Event()
 
     def catalog_age_s(self) -> float:
         """Returns the time since the catalog was last known to be in force."""
@@ -339,6 +340,11 @@
         self.endpoints_changed.set()
         self.endpoints_changed = trio.Event()
 
+    def notify_quarantined(self) -> None:
+        """Wakes all tasks that wait for something to be quarantined."""
+        self.quarantine_changed.set()
+        self.quarantine_changed = trio.Event()
+
     def add_failure_listener(self, listener: FailureListener) -> None:
         """Registers a function to call with the ID of each failed endpoint."""
         self._failure_listeners.add(listener)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -53,6 +53,7 @@
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._watch, nursery.cancel_scope)
+                nursery.start_soon(self._watch_quarantine, nursery.cancel_scope)
                 await self._read(conn)
                 nursery.cancel_scope.cancel()
         finally:
@@ -67,6 +68,20 @@
             self._end = forwarding.End.BROKEN
         scope.cancel()
 
+    async def _watch_quarantine(self, scope: trio.CancelScope) -> None:
+        """Ends the attempt if its request is quarantined meanwhile.
+
+        An engine that drops the request before it begins the answer survives.
+        """
+        while not self._progress.has_received_event:
+            changed = self._state.quarantine_changed
+            if self._exchange.quarantine_left_s():
+                self._progress.reason = exchange_lib.QUARANTINED
+                self._end = forwarding.End.BROKEN
+                scope.cancel()
+                return
+            await changed.wait()
+
     async def _read(self, conn: connections.Connection) -> None:
         exchange = self._exchange
         codec = self._state.edges.requests
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -294,7 +294,10 @@
             self._last_id = attempt.last_id
             with trio.CancelScope(shield=True):
                 await conn.close()
-        if end is forwarding.End.BROKEN:
+        if progress.reason == exchange_lib.QUARANTINED:
+            # This host ended the attempt, which says nothing of the engine.
+            self._reason = progress.reason
+        elif end is forwarding.End.BROKEN:
             outcome = await exchange.crash_detector.probe(first_endpoint)
             if outcome is not crashes.ProbeResult.LISTENS:
                 exchange.ledger.exclude_from_attempts(
--- a/packages/sardinebend-policy/src/sardinebend_policy/part_evidence.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/part_evidence.py
@@ -74,6 +74,7 @@
         )
         self._objections: dict[PartServed, float] = {}
         self._explained: dict[str, float] = {}
+        self._selected: dict[str, float] = {}
 
     def record_crash(
         self, crash: PartCrash, at: float
@@ -89,6 +90,8 @@
             part has been served.
         """
         served = PartServed(crash.part, crash.crash_id)
+        if crash.part in self._selected:
+            self._explain(crash.crash_id, at)
         if served in self._objections:
             return False, served
         if crash.crash_id in self._explained:
@@ -136,12 +139,23 @@
             if not self._is_due(part, now):
                 continue
             selected.append(part)
+            self._selected[part] = now
             for crash_id in self._crashes.pop(part):
-                self._explained[crash_id] = now
-                for other in list(self._crashes):
-                    self._drop(other, crash_id)
+                self._explain(crash_id, now)
         return selected
 
+    def explains(self, crash_id: str) -> bool:
+        """Returns whether a selected part accounts for a crash.
+
+        Other parts and requests at that endpoint are then no suspects.
+        """
+        return crash_id in self._explained
+
+    def _explain(self, crash_id: str, now: float) -> None:
+        self._explained[crash_id] = now
+        for part in list(self._crashes):
+            self._drop(part, crash_id)
+
     def items(self) -> list[tuple[PartCrash, float]]:
         """Returns the recorded crashes and when they were observed."""
         return [
@@ -156,12 +170,9 @@
         for crash, at in self.items():
             if at < oldest:
                 self._drop(crash.part, crash.crash_id)
-        self._objections = {
-            k: at for k, at in self._objections.items() if at >= oldest
-        }
-        self._explained = {
-            k: at for k, at in self._explained.items() if at >= oldest
-        }
+        _drop_older(self._objections, oldest)
+        _drop_older(self._explained, oldest)
+        _drop_older(self._selected, oldest)
 
     def _is_due(self, part: str, now: float) -> bool:
         crashes = self._crashes.get(part, {})
@@ -206,3 +217,8 @@
         if at - last >= MIN_SPACING_S:
             count, last = count + 1, at
     return count
+
+
+def _drop_older(times: dict[typing.Any, float], oldest: float) -> None:
+    for key in [key for key, at in times.items() if at < oldest]:
+        del times[key]
--- a/packages/sardinebend-policy/tests/cover/test_part_evidence.py
+++ b/packages/sardinebend-policy/tests/cover/test_part_evidence.py
@@ -135,6 +135,19 @@
     assert evidence.items() == []
 
 
+def test_later_crashes_under_a_quarantined_part_are_explained_at_once():
+    # Guards against a quarantine of sound requests that ran beside it.
+    evidence = part_evidence.PartEvidence()
+    record(evidence, [crash(n) for n in range(3)])
+    assert evidence.select(LATER) == [PART]
+    assert evidence.explains('engine-2/7')
+    assert not evidence.explains('engine-7/7')
+    evidence.record_crash(crash(7, OTHER), 7.0)
+    evidence.record_crash(crash(7), 7.0)
+    assert evidence.explains('engine-7/7')
+    assert evidence.items() == []
+
+
 def test_old_evidence_is_dropped():
     evidence = part_evidence.PartEvidence()
     record(evidence, [crash(1), crash(2)])
--- a/tests/common/crashing_world.py
+++ b/tests/common/crashing_world.py
@@ -41,6 +41,8 @@
 
     Attributes:
         is_up: Whether it is running.
+        reads_for_s: How long an engine reads a fatal prompt before it crashes;
+            it drops the request if the caller disconnects meanwhile.
         born: The number of its starts.
     """
 
@@ -50,6 +52,7 @@
         self.fleet = fleet
         self.span = span
         self.is_up = True
+        self.reads_for_s = 0.01
         self.born = 1
         self.paths = {}
 
@@ -108,7 +111,9 @@
             return world_lib.Answer(start, 0.02, *pieces, b'0\r\n\r\n')
         self._record_arrival(headers)
         self.paths[request_id] = path
-        await trio.sleep(0.01)
+        with trio.move_on_after(self.reads_for_s):
+            await stream.receive_some(1)
+            return None
         # The engine of the last part reads the prompt, which crashes it.
         path[-1].crash()
         with trio.move_on_after(STALL_S):
--- a/tests/cover/test_gateway_crashing_parts.py
+++ b/tests/cover/test_gateway_crashing_parts.py
@@ -90,3 +90,24 @@
             assert status == 503
             assert float(headers['retry-after']) > 60
     assert len(fleet.arrivals) == sent
+
+
+async def test_an_attempt_ends_when_its_part_is_quarantined_meanwhile(clock):
+    # Guards against engines that crash after the verdict, under requests that
+    # had reached them before it and hadn't begun an answer.
+    async with crashing_world.running() as fleet:
+        for worker in fleet.workers:
+            worker.reads_for_s = 2.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                fleet.ask_with_parts, '5ab0', crashing_world.FATAL_PART
+            )
+            await trio.sleep(1.0)
+            assert len(fleet.arrivals) == 1
+            for host in fleet.hosts:
+                host.gateway._quarantine.apply_verdict(
+                    f'part/{crashing_world.FATAL_PART}', 60.0
+                )
+        await trio.sleep(3.0)
+        assert fleet.crashes == []
+        assert len(fleet.arrivals) == 1
