Read a store that has come back from an older copy

Cause: versions of two eras were compared by the counter alone.

Change: a version holds era and counter, so later eras are greater whatever the counter. Following ends with HistoryLost when the era has risen, so the table is read whole; a conditional write of an earlier era is a conflict, one in flight across the change is unclear. Peers name the era on the wire and send a whole table across a change. A host of the previous release names none: it gets rows of the present era, and its own rows aren't used once an era is known; it stays stuck as before. One log line and a counter for each change and table.

Ruled out: a second field beside each version. Every comparison would have to remember it.

Failing before (on a copy with the former follower and versions): test_rows_of_a_store_that_returns_from_an_older_copy_replace_all.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -47,6 +47,11 @@
 ENDPOINT_DOUBTED = Event('endpoint_doubted', 'endpoint, reason, for_s', True)
 STORE_LOST = Event('store_lost', 'table, reason, evidence_age_s', True)
 STORE_REGAINED = Event('store_regained', 'table, after_s')
+STORE_ERA_CHANGED = Event(
+    'store_era_changed',
+    'table, era, previous, lost_rows, evidence_age_s',
+    True,
+)
 LEASE_TAKEN = Event('lease_taken', 'fencing')
 LEASE_LOST = Event('lease_lost', 'reason', True)
 ORDER_SENT = Event('order_sent', 'endpoint, span, orders_begun, status')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
@@ -166,6 +166,8 @@
             `HistoryLost` answer isn't such a failure.
         regained_at: Latest time at which an outage longer than `MIN_OUTAGE_S`
             ended, for this host or, as its reader reports, for the reader.
+        era_changed_at: When this host noticed that the store had come back
+            from an older copy.
         peers: Other hosts that have the table, if any.
         version: Store version that the rows include.
     """
@@ -182,6 +184,7 @@
         self.confirmed_at = state_lib.NEVER
         self.is_store_lost = False
         self.regained_at = state_lib.NEVER
+        self.era_changed_at = state_lib.NEVER
         self.peers: PeerTables | None = None
         self.version = -1
         self._state = state
@@ -371,6 +374,13 @@
     def _apply(
         self, changes: feeds.Changes, evidence_at: float, is_whole: bool
     ) -> None:
+        is_new_era = feeds.era_of(changes.version) > feeds.era_of(self.version)
+        if is_new_era and self.has_rows:
+            if not is_whole:
+                # Changes since a version of another era would leave gaps.
+                self._must_read_all = True
+                return
+            self._record_era(changes)
         rows = list(changes.rows)
         if is_whole:
             present = {row.key for row in rows}
@@ -389,6 +399,28 @@
             self._changed.set()
             self._changed = trio.Event()
 
+    def _record_era(self, changes: feeds.Changes) -> None:
+        """Records that the store has come back from an older copy."""
+        now = clocks.now()
+        keys = {row.key for row in changes.rows}
+        lost = [
+            key
+            for key, row in self._rows.items()
+            if row.value is not None and key not in keys
+        ]
+        self.era_changed_at = now
+        # Listings are written again as after an outage.
+        self.regained_at = now
+        self._state.metrics.count('store_era_changes', table=self.table)
+        self._state.audit.log(
+            events.STORE_ERA_CHANGED,
+            table=self.table,
+            era=feeds.era_of(changes.version),
+            previous=feeds.era_of(self.version),
+            lost_rows=len(lost),
+            evidence_age_s=round(self.evidence_age_s(), 3),
+        )
+
     def _is_newer(self, row: feeds.FeedRow) -> bool:
         known = self._rows.get(row.key)
         return known is None or row.version > known.version
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -59,18 +59,27 @@
             return messages.FeedReply(-1, 0, False, ())
         asked_at = clocks.now()
         wait_s = min(MAX_WAIT_S, max(0.0, message.wait_ms / 1000))
+        after = _version_asked_for(message, follower.version)
         with trio.move_on_after(wait_s):
-            await follower.wait_for_newer(message.after)
-        rows = follower.rows_since(message.after)
+            await follower.wait_for_newer(after)
+        era = feeds.era_of(follower.version)
+        is_whole = after < 0 or feeds.era_of(after) != era
+        rows = follower.rows_since(-1 if is_whole else after)
         since_outage_s = follower.since_outage_s()
         return messages.FeedReply(
-            follower.version,
+            feeds.counter_of(follower.version),
             # Rounded up: evidence must never seem fresher than it is.
             math.ceil(follower.evidence_age_s() * 1000),
-            message.after < 0,
-            tuple(messages.FeedRow(*row) for row in rows),
+            is_whole,
+            tuple(
+                messages.FeedRow(
+                    row.key, feeds.counter_of(row.version), row.value
+                )
+                for row in rows
+            ),
             int((clocks.now() - asked_at) * 1000),
             -1 if since_outage_s is None else int(since_outage_s * 1000),
+            era,
         )
 
 
@@ -122,7 +131,7 @@
         if not addresses:
             return result.Err(store_errors.Unavailable('no peer is known'))
         address = self._state.rng.choice(addresses)
-        question = messages.FeedQuestion(table, after, 0)
+        question = _make_question(table, after, 0.0)
         return await self._call(address, question, CALL_TIMEOUT_S)
 
     async def query_reader(
@@ -140,7 +149,7 @@
             return result.Err(
                 store_errors.Unavailable('no reader is available')
             )
-        question = messages.FeedQuestion(table, after, int(wait_s * 1000))
+        question = _make_question(table, after, wait_s)
         answer = await self._call(address, question, wait_s + FOLLOW_SLACK_S)
         if isinstance(answer, result.Err):
             self._reader_cooldown_until = clocks.now() + READER_COOLDOWN_S
@@ -173,6 +182,12 @@
                     f'{address} holds no rows of the table'
                 )
             )
+        if reply.era is None and question.era:
+            # Versions of a peer of the previous release may be of any era.
+            return result.Err(
+                store_errors.Unavailable(f'{address} names no era')
+            )
+        era = reply.era or 0
         # The peer received the question no earlier than it was sent, and the
         # reported age applies at the end of the peer's wait. The computed time
         # of the evidence may thus be too early, but never too late.
@@ -183,8 +198,15 @@
         return result.Ok(
             follower_lib.Relayed(
                 feeds.Changes(
-                    tuple(feeds.FeedRow(*row) for row in reply.rows),
-                    reply.version,
+                    tuple(
+                        feeds.FeedRow(
+                            row.key,
+                            feeds.make_version(era, row.version),
+                            row.value,
+                        )
+                        for row in reply.rows
+                    ),
+                    feeds.make_version(era, reply.version),
                 ),
                 answered_at - reply.age_ms / 1000,
                 reply.is_whole,
@@ -198,3 +220,26 @@
                 address, SECRET, self._nursery
             )
         return self._links[address]
+
+
+def _make_question(
+    table: str, after: int, wait_s: float
+) -> messages.FeedQuestion:
+    return messages.FeedQuestion(
+        table,
+        feeds.counter_of(after),
+        int(wait_s * 1000),
+        feeds.era_of(after),
+    )
+
+
+def _version_asked_for(question: messages.FeedQuestion, version: int) -> int:
+    """Returns the version after which a peer asks for changes.
+
+    A host of the previous release doesn't know of eras; the one of this host's
+    version is assumed.
+    """
+    if question.after < 0:
+        return question.after
+    era = feeds.era_of(version) if question.era is None else question.era
+    return feeds.make_version(era, question.after)
--- a/packages/sardinebend-gateway/tests/cover/test_watch.py
+++ b/packages/sardinebend-gateway/tests/cover/test_watch.py
@@ -346,3 +346,54 @@
         await wait_until(lambda: 'b' in applied)
         assert store.calls == 1
         nursery.cancel_scope.cancel()
+
+
+async def test_rows_of_a_store_that_returns_from_an_older_copy_replace_all():
+    # Guards against a host that takes every answer for older than its own
+    # until the store's counter has passed its former value.
+    store, follower, applied = make_follower()
+    for number in range(30):
+        await store.write('t', f'k{number}', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await wait_until(lambda: len(applied) == 30)
+        store.return_from_copy(25)
+        await store.write('t', 'new', None, b'2')
+        await wait_until(lambda: 'new' in applied)
+        assert len(applied) == 6
+        assert follower.evidence_age_s() < 1.0
+        store.return_from_copy(3)
+        await wait_until(lambda: len(applied) == 3)
+        nursery.cancel_scope.cancel()
+
+
+async def test_a_late_answer_of_an_earlier_era_is_not_applied():
+    store, follower, applied = make_follower()
+    await store.write('t', 'a', None, b'old')
+    old = (await store.read_all('t')).ok_value
+    store.return_from_copy(1)
+    await store.write('t', 'a', None, b'new')
+    peer = Peer(*old.rows)
+    follower.peers = peer
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await wait_until(lambda: applied == {'a': b'new'})
+        store.is_down = True
+        await trio.sleep(1.0)
+        assert applied == {'a': b'new'}
+        nursery.cancel_scope.cancel()
+
+
+async def test_changes_of_another_era_that_are_not_whole_are_not_applied():
+    store, follower, applied = make_follower()
+    await store.write('t', 'a', None, b'1')
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(follower.run)
+        await wait_until(lambda: 'a' in applied)
+        store.is_down = True
+        await wait_until(lambda: follower.is_store_lost)
+        row = feeds.FeedRow('b', feeds.make_version(1, 1), b'2')
+        follower.peers = Peer(row)
+        await trio.sleep(1.0)
+        assert applied == {'a': b'1'}
+        nursery.cancel_scope.cancel()
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -192,6 +192,7 @@
         rows=[_IDL.FeedRow(**row._asdict()) for row in message.rows],
         waited_ms=message.waited_ms,
         regained_ms=message.regained_ms,
+        era=message.era,
     )
 
 
@@ -267,6 +268,7 @@
             _check_type(question.table, str),
             _check_type(question.after, int),
             _check_type(question.wait_ms, int),
+            _check_era(question.era),
         )
     if frame.feed_reply is not None:
         reply = frame.feed_reply
@@ -280,10 +282,19 @@
             _check_type(
                 -1 if reply.regained_ms is None else reply.regained_ms, int
             ),
+            _check_era(reply.era),
         )
     return messages.Ack()
 
 
+def _check_era(value: typing.Any) -> int | None:
+    if value is None:
+        return None
+    if _check_type(value, int) < 0:
+        raise errors.MalformedFrame('negative era')
+    return value
+
+
 def _decode_feed_row(row: typing.Any) -> messages.FeedRow:
     value = None if row.value is None else _check_type(row.value, bytes)
     return messages.FeedRow(
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -181,21 +181,23 @@
 
     Attributes:
         table: The table.
-        after: The version; -1 for all rows.
+        after: The store's counter at the version; -1 for all rows.
         wait_ms: Longest time to wait for a change.
+        era: Era of the version; `None` from hosts of the previous release.
     """
 
     table: str
     after: int
     wait_ms: int
+    era: int | None = None
 
 
 class FeedReply(typing.NamedTuple):
     """Answers a `FeedQuestion` from the sender's copy of the table.
 
     Attributes:
-        version: Version up to which the rows are complete; negative if the
-            sender has no copy.
+        version: The store's counter at the version up to which the rows are
+            complete; negative if the sender has no copy.
         age_ms: Time since the sender last had evidence that its copy was up to
             date.
         is_whole: Whether the rows are the whole table.
@@ -203,6 +205,7 @@
         waited_ms: How long the sender waited for a change.
         regained_ms: Time since the end of a store outage; -1 if none ended
             recently.
+        era: Era of all versions; `None` from hosts of the previous release.
     """
 
     version: int
@@ -211,6 +214,7 @@
     rows: tuple[FeedRow, ...]
     waited_ms: int = 0
     regained_ms: int = -1
+    era: int | None = None
 
 
 class Ack(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -101,6 +101,7 @@
   1: string table,
   2: i64 after,
   3: i32 wait_ms,
+  4: optional i64 era,
 }
 
 struct FeedReply {
@@ -110,6 +111,7 @@
   4: list<FeedRow> rows,
   5: i32 waited_ms,
   6: i32 regained_ms,
+  7: optional i64 era,
 }
 
 struct Frame {
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -16,6 +16,7 @@
 from sardinebend_gateway import errors
 from sardinebend_policy import endpoints
 from sardinebend_store import errors as store_errors
+from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
 
 ROOT = pathlib.Path(__file__).parents[2]
@@ -174,7 +175,10 @@
 
 
 class ScriptedStore:
-    """Answers each request with the next of a list of status and body."""
+    """Answers each request with the next of a list.
+
+    An answer is a status, a body and the store's era, if it names one.
+    """
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -188,12 +192,13 @@
                 if req is None:
                     return
                 self.targets.append((req.target.decode(), body))
-                status, text = self.answers.pop(0)
+                status, text, *era = self.answers.pop(0)
+                headers = [('Store-Era', value) for value in era]
                 if status == 0:
                     world_lib.reset(stream)
                     return
                 await stream.send_all(
-                    world_lib.head(status, [], body=text.encode())
+                    world_lib.head(status, headers, body=text.encode())
                 )
 
 
@@ -271,6 +276,80 @@
     assert body['expected'][0]['row_version'] == 4
 
 
+EMPTY = '{"rows":[],"row_version":7}'
+WRITTEN = '{"row_version":8}'
+
+
+async def test_versions_hold_the_era_that_the_store_names():
+    async def call(client):
+        changes = (await client.read_all('t')).ok_value
+        follow = await client.follow('t', changes.version, 0.0)
+        write = await client.write('t', 'a', changes.version, b'1')
+        return changes.version, follow.ok_value.version, write.ok_value
+
+    answers = (200, EMPTY, '3'), (200, EMPTY, '3'), (200, WRITTEN, '3')
+    versions, targets = await call_store(call, *answers)
+    assert [feeds.era_of(version) for version in versions] == [3, 3, 3]
+    assert [feeds.counter_of(version) for version in versions] == [7, 7, 8]
+    assert 'after_revision=7' in targets[1][0]
+    assert json.loads(targets[2][1])['expected'][0]['row_version'] == 7
+
+
+@pytest.mark.parametrize(
+    'answer', [(200, EMPTY, '4'), (410, '', '4'), (503, '', '4')]
+)
+async def test_any_answer_of_a_new_era_ends_following_from_the_old_one(answer):
+    async def call(client):
+        version = (await client.read_all('t')).ok_value.version
+        await client.follow('t', version, 0.0)
+        assert client.era == 4
+        return await client.follow('t', version, 0.0)
+
+    outcome, targets = await call_store(call, (200, EMPTY, '3'), answer)
+    assert isinstance(outcome.err_value, store_errors.HistoryLost)
+    assert len(targets) == 2
+
+
+@pytest.mark.parametrize('era', [['2'], [], ['x'], ['-1'], ['9' * 40]])
+async def test_an_answer_of_no_known_era_is_not_used(era):
+    # Guards against rows, and acknowledgements of writes, of an earlier era.
+    async def call(client):
+        await client.read_all('t')
+        return (
+            await client.read_all('t'),
+            await client.write('t', 'a', None, b'1'),
+            client.era,
+        )
+
+    answers = (200, EMPTY, '3'), (200, EMPTY, *era), (200, WRITTEN, *era)
+    (read, write, known), _ = await call_store(call, *answers)
+    assert isinstance(read.err_value, store_errors.Unavailable)
+    assert isinstance(write.err_value, store_errors.Unclear)
+    assert known == 3
+
+
+async def test_a_conditional_write_across_a_change_of_era_is_not_trusted():
+    # Guards against a condition that holds only because a version was given
+    # out again.
+    async def call(client):
+        version = (await client.read_all('t')).ok_value.version
+        during = await client.write('t', 'a', version, b'1')
+        after = await client.write('t', 'a', version, b'1')
+        return during.err_value, after.err_value
+
+    answers = (200, EMPTY, '3'), (200, WRITTEN, '4')
+    (during, after), targets = await call_store(call, *answers)
+    assert isinstance(during, store_errors.Unclear)
+    assert isinstance(after, store_errors.Conflict)
+    assert len(targets) == 2
+
+
+async def test_pages_of_different_eras_are_not_joined():
+    answers = (200, ONE_ROW, '3'), (200, EMPTY, '4')
+    outcome, _ = await call_store(lambda c: c.read_all('t'), *answers)
+    assert isinstance(outcome.err_value, store_errors.Unavailable)
+
+
 WIRE_NAMES = re.compile(
     r'response-seal|not-executed|expect-instance|hop-count|at-server'
     r'|prefix-hash|token-usage|deadline-ms|length-hint|request-priority'
