Keep one lease holder and rising fencing numbers across eras

After the store lost a lease row, the former holder went on until its lease ended while any host could take the missing row at once with number 1.

Cause: a missing row was taken for a lease that nobody ever held. Class: absence read as evidence.

Change: a holder whose row is gone or replaced stops at once; others wait for the lease's duration after they saw it go; each era has fencing numbers of its own above all before. Rows read before a host's own last write are ignored.

Not covered: a host that starts within the gap has seen no lease and doesn't wait; its number is above the former ones.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -92,6 +92,9 @@
 
     def apply_lease_row(self, row: feeds.FeedRow) -> None:
         """Applies the lease's row."""
+        if row.version < self._version:
+            # Read before this host's own last write.
+            return
         value = None
         if row.value is not None:
             try:
@@ -142,9 +145,10 @@
         if self.holds_lease:
             return True
         now = clocks.now()
+        store = self._state.edges.store
         if now - self._started_at < FIRST_TRY_DELAY_S:
             return False
-        if self._lease.next_attempt(now) is None:
+        if self._lease.next_attempt(now, store.era) is None:
             self._lease_free_since = None
             return False
         if self._lease_free_since is None:
@@ -154,11 +158,12 @@
         return now - self._lease_free_since > self._non_reader_delay_s
 
     async def _try_lease(self) -> None:
-        attempt = self._lease.next_attempt(clocks.now())
+        store = self._state.edges.store
+        attempt = self._lease.next_attempt(clocks.now(), store.era)
         if attempt is None:
             return
         sent_at = clocks.now()
-        answer = await self._state.edges.store.write(
+        answer = await store.write(
             shared_table.TABLE,
             shared_table.LEASE_KEY,
             attempt.expected_version,
--- a/packages/sardinebend-policy/src/sardinebend_policy/lease.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/lease.py
@@ -15,6 +15,8 @@
 
 # Share of the duration by which a holder stops before the lease expires.
 SAFETY_MARGIN: typing.Final = 0.2
+# The lower bits of a fencing number count the holders within an era.
+ERA_FENCING_BITS: typing.Final = 24
 
 
 class LeaseRow(typing.TypedDict):
@@ -54,6 +56,7 @@
         self._version_seen_at = float('-inf')
         self._held_until = float('-inf')
         self._was_read = False
+        self._highest_fencing = 0
 
     def is_held(self, now: float) -> bool:
         """Returns whether this host holds the lease and may act.
@@ -63,24 +66,44 @@
         return now < self._held_until
 
     def observe(self, row: LeaseRow | None, version: int, now: float) -> None:
-        """Records the row and version that were read."""
+        """Records the row and version that were read.
+
+        A holder whose row is lost or replaced stops at once.
+        """
+        if row is None or row['holder'] != self._holder:
+            self._held_until = float('-inf')
         if not self._was_read or version != self._version:
             self._version_seen_at = now
         self._was_read = True
+        if row is not None:
+            self._highest_fencing = max(self._highest_fencing, row['fencing'])
         self._row = row
         self._version = version
 
-    def next_attempt(self, now: float) -> Attempt | None:
-        """Returns the write to make now; `None` if there is none."""
+    def next_attempt(self, now: float, era: int = 0) -> Attempt | None:
+        """Returns the write to make now; `None` if there is none.
+
+        Args:
+            now: The time.
+            era: Era of the store. Its row may be older than the last one, so
+                each era has fencing numbers of its own, above all others.
+        """
         if not self._was_read:
             return None
+        lowest = era << ERA_FENCING_BITS
+        fencing = max(lowest, self._highest_fencing) + 1
+        is_waiting = now - self._version_seen_at < self._duration_s
         if self._row is None:
-            return Attempt({'holder': self._holder, 'fencing': 1}, 0)
-        if self._row['holder'] == self._holder:
+            if is_waiting and self._highest_fencing:
+                # The row is lost, but its holder may not know that yet.
+                return None
+            return Attempt({'holder': self._holder, 'fencing': fencing}, 0)
+        if self._row['holder'] == self._holder and (
+            self._row['fencing'] >= lowest
+        ):
             return Attempt(self._row, self._version)
-        if now - self._version_seen_at < self._duration_s:
+        if is_waiting:
             return None
-        fencing = self._row['fencing'] + 1
         return Attempt(
             {'holder': self._holder, 'fencing': fencing}, self._version
         )
@@ -90,6 +113,7 @@
         if attempt.row['fencing'] != self.fencing:
             self.taken_at = sent_at
         self.fencing = attempt.row['fencing']
+        self._highest_fencing = max(self._highest_fencing, self.fencing)
         self._row = attempt.row
         self._version = attempt.expected_version + 1
         self._version_seen_at = sent_at
--- a/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
+++ b/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
@@ -44,6 +44,35 @@
     assert not holder.is_held(now)
 
 
+def test_a_lost_lease_row_ends_the_lease_and_is_taken_only_later():
+    # Guards against two holders, and a fencing number that is used twice, when
+    # the store comes back from a copy that is older than the lease.
+    holder = lease_lib.Lease('a', DURATION_S)
+    holder.observe(None, 0, 0.0)
+    attempt = holder.next_attempt(0.0)
+    holder.confirm(attempt, 0.0)
+    other = lease_lib.Lease('b', DURATION_S)
+    other.observe(attempt.row, 1, 0.0)
+    for lease in (holder, other):
+        lease.observe(None, 0, 5.0)
+        assert not lease.is_held(5.0)
+        assert lease.next_attempt(14.9, era=1) is None
+        later = lease.next_attempt(15.0, era=1)
+        assert later.row['fencing'] > attempt.row['fencing']
+
+
+def test_fencing_numbers_of_a_later_era_are_above_all_before():
+    lease = lease_lib.Lease('c', DURATION_S)
+    lease.observe({'holder': 'a', 'fencing': 4}, 7, 0.0)
+    first = lease.next_attempt(DURATION_S, era=1)
+    assert first.row['fencing'] > 2**lease_lib.ERA_FENCING_BITS
+    # A holder that finds its own row in an older copy takes a new number.
+    lease.observe({'holder': 'c', 'fencing': 5}, 8, 0.0)
+    assert lease.next_attempt(0.0, era=2) is None
+    again = lease.next_attempt(DURATION_S, era=2)
+    assert again.row['fencing'] > first.row['fencing']
+
+
 def make_engine(name, span, observed=OLD, desired=NEW, checks=True):
     return orders.Engine(name, span, desired, observed, checks)
 
