Restore what a store loses, and don't trust keys to its older copy

Cause: hosts wrote their row once, a verdict's row was taken for deleted on purpose, and any answer of the store counted as evidence that the held configuration is in force, also one that holds an older configuration.

Change: a host writes its row again when it is lost; verdicts still in force are written again.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -133,6 +133,7 @@
                 'crashes': self._crashes.run,
                 'quarantine': self._quarantine.run,
                 'prompt parts': self._parts.run,
+                'own row': self.members.keep_published,
                 'keeper': self.placement_controller.run,
             }
             for name, job in jobs.items():
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -35,6 +35,7 @@
         self._rows: dict[str, shared_table.HostRow] = {}
         self._live_names: set[str] = set()
         self._domains: dict[str, str] = {}
+        self._own_row_lost = trio.Event()
         self.liveness = liveness_lib.Liveness(state.rng)
 
     def record_heartbeat(self, name: str, incarnation: str, now: float) -> None:
@@ -101,11 +102,15 @@
         name = row.key.removeprefix(shared_table.HOST_PREFIX)
         if row.value is None:
             self._rows.pop(name, None)
+            if name == self._state.cfg.name:
+                self._own_row_lost.set()
             return
         try:
             host = shared_table.decode_host(row.value)
             if name != self._state.cfg.name:
                 self._rows[name] = host
+            elif host['incarnation'] != self._own_row['incarnation']:
+                self._own_row_lost.set()
             self._state.set_host_count(len(self.peers()) + 1)
             self._drop_old_incarnations()
         except errors.Malformed as exc:
@@ -136,6 +141,17 @@
                 return
             await trio.sleep(RETRY_S * self._state.rng.uniform(0.7, 1.3))
 
+    async def keep_published(self) -> None:
+        """Writes this host's row again whenever it is lost.
+
+        It is if the store comes back from a copy that is older than the row.
+        Runs until cancelled.
+        """
+        while True:
+            await self._own_row_lost.wait()
+            self._own_row_lost = trio.Event()
+            await self.publish(self._state.is_stopping)
+
     def peers(self) -> dict[str, shared_table.HostRow]:
         """Returns the rows of all other hosts."""
         return dict(self._rows)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -147,10 +147,15 @@
         """Applies the row of a verdict."""
         fingerprint = row.key.removeprefix(shared_table.QUARANTINE_PREFIX)
         self._unwritten_verdicts.pop(fingerprint, None)
+        now = clocks.now()
         if row.value is None:
             self._verdict_rows.pop(fingerprint, None)
+            if self._state.quarantine.refused_until(fingerprint, now):
+                # The store has come back from an older copy.
+                self._unwritten_verdicts[fingerprint] = (
+                    now + self._state.rng.uniform(*REPORTED_WRITE_DELAY_S)
+                )
             return
-        now = clocks.now()
         self._verdict_rows.setdefault(fingerprint, now)
         local_quarantine = self._state.quarantine
         if local_quarantine.refused_until(fingerprint, now) is None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -15,6 +15,9 @@
 
 # Interval between checks for postponed removals whose time has come.
 CHECK_INTERVAL_S: typing.Final = 0.3
+# How long after a change of era the store may lack the newest configuration,
+# until the operator has written it again. Later, what it holds is in force.
+REWRITE_LIMIT_S: typing.Final = 10.0
 
 
 class CatalogUpdater:
@@ -22,6 +25,7 @@
 
     def __init__(self, state: state_lib.State) -> None:
         self._state = state
+        self._stored_version: int | None = None
         table = state.edges.state.catalog_table
         self.follower = follower_lib.Follower(
             state,
@@ -37,10 +41,15 @@
     def _apply_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         codec = self._state.edges.state
         for row in rows:
-            if row.key != codec.catalog_key or row.value is None:
+            if row.key != codec.catalog_key:
+                continue
+            self._stored_version = None
+            if row.value is None:
                 continue
             try:
-                self._state.apply_catalog(codec.decode_catalog(row.value))
+                catalog = codec.decode_catalog(row.value)
+                self._stored_version = catalog.version
+                self._state.apply_catalog(catalog)
             except errors.Malformed as exc:
                 self._state.audit.log(
                     events.CATALOG_REFUSED, version=row.version, reason=str(exc)
@@ -48,11 +57,28 @@
                 # The configuration in force may be outdated, so this answer
                 # must not renew its evidence.
                 return
-        if self._state.catalog is not None:
+        if self._state.catalog is not None and not self._may_lack_newest():
             at = max(self._state.catalog_at, self.follower.evidence_at)
             self._state.catalog_at = at
             self._state.catalog_confirmed_at = self.follower.confirmed_at
 
+    def _may_lack_newest(self) -> bool:
+        """Returns whether the store may lack the newest configuration.
+
+        After it has come back from an older copy, its answers don't show that
+        the configuration is in force: one that takes keys away may be missing.
+        """
+        age_s = clocks.now() - self.follower.era_changed_at
+        if age_s >= REWRITE_LIMIT_S:
+            return False
+        catalog = self._state.catalog
+        return (
+            age_s < follower_lib.RELIST_WAIT_S
+            or catalog is None
+            or self._stored_version is None
+            or self._stored_version < catalog.version
+        )
+
 
 class EndpointUpdater:
     """Keeps the listings of endpoints up to date."""
