Call a transaction unclear when only its reply or its group failed

An applied claim could be reported as not written: a 200 with a malformed body, or an exception after the call was sent, counted as Unavailable. The second also ended the process, when the group was sent by a system task.

Change: both are Unclear; the exception is logged and ends with the group.

Failing before: test_an_applied_transaction_with_a_malformed_reply_is_unclear (three cases) and test_an_exception_after_sending_leaves_the_group_unclear (TrioInternalError).

--- a/packages/sardinebend-store/src/sardinebend_store/batching.py
+++ b/packages/sardinebend-store/src/sardinebend_store/batching.py
@@ -5,6 +5,7 @@
 that write a common row aren't put into the same group.
 """
 
+import logging
 import typing
 
 import result
@@ -13,6 +14,7 @@
 from sardinebend_store import errors
 from sardinebend_store import store
 
+_LOGGER = logging.getLogger(__name__)
 MAX_BATCH: typing.Final = 64
 
 
@@ -80,6 +82,9 @@
         try:
             while group:
                 group = await self._send_once(group)
+        except Exception:
+            # Must not end the process; the group's outcomes are `Unclear`.
+            _LOGGER.exception('a group of transactions failed')
         finally:
             self._free_slots += 1
             for transaction in group:
@@ -111,6 +116,11 @@
             write for transaction in group for write in transaction.writes
         ]
         self.calls += 1
+        for transaction in group:
+            # The outcome of all if the call raises.
+            transaction.outcome = result.Err(
+                errors.Unclear('the exchange failed unexpectedly')
+            )
         outcome = await self._table.transact(writes)
         conflicting: list[_PendingTransaction] = []
         if isinstance(outcome, result.Err) and isinstance(
--- a/packages/sardinebend-store/src/sardinebend_store/remote.py
+++ b/packages/sardinebend-store/src/sardinebend_store/remote.py
@@ -282,7 +282,10 @@
 ) -> result.Result[store.Committed, store.TableError]:
     if reply.status == 200:
         committed = _decode(reply.body, _CommittedBody)
-        return committed.map(lambda body: store.Committed(**body))
+        if isinstance(committed, result.Err):
+            # The status says that it was applied, but nothing shows by whom.
+            return result.Err(errors.Unclear(str(committed.err_value)))
+        return result.Ok(store.Committed(**committed.ok_value))
     if reply.status == 409:
         rows = _decode(reply.body, dict[str, _RowBody | None])
         if isinstance(rows, result.Err):
--- a/packages/sardinebend-store/tests/cover/test_stores.py
+++ b/packages/sardinebend-store/tests/cover/test_stores.py
@@ -8,6 +8,7 @@
 
 from sardinebend_router import asgi
 from sardinebend_store import batching
+from sardinebend_store import connections
 from sardinebend_store import errors
 from sardinebend_store import memory
 from sardinebend_store import remote
@@ -132,6 +133,35 @@
     assert outcomes['k1'] == result.Ok(store.Committed({'k1': 1}))
 
 
+@pytest.mark.parametrize('body', [b'{', b'{}', b'[]'])
+def test_an_applied_transaction_with_a_malformed_reply_is_unclear(body):
+    # Guards against "nothing written" about a booking's claim that was.
+    answer = remote._decode_transact_reply(connections.Reply(200, {}, body))
+    assert isinstance(answer.err_value, errors.Unclear)
+
+
+async def test_an_exception_after_sending_leaves_the_group_unclear():
+    # Guards against "nothing written" for what was grouped with the call that
+    # raised, and against a process that ends by it.
+    class RaisingTable(SlowTable):
+        async def transact(self, writes):
+            await super().transact(writes)
+            raise ValueError('after it was applied')
+
+    table = batching.BatchingTable(RaisingTable(), in_flight=1)
+    outcomes = {}
+
+    async def write(key):
+        outcomes[key] = await table.transact([store.Write(key, 0, {})])
+
+    async with trio.open_nursery() as nursery:
+        for number in range(4):
+            nursery.start_soon(write, f'k{number}')
+    assert len(outcomes) == 4
+    for outcome in outcomes.values():
+        assert isinstance(outcome.err_value, errors.Unclear)
+
+
 class SlowTable(memory.MemoryTable):
     async def transact(self, writes):
         await trio.sleep(0.01)
