Treat a row with an empty value as a row when it is written

A conditional write for an absent row succeeded over a row whose value was empty, in the in-memory feeds that tests and the soak use; reading showed it.

Failing before: test_an_empty_value_is_a_row.

--- a/packages/sardinebend-store/src/sardinebend_store/feeds.py
+++ b/packages/sardinebend-store/src/sardinebend_store/feeds.py
@@ -194,7 +194,9 @@
             return result.Err(errors.Unavailable('down'))
         rows = self._tables.setdefault(table, {})
         row = rows.get(key)
-        version = row.version if row is not None and row.value else 0
+        version = 0
+        if row is not None and row.value is not None:
+            version = row.version
         if expected_version is not None and version != expected_version:
             return result.Err(errors.Conflict({key: row}))
         self._version += 1
--- a/packages/sardinebend-store/tests/cover/test_feeds.py
+++ b/packages/sardinebend-store/tests/cover/test_feeds.py
@@ -1,4 +1,4 @@
-"""A store that comes back from an older copy of itself."""
+"""Feeds in memory, and a store that comes back from an older copy."""
 
 import pytest
 
@@ -39,3 +39,12 @@
     assert isinstance(answer.err_value, errors.HistoryLost)
     answer = await store.write('t', 'a', version, b'2')
     assert isinstance(answer.err_value, errors.Conflict)
+
+
+async def test_an_empty_value_is_a_row():
+    # Guards against a second holder of a row whose value is empty.
+    store = feeds.MemoryFeeds()
+    version = (await store.write('t', 'a', 0, b'')).ok_value
+    answer = await store.write('t', 'a', 0, b'1')
+    assert isinstance(answer.err_value, errors.Conflict)
+    assert (await store.write('t', 'a', version, b'1')).is_ok()
