--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -9,6 +9,7 @@
 import trio
 
 from sardinebend_adapter import engine_codec
+from sardinebend_adapter import main as adapter_main
 from sardinebend_adapter import node_settings
 from sardinebend_adapter import request_codec
 from sardinebend_adapter import state_codec
@@ -436,3 +437,38 @@
     headers = [(b'prefix-hash', value) for value in values]
     facts = request_codec.PlatformRequests().decode_request(headers)
     assert facts.shared_parts == parts
+
+
+class LoggingGateway:
+    """Settings and decisions of a gateway, with nothing else."""
+
+    def __init__(self, cfg):
+        self.state = self
+        self.audit = self
+        self.cfg = cfg
+        self.lines = []
+
+    def log(self, event, **fields):
+        self.lines.append((event.name, fields))
+
+
+def test_a_reload_is_compared_with_the_settings_in_force(monkeypatch):
+    # Guards against a log that names changes of an earlier reload again.
+    cfg = node_settings.parse(SETTINGS)
+    gateway = LoggingGateway(cfg.host)
+    newer = cfg._replace(host=cfg.host._replace(grace_s=99.0))
+    for found in (newer, newer, cfg):
+        monkeypatch.setattr(adapter_main, 'read_settings', lambda f=found: f)
+        adapter_main.reload_settings(gateway)
+    changes = [fields['changed'] for _, fields in gateway.lines]
+    assert changes == [['grace_s'], [], ['grace_s']]
+
+
+def test_a_rejected_settings_file_is_not_logged_as_reloaded(monkeypatch):
+    def fail():
+        raise errors.InvalidSettings('no node name')
+
+    gateway = LoggingGateway(node_settings.parse(SETTINGS).host)
+    monkeypatch.setattr(adapter_main, 'read_settings', fail)
+    adapter_main.reload_settings(gateway)
+    assert gateway.lines == [('settings_rejected', {'error': 'no node name'})]
