Write a verdict's row again only where an era took it

A row that is deleted on purpose would have been written again by each host whose hold ends later, and renewed for the others.

Failing before: test_a_verdict_row_that_is_deleted_on_purpose_stays_deleted.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -32,6 +32,13 @@
 MAX_VERDICTS_SENT: typing.Final = 4
 
 
+class _VerdictRow(typing.NamedTuple):
+    """A row of a verdict: when this host saw it, and its version."""
+
+    since: float
+    version: int
+
+
 class SharedQuarantine:
     """Synchronizes this host's quarantine with those of other hosts.
 
@@ -52,7 +59,7 @@
         )
         self.has_news = trio.Event()
         self._unwritten_verdicts: dict[str, float] = {}
-        self._verdict_rows: dict[str, float] = {}
+        self._verdict_rows: dict[str, _VerdictRow] = {}
 
     async def run(self) -> None:
         """Writes verdicts and deletes old ones; runs until cancelled."""
@@ -149,14 +156,20 @@
         self._unwritten_verdicts.pop(fingerprint, None)
         now = clocks.now()
         if row.value is None:
-            self._verdict_rows.pop(fingerprint, None)
-            if self._state.quarantine.refused_until(fingerprint, now):
-                # The store has come back from an older copy.
+            known = self._verdict_rows.pop(fingerprint, None)
+            # Otherwise the row was deleted on purpose.
+            is_lost = known is not None and (
+                feeds.era_of(row.version) > feeds.era_of(known.version)
+            )
+            if is_lost:
                 self._unwritten_verdicts[fingerprint] = (
                     now + self._state.rng.uniform(*REPORTED_WRITE_DELAY_S)
                 )
             return
-        self._verdict_rows.setdefault(fingerprint, now)
+        known = self._verdict_rows.get(fingerprint)
+        self._verdict_rows[fingerprint] = _VerdictRow(
+            known.since if known else now, row.version
+        )
         local_quarantine = self._state.quarantine
         if local_quarantine.refused_until(fingerprint, now) is None:
             local_quarantine.quarantine_until(
@@ -185,6 +198,10 @@
         )
 
     async def _write(self, fingerprint: str) -> None:
+        now = clocks.now()
+        if self._state.quarantine.refused_until(fingerprint, now) is None:
+            self._unwritten_verdicts.pop(fingerprint, None)
+            return
         answer = await self._state.edges.store.write(
             shared_table.TABLE,
             shared_table.QUARANTINE_PREFIX + fingerprint,
@@ -201,12 +218,12 @@
         self._state.metrics.count('verdicts_unwritten')
 
     async def _delete_old_rows(self, now: float) -> None:
-        for fingerprint, since in list(self._verdict_rows.items()):
-            if now - since < state_lib.QUARANTINE_HOLD_S:
+        for fingerprint, row in list(self._verdict_rows.items()):
+            if now - row.since < state_lib.QUARANTINE_HOLD_S:
                 continue
             # Resets the age so that a failed deletion isn't retried at once.
             # A successful one shows as the absence of the row.
-            self._verdict_rows[fingerprint] = now
+            self._verdict_rows[fingerprint] = row._replace(since=now)
             await self._state.edges.store.write(
                 shared_table.TABLE,
                 shared_table.QUARANTINE_PREFIX + fingerprint,
--- a/tests/cover/test_gateway_store_era.py
+++ b/tests/cover/test_gateway_store_era.py
@@ -99,6 +99,20 @@
             assert len(hosts) == crashing_world.HOSTS
 
 
+async def test_a_verdict_row_that_is_deleted_on_purpose_stays_deleted(clock):
+    # Guards against verdicts that hosts renew for each other without end.
+    async with crashing_world.running() as fleet:
+        await fleet.repeat('/book/x', 6)
+        await trio.sleep(8.0)
+        rows = (await fleet.store.read_all(shared_table.TABLE)).ok_value.rows
+        keys = [row.key for row in rows if row.key.startswith('quarantine/')]
+        assert len(keys) == 1
+        await fleet.store.write(shared_table.TABLE, keys[0], None, None)
+        await trio.sleep(16.0)
+        rows = (await fleet.store.read_all(shared_table.TABLE)).ok_value.rows
+    assert keys[0] not in {row.key for row in rows}
+
+
 async def test_a_holder_whose_lease_is_lost_stops_and_numbers_go_up(clock):
     # Guards against two holders at once, and a fencing number for two holders.
     async with crashing_world.running() as fleet:
