Ignore evidence with an absurd age, which stopped a host's heartbeats

A host that got a heartbeat with a huge age of a crash passed it on, increased, and the sum didn't fit the field: every heartbeat of its own then failed. Traced by its traceback; not load. Cause: the bound on the evidence's age was checked only when old evidence is dropped, not when it comes in.

Failing before: test_an_absurd_age_in_a_heartbeat_does_not_stop_ones_own.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_parts.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_parts.py
@@ -93,7 +93,9 @@
             if self._evidence.record_objection(served, now):
                 self._object(served)
         for report in heartbeat.part_crashes:
-            self._record(report.crash, now - max(0, report.age_ms) / 1000)
+            age_s = max(0, report.age_ms) / 1000
+            if age_s < part_evidence.EVIDENCE_TTL_S:
+                self._record(report.crash, now - age_s)
 
     def crashes_to_send(self) -> tuple[messages.PartCrashReport, ...]:
         """Returns crashes to report with the next heartbeat."""
--- a/tests/cover/test_gateway_unexpected_errors.py
+++ b/tests/cover/test_gateway_unexpected_errors.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import supervisor
 from sardinebend_peers import codec
 from sardinebend_peers import messages
+from sardinebend_policy import part_evidence
 from tests.common import gateway_world as world_lib
 
 TEXT = st.text(max_size=12)
@@ -155,6 +156,20 @@
     trio.run(play)
 
 
+async def test_an_absurd_age_in_a_heartbeat_does_not_stop_ones_own(clock):
+    # Guards against a host that never sends a heartbeat again: it passed the
+    # age on, increased, and the sum didn't fit the field.
+    crash = part_evidence.PartCrash('part/a', 'engine/1', 'request')
+    report = messages.PartCrashReport(crash, 2**63 - 1)
+    heartbeat = messages.LoadHeartbeat('h', 'i', False, (), b'')
+    async with world_lib.running() as world:
+        beats = world.gateway._heartbeats
+        beats._apply(heartbeat._replace(part_crashes=(report,)))
+        await trio.sleep(1.0)
+        beats._encode()
+        assert world.gateway.state.part_evidence.items() == []
+
+
 @hypothesis.given(st.lists(st.binary(max_size=120), min_size=1, max_size=20))
 @hypothesis.settings(
     derandomize=True, max_examples=25, deadline=None, database=None
