Tell peers of a quarantine before the caller has its answer

Cause: the report of the crash that quarantines a request was sent to the peers beside the answer to its caller. A caller that sent the request again at once met a host that knew of one crash only. There it crashes one more engine, or is refused for want of a route where none is left. Class: an answer that is given before what it promises is known where the caller goes next.

Ruled out: probes that take a crash for silence; an engine closes its listener before its streams.

Change: the request waits for its peers, as it does after the first crash, for 0.5 s at most (draft.suspicion_wait_s), and then ends.

Failing before: test_peers_know_a_verdict_before_the_caller_has_its_answer.

--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -313,18 +313,13 @@
         # request, not several.
         crash = self._attempts.record_crash(crashed[0], now)
         actions = self._close_attempt()
-        notify = msg.ReportCrashes((crash,))
-        if self._is_quarantined(now):
-            return [
-                *actions,
-                notify,
-                *self._end_without_answer(outcomes.Reason.QUARANTINED),
-            ]
+        # Also where the request is quarantined now: its caller may send it
+        # again to any peer as soon as it has the answer.
         self._state = _State.NOTIFYING
         notify_until = now + self._cfg.suspicion_wait_s
         return [
             *actions,
-            notify,
+            msg.ReportCrashes((crash,)),
             msg.SetTimer(msg.Timer('notify'), notify_until),
         ]
 
@@ -333,6 +328,11 @@
     ) -> list[msg.Action]:
         if self._state is not _State.NOTIFYING:
             return []
+        return self._continue_after_crash(now)
+
+    def _continue_after_crash(self, now: float) -> list[msg.Action]:
+        if self._is_quarantined(now):
+            return self._end_without_answer(outcomes.Reason.QUARANTINED)
         return self._retry(outcomes.Reason.ENDPOINT_ERROR, now)
 
     def _fail_attempt(self, now: float) -> list[msg.Action]:
@@ -375,7 +375,7 @@
             self._is_probing_stall = True
             return self._probe()
         if name == 'notify' and self._state is _State.NOTIFYING:
-            return self._retry(outcomes.Reason.ENDPOINT_ERROR, now)
+            return self._continue_after_crash(now)
         if name == 'retry' and self._state is _State.BACKING_OFF:
             return self._start_attempt(now)
         return []
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -218,6 +218,38 @@
     assert 590 < again.outcome.retry_after_s < 600
 
 
+# The caller's resend reached a peer before the second crash did, and crashed
+# one more engine or was refused for want of a route.
+def test_peers_know_a_verdict_before_the_caller_has_its_answer():
+    session = make_session()
+    advance_to_streaming(session)
+    session.handle(msg.StreamBroken(1), 1.0)
+    first = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    session.handle(msg.Probed(1, (first,)), 1.1)
+    session.handle(msg.CrashesReported(), 1.2)
+    advance_to_second_order(session, 1.3)
+    session.handle(msg.StreamBroken(2), 1.4)
+    second = msg.DeadEndpoint('e0b', 'i', crashed=True)
+    actions = session.handle(msg.Probed(2, (second,)), 1.5)
+    assert any(isinstance(action, msg.ReportCrashes) for action in actions)
+    assert session.outcome is None
+    session.handle(msg.CrashesReported(), 1.6)
+    assert session.outcome.reason is outcomes.Reason.QUARANTINED
+
+
+def test_a_quarantined_request_ends_when_peers_do_not_answer_in_time():
+    session = make_session()
+    advance_to_streaming(session)
+    for attempt, endpoint in ((1, 'e0a'), (2, 'e0b')):
+        session.handle(msg.StreamBroken(attempt), 1.0)
+        dead = msg.DeadEndpoint(endpoint, 'i', crashed=True)
+        session.handle(msg.Probed(attempt, (dead,)), 1.1)
+        session.handle(msg.TimerDue(msg.Timer('notify')), 1.6)
+        if attempt == 1:
+            advance_to_second_order(session, 1.7)
+    assert session.outcome.reason is outcomes.Reason.QUARANTINED
+
+
 def test_a_request_that_ran_beside_a_crashing_one_completes():
     shared = make_shared_state()
     crashing = make_session(shared, 'crashing')
