Keep the evidence against a part of prompts in the store

Cause: until the verdict, what speaks against a part was in the memory of the hosts alone. Class: a rule over the whole fleet that rests on what a restart forgets; verdicts had been given rows for that reason.

Ruled out: a verdict that is lost; none had been reached, since one request had ended the engines before each restart.

Change: a part with two separate crashes gets a row with them; hosts that start restore them, and announce them so that others can object. The row is deleted when the part is served or quarantined, and written again where an older copy of the store lacks it. Objections are waited for since this host heard of the first crash, not since it happened. A verdict that reaches a host by row or heartbeat explains crashes as one of its own does.

What it can't cover: a restart of all hosts while the store is away.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -39,6 +39,7 @@
     'prompt_part_quarantined', 'prompt_part, source, for_s', True
 )
 PROMPT_PART_CLEARED = Event('prompt_part_cleared', 'prompt_part, crashes')
+PROMPT_PART_RESTORED = Event('prompt_part_restored', 'prompt_part, crashes')
 ENDPOINT_BACKOFF = Event('endpoint_backoff', 'endpoint, for_s', True)
 ENDPOINT_CRASHED = Event(
     'endpoint_crashed',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -23,6 +23,7 @@
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
+from sardinebend_gateway import stored_parts
 from sardinebend_gateway import supervisor
 from sardinebend_gateway import watch
 from sardinebend_store import feeds
@@ -72,6 +73,7 @@
             self.state, lambda: self.placement_controller.holds_lease
         )
         self._parts = shared_parts.SharedParts(self.state, self._quarantine)
+        self._stored_parts = stored_parts.StoredParts(self.state, self._parts)
         self._crashes = crashes.CrashDetector(
             self.state, self._quarantine, self._parts
         )
@@ -133,6 +135,7 @@
                 'crashes': self._crashes.run,
                 'quarantine': self._quarantine.run,
                 'prompt parts': self._parts.run,
+                'stored parts': self._stored_parts.run,
                 'own row': self.members.keep_published,
                 'keeper': self.placement_controller.run,
             }
@@ -212,5 +215,7 @@
                 self.members.apply_row(row)
             elif row.key.startswith(shared_table.QUARANTINE_PREFIX):
                 self._quarantine.apply_row(row)
+            elif row.key.startswith(shared_table.EVIDENCE_PREFIX):
+                self._stored_parts.apply_row(row)
         self.placement_controller.apply_missing_lease()
         self.members.refresh_live_peers()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_parts.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_parts.py
@@ -60,16 +60,13 @@
 
     def record_crash(self, crash: quarantine.Crash) -> None:
         """Records a crash that this host observed."""
-        now = clocks.now()
         uses = collections.Counter(use.part for use in crash.part_uses)
         requests = {use.part: use.fingerprint for use in crash.part_uses}
         suspected = {part.part for part, _ in self._evidence.items()}
         parts = sorted(uses, key=lambda p: (p not in suspected, -uses[p], p))
         for part in parts[:MAX_PARTS_PER_CRASH]:
             request = quarantine.abbreviate_fingerprint(requests[part])
-            self._record(
-                part_evidence.PartCrash(part, crash.crash_id, request), now
-            )
+            self._record(part_evidence.PartCrash(part, crash.crash_id, request))
 
     def record_served(self, parts: typing.Iterable[str]) -> None:
         """Records parts of a request that this host has served."""
@@ -95,7 +92,7 @@
         for report in heartbeat.part_crashes:
             age_s = max(0, report.age_ms) / 1000
             if age_s < part_evidence.EVIDENCE_TTL_S:
-                self._record(report.crash, now - age_s)
+                self._record(report.crash, age_s)
 
     def crashes_to_send(self) -> tuple[messages.PartCrashReport, ...]:
         """Returns crashes to report with the next heartbeat."""
@@ -115,8 +112,21 @@
         """Returns objections to report with the next heartbeat."""
         return tuple(self._objections.recent(clocks.now()))
 
-    def _record(self, crash: part_evidence.PartCrash, at: float) -> None:
-        is_new, objection = self._evidence.record_crash(crash, at)
+    def restore(self, crash: part_evidence.PartCrash) -> bool:
+        """Records a crash that the store holds; returns whether it is new."""
+        is_new, objection = self._evidence.restore_crash(crash, clocks.now())
+        self._announce(is_new, objection)
+        return is_new
+
+    def _record(
+        self, crash: part_evidence.PartCrash, age_s: float = 0.0
+    ) -> None:
+        now = clocks.now()
+        self._announce(*self._evidence.record_crash(crash, now, age_s))
+
+    def _announce(
+        self, is_new: bool, objection: part_evidence.PartServed | None
+    ) -> None:
         if objection is not None:
             self._object(objection)
         if is_new:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_quarantine.py
@@ -181,6 +181,7 @@
         self._state.notify_quarantined()
         name = quarantine.abbreviate_fingerprint(fingerprint)
         if fingerprint.startswith(quarantine.PART_PREFIX):
+            self._state.part_evidence.accept_verdict(fingerprint, clocks.now())
             self._state.metrics.count('prompt_parts_quarantined')
             self._state.audit.log(
                 events.PROMPT_PART_QUARANTINED,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -1,7 +1,8 @@
 """Rows that the hosts of a fleet share in the platform's store.
 
 Each host has a row with its addresses. One row holds the lease of the placement
-controller, and each quarantined request has a row.
+controller. Each quarantined request or part of prompts has a row, and so has
+each part that repeated crashes make suspect.
 """
 
 import typing
@@ -15,8 +16,13 @@
 TABLE: typing.Final = 'sardinebend'
 HOST_PREFIX: typing.Final = 'host/'
 LEASE_KEY: typing.Final = 'lease/orders'
-# Followed by the fingerprint of a request that crashes endpoints.
+# Followed by the fingerprint of a request or part that crashes endpoints.
 QUARANTINE_PREFIX: typing.Final = 'quarantine/'
+# Followed by the fingerprint of a part that may crash endpoints.
+EVIDENCE_PREFIX: typing.Final = 'evidence/'
+
+# Crash ids, and the abbreviated fingerprint of a request of each crash.
+RequestsByCrash = dict[str, str]
 
 
 class HostRow(typing.TypedDict):
@@ -69,3 +75,20 @@
         return msgspec.json.decode(value, type=lease_lib.LeaseRow)
     except msgspec.DecodeError as exc:
         raise errors.Malformed(str(exc)) from exc
+
+
+def encode_evidence(crashes: RequestsByCrash) -> bytes:
+    """Returns the crashes under requests with a part as JSON."""
+    return msgspec.json.encode(crashes)
+
+
+def decode_evidence(value: bytes) -> RequestsByCrash:
+    """Returns the crashes under requests with a part that JSON bytes hold.
+
+    Raises:
+        errors.Malformed: The bytes aren't an object of texts.
+    """
+    try:
+        return msgspec.json.decode(value, type=RequestsByCrash)
+    except msgspec.DecodeError as exc:
+        raise errors.Malformed(str(exc)) from exc
--- a/packages/sardinebend-policy/src/sardinebend_policy/part_evidence.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/part_evidence.py
@@ -27,9 +27,15 @@
 SOLE_PART_CRASHES: typing.Final = 3
 ANY_PART_CRASHES: typing.Final = 5
 SERVED_PART_CRASHES: typing.Final = 6
-# Time after the first crash in which other hosts can object that they have
-# served a part.
+# Time after a host records its first crash against a part in which other hosts
+# can object that they have served it.
 OBJECTION_S: typing.Final = 0.4
+# Spacing of restored crashes, whose times aren't known; certainly more than
+# MIN_SPACING_S.
+RESTORED_SPACING_S: typing.Final = 2 * MIN_SPACING_S
+# Crashes after which the evidence against a part is stored, so that it survives
+# a restart of all hosts.
+STORED_CRASHES: typing.Final = 2
 
 
 class PartCrash(typing.NamedTuple):
@@ -60,8 +66,17 @@
 
 
 class _Observation(typing.NamedTuple):
+    """A crash as this host knows it.
+
+    Attributes:
+        request: Abbreviated fingerprint of the request.
+        at: When it was first observed by any host.
+        recorded_at: When this host heard of it.
+    """
+
     request: str
     at: float
+    recorded_at: float
 
 
 class PartEvidence:
@@ -77,21 +92,23 @@
         self._selected: dict[str, float] = {}
 
     def record_crash(
-        self, crash: PartCrash, at: float
+        self, crash: PartCrash, now: float, age_s: float = 0.0
     ) -> tuple[bool, PartServed | None]:
         """Records a crash that this host or a peer observed.
 
         Args:
             crash: The crash.
-            at: When it was first observed.
+            now: The time.
+            age_s: Time since it was first observed.
 
         Returns:
             Whether it is new evidence, and an objection if a request with the
             part has been served.
         """
+        at = now - age_s
         served = PartServed(crash.part, crash.crash_id)
         if crash.part in self._selected:
-            self._explain(crash.crash_id, at)
+            self._explain(crash.crash_id, now)
         if served in self._objections:
             return False, served
         if crash.crash_id in self._explained:
@@ -102,12 +119,54 @@
             return False, served
         crashes = self._crashes.setdefault(crash.part, {})
         is_new = crash.crash_id not in crashes
-        crashes.setdefault(crash.crash_id, _Observation(crash.request, at))
+        crashes.setdefault(crash.crash_id, _Observation(crash.request, at, now))
         if len(self._crashes) > MAX_PARTS:
             self._crashes.pop(next(iter(self._crashes)))
         has_been_served = served_at is not None
         return is_new, PartServed(crash.part) if has_been_served else None
 
+    def restore_crash(
+        self, crash: PartCrash, now: float
+    ) -> tuple[bool, PartServed | None]:
+        """Records a crash that the store holds; returns as `record_crash`.
+
+        When it was observed isn't known. Stored crashes were apart in time.
+        """
+        known = self._crashes.get(crash.part, {}).values()
+        earliest = min((seen.at for seen in known), default=now)
+        return self.record_crash(
+            crash, now, now - earliest + RESTORED_SPACING_S
+        )
+
+    def list_to_store(self) -> dict[str, dict[str, str]]:
+        """Returns the parts whose evidence is to be stored.
+
+        Returns:
+            The requests of the crashes of each part, by crash.
+        """
+        parts = {}
+        for part, crashes in self._crashes.items():
+            spaced = _select_spaced(crashes)
+            if len(spaced) >= STORED_CRASHES:
+                parts[part] = {
+                    crash_id: crashes[crash_id].request for crash_id in spaced
+                }
+        return parts
+
+    def forget(self, part: str, crash_ids: typing.Collection[str]) -> None:
+        """Drops crashes of a part for which they are no evidence any more."""
+        for crash_id in crash_ids:
+            self._drop(part, crash_id)
+
+    def accept_verdict(self, part: str, now: float) -> None:
+        """Records that a part is quarantined, by whatever host.
+
+        Its crashes are then no evidence against other parts.
+        """
+        self._selected[part] = now
+        for crash_id in self._crashes.pop(part, {}):
+            self._explain(crash_id, now)
+
     def record_served(self, part: str, now: float) -> list[PartServed]:
         """Records that a request with a part was served without a crash.
 
@@ -139,9 +198,7 @@
             if not self._is_due(part, now):
                 continue
             selected.append(part)
-            self._selected[part] = now
-            for crash_id in self._crashes.pop(part):
-                self._explain(crash_id, now)
+            self.accept_verdict(part, now)
         return selected
 
     def explains(self, crash_id: str) -> bool:
@@ -178,10 +235,10 @@
         crashes = self._crashes.get(part, {})
         if len({seen.request for seen in crashes.values()}) < MIN_REQUESTS:
             return False
-        times = sorted(seen.at for seen in crashes.values())
-        if now - times[0] < OBJECTION_S:
+        heard_at = min(seen.recorded_at for seen in crashes.values())
+        if now - heard_at < OBJECTION_S:
             return False
-        count = _count_spaced(times)
+        count = len(_select_spaced(crashes))
         if self._has_been_served(part):
             return count >= SERVED_PART_CRASHES
         if count >= ANY_PART_CRASHES:
@@ -210,13 +267,14 @@
             self._crashes.pop(part, None)
 
 
-def _count_spaced(times: typing.Iterable[float]) -> int:
-    """Returns how many of sorted times are `MIN_SPACING_S` apart."""
-    count, last = 0, float('-inf')
-    for at in times:
-        if at - last >= MIN_SPACING_S:
-            count, last = count + 1, at
-    return count
+def _select_spaced(crashes: typing.Mapping[str, _Observation]) -> list[str]:
+    """Returns the ids of crashes that are `MIN_SPACING_S` apart."""
+    selected, last = [], float('-inf')
+    for crash_id, seen in sorted(crashes.items(), key=lambda item: item[1].at):
+        if seen.at - last >= MIN_SPACING_S:
+            selected.append(crash_id)
+            last = seen.at
+    return selected
 
 
 def _drop_older(times: dict[typing.Any, float], oldest: float) -> None:
--- a/packages/sardinebend-policy/tests/cover/test_part_evidence.py
+++ b/packages/sardinebend-policy/tests/cover/test_part_evidence.py
@@ -160,3 +160,48 @@
     odd = quarantine.make_part_fingerprint('x' * 9999 + '\xff')
     assert len(odd) < 50
     assert odd != quarantine.make_part_fingerprint('x' * 9999)
+
+
+def test_stored_crashes_count_like_the_ones_that_were_observed():
+    evidence = part_evidence.PartEvidence()
+    for number in (1, 2):
+        assert evidence.restore_crash(crash(number), 10.0) == (True, None)
+    evidence.record_crash(crash(3), 10.0)
+    assert evidence.select(10.3) == []
+    assert evidence.select(10.5) == [PART]
+
+
+def test_a_stored_crash_that_is_known_already_keeps_its_time():
+    evidence = part_evidence.PartEvidence()
+    evidence.record_crash(crash(1), 10.0)
+    assert evidence.restore_crash(crash(1), 12.0) == (False, None)
+    [(_, at)] = evidence.items()
+    assert at == 10.0
+
+
+def test_a_request_served_after_a_restart_clears_a_part_of_stored_crashes():
+    evidence = part_evidence.PartEvidence()
+    for number in range(3):
+        evidence.restore_crash(crash(number), 10.0)
+    evidence.record_served(PART, 10.1)
+    assert evidence.select(LATER) == []
+    assert evidence.list_to_store() == {}
+
+
+def test_evidence_is_stored_from_the_second_separate_crash_on():
+    evidence = part_evidence.PartEvidence()
+    record(evidence, [crash(1), crash(2)], spacing_s=0.1)
+    assert evidence.list_to_store() == {}
+    evidence.record_crash(crash(3), 1.0)
+    assert evidence.list_to_store() == {
+        PART: {'engine-1/7': 'request-1', 'engine-3/7': 'request-3'}
+    }
+
+
+def test_a_verdict_of_another_host_explains_the_crashes_of_other_parts():
+    evidence = part_evidence.PartEvidence()
+    record(evidence, [crash(n, part) for n in (1, 2) for part in (PART, OTHER)])
+    evidence.accept_verdict(PART, 5.0)
+    assert evidence.items() == []
+    evidence.record_crash(crash(3), 6.0)
+    assert evidence.explains('engine-3/7')
--- a/tests/common/crashing_world.py
+++ b/tests/common/crashing_world.py
@@ -5,6 +5,8 @@
 
 import trio
 
+from sardinebend_gateway import shared_table
+from sardinebend_policy import quarantine
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
 
@@ -43,6 +45,7 @@
         is_up: Whether it is running.
         reads_for_s: How long an engine reads a fatal prompt before it crashes;
             it drops the request if the caller disconnects meanwhile.
+        is_immune: Whether no request crashes it.
         born: The number of its starts.
     """
 
@@ -53,6 +56,7 @@
         self.span = span
         self.is_up = True
         self.reads_for_s = 0.01
+        self.is_immune = False
         self.born = 1
         self.paths = {}
 
@@ -105,7 +109,7 @@
         request_id = headers['request-id']
         answer_headers = [('Request-Id', request_id), world_lib.SEAL]
         path = self.fleet.read_path(headers['hop-count'])
-        if not is_fatal:
+        if not is_fatal or self.is_immune:
             pieces = [world_lib.chunk(world_lib.event(n)) for n in (1, 2, 3)]
             start = world_lib.head(200, answer_headers, 'chunked')
             return world_lib.Answer(start, 0.02, *pieces, b'0\r\n\r\n')
@@ -231,6 +235,23 @@
         self.hosts.clear()
         self._scopes.clear()
 
+    async def restart_hosts(self, name):
+        """Kills all hosts and starts others; `name` begins their names."""
+        self.kill_hosts()
+        await trio.sleep(1.0)
+        for number in range(HOSTS):
+            await self.start_host(f'{name}-{number}')
+
+    async def read_evidence(self):
+        """Returns the parts against which the store holds evidence."""
+        answer = await self.store.read_all(shared_table.TABLE)
+        prefix = shared_table.EVIDENCE_PREFIX + quarantine.PART_PREFIX
+        return [
+            row.key.removeprefix(prefix)
+            for row in answer.ok_value.rows
+            if row.key.startswith(prefix) and row.value is not None
+        ]
+
     async def ask(self, target='/look/x', body=FATAL, host=None, **headers):
         """Sends one attempt of a request; returns status and headers."""
         self._request_count += 1
--- a/tests/cover/test_gateway_crashing_parts.py
+++ b/tests/cover/test_gateway_crashing_parts.py
@@ -64,6 +64,50 @@
     assert len(fleet.arrivals) == sent
 
 
+async def test_evidence_before_a_verdict_persists_after_restarts_of_all_hosts(
+    clock,
+):
+    # Guards against a part that is learned anew, by as many crashes, each time
+    # that all hosts restart.
+    async with crashing_world.running() as fleet:
+        for number in range(6):
+            await fleet.send_fatal_parts(1, every_s=4.0)
+            await fleet.restart_hosts(f'again-{number}')
+        late = late_requests(fleet)
+    assert len(late) <= crashing_world.MAX_LATE_REPEATS
+
+
+async def test_stored_evidence_against_a_part_ends_when_it_is_served(clock):
+    # Guards against a sound part that is refused after a restart of all hosts
+    # for crashes that were explained before it.
+    async with crashing_world.running() as fleet:
+        await fleet.send_fatal_parts(1, every_s=2.0)
+        assert crashing_world.FATAL_PART in await fleet.read_evidence()
+        for worker in fleet.workers:
+            worker.is_immune = True
+        await trio.sleep(4.0)
+        status, _ = await fleet.ask_with_parts(
+            '5ab0', crashing_world.FATAL_PART
+        )
+        assert status == 200
+        await trio.sleep(8.0)
+        assert await fleet.read_evidence() == []
+
+
+async def test_evidence_that_an_older_copy_of_the_store_lacks_is_written_again(
+    clock,
+):
+    # Guards against evidence that is lost with a store that comes back from an
+    # older copy, and then with the hosts.
+    async with crashing_world.running() as fleet:
+        await fleet.send_fatal_parts(1, every_s=2.0)
+        assert crashing_world.FATAL_PART in await fleet.read_evidence()
+        fleet.store.return_from_copy(20)
+        assert await fleet.read_evidence() == []
+        await trio.sleep(8.0)
+        assert crashing_world.FATAL_PART in await fleet.read_evidence()
+
+
 async def test_hosts_share_a_quarantined_part_during_a_store_outage(clock):
     # Guards against each host detecting the part by crashes of its own.
     async with crashing_world.running(revoke_s=LONG_S) as fleet:
