--- a/tests/cover/test_gateway_streams.py
+++ b/tests/cover/test_gateway_streams.py
@@ -11,13 +11,13 @@
 LAST_CHUNK = b'0\r\n\r\n'
 
 
-def begin_stream(headers, *pieces, ends='close'):
+def begin_stream(headers, *pieces, ends='close', framing='chunked'):
     fixed_headers = [
         ('Request-Id', headers['request-id']),
         ('Content-Type', 'text/event-stream'),
         world_lib.SEAL,
     ]
-    first = world_lib.head(200, fixed_headers, 'chunked')
+    first = world_lib.head(200, fixed_headers, framing)
     return Answer(first, *pieces, ends=ends)
 
 
@@ -131,6 +131,34 @@
         assert (await ask(world))[3] is False
 
 
+# A stream with neither a length nor chunks can't show its end otherwise.
+async def test_an_unframed_stream_is_complete_when_its_connection_ends():
+    async def send_unframed(headers, stream):
+        return begin_stream(headers, join_all_events(), framing='')
+
+    servers = world_lib.engines((0, 4), script=send_unframed)
+    async with world_lib.running(*servers) as world:
+        status, _, body, is_complete = await ask(world)
+    assert (status, body, is_complete) == (200, join_all_events(), True)
+
+
+@pytest.mark.parametrize('ends', ['close', 'reset'])
+async def test_an_unframed_stream_that_ends_within_an_event_is_resumed(ends):
+    async def end_within_an_event(headers, stream):
+        data = event(1) + event(2) + b'id: 3\nda'
+        return begin_stream(headers, data, ends=ends, framing='')
+
+    servers = world_lib.engines((0, 4), (0, 4), script=send_remaining_events)
+    servers[0].script = end_within_an_event
+    async with world_lib.running(*servers) as world:
+        world.gateway.state.mark_unhealthy(
+            world.gateway.state.endpoints.get('engine-1'), 'test', False
+        )
+        status, _, body, is_complete = await ask(world)
+    assert (status, body, is_complete) == (200, join_all_events(), True)
+    assert [len(s.requests) for s in servers] == [1, 1]
+
+
 async def test_a_repeated_event_is_not_forwarded():
     async def repeat_an_event(headers, stream):
         return begin_stream(
