Play the return of an older store in both soaks, and check that hosts recover

The store loses up to 40 writes after an outage of up to a second, the operator and the servers write theirs again within 1.5 s. Over processes the store stand-in names its era, answers 410 for versions that it doesn't have, and returns on SIGUSR1.

New check: 2 s and the margin after the last disturbance every running host is ready.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import gateway as gateway_lib
 from sardinebend_policy import forwarding
 from sardinebend_policy import quarantine
+from sardinebend_store import feeds
 from tests.soak import checks
 from tests.soak import faults
 from tests.soak import fleet as fleet_lib
@@ -78,6 +79,17 @@
     assert any('quarantine was due' in line for line in result.violations)
 
 
+def test_a_soak_finds_hosts_stuck_after_the_return_of_an_older_store():
+    with (
+        unittest.mock.patch.object(
+            feeds, 'make_version', lambda era, counter: counter
+        ),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.store_returns,)),
+    ):
+        result = soak.run(2, DURATION_S)
+    assert any('not ready' in line for line in result.violations)
+
+
 def test_a_soak_finds_requests_lost_at_a_planned_stop():
     run_plain = fleet_lib.Worker._run_plain
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -12,6 +12,8 @@
 TIMEOUT_S = {'look': 2.0, 'book': 2.0, 'draft': 8.0}
 # Callers observe the end of a process slightly later.
 PROCESS_END_SLACK_S = 0.1
+# Hosts must be ready this long after the last disturbance and its margin.
+READY_WITHIN_S = 2.0
 # Minimum share of requests that must be served under these faults; otherwise a
 # system that refuses everything would pass.
 MIN_SERVED = 0.5
@@ -61,6 +63,7 @@
     if is_timed:
         found += find_runs_at_leaving_servers(fleet)
         found += find_crashes_after_quarantine(fleet)
+        found += find_unready_hosts(fleet)
     unsent = runs.keys() - {record.request_id for record in fleet.requests}
     found += [f'{name}: run, but never sent' for name in unsent]
     share = served_share(fleet)
@@ -241,3 +244,11 @@
                 ' quarantine was due'
             )
     return found
+
+
+def find_unready_hosts(fleet):
+    """Returns hosts that aren't ready at the end of an undisturbed time."""
+    now = fleet.ended_at
+    if not fleet.was_undisturbed(now - READY_WITHIN_S, now):
+        return []
+    return [f'{name}: not ready at the end' for name in fleet.unready_at_end]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 MIN_HOSTS = 2
 # Each fatal request may crash three servers, and the plain service has two.
 MAX_FATAL_REQUESTS = 2
+MAX_LOST_WRITES = 40
 
 
 async def run(fleet):
@@ -40,6 +41,23 @@
         fleet.store_delay_s = 0.004
 
 
+async def store_returns(fleet):
+    """Brings the store back from an older copy, some writes ago.
+
+    The operator and the servers write theirs again soon after.
+    """
+    if fleet.store.is_down:
+        return
+    writes = fleet.rng.randint(1, MAX_LOST_WRITES)
+    with fleet.disturbance(f'store returns without its last {writes} writes'):
+        fleet.store.is_down = True
+        await trio.sleep(fleet.rng.uniform(0.05, 1))
+        fleet.store.return_from_copy(writes)
+        fleet.store.is_down = False
+        await trio.sleep(fleet.rng.uniform(0.05, 1.5))
+        await fleet.write_again()
+
+
 async def host_cut(fleet):
     host = fleet.rng.choice(fleet.hosts)
     attribute = fleet.rng.choice(('is_cut', 'is_mute'))
@@ -243,6 +261,7 @@
 KINDS = (
     store_down,
     store_slow,
+    store_returns,
     host_cut,
     host_isolated,
     host_killed,
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -133,17 +133,27 @@
 
     async def read_all(self, table):
         await self._delay()
-        return await self._choose_store().read_all(table)
+        store = self._choose_store()
+        answer = await store.read_all(table)
+        self._note_era(store)
+        return answer
 
     async def follow(self, table, after, wait_s):
         await self._delay()
-        return await self._choose_store().follow(table, after, wait_s)
+        store = self._choose_store()
+        answer = await store.follow(table, after, wait_s)
+        self._note_era(store)
+        return answer
 
     async def write(self, table, key, expected_version, value):
         await self._delay()
-        return await self._choose_store().write(
-            table, key, expected_version, value
-        )
+        store = self._choose_store()
+        answer = await store.write(table, key, expected_version, value)
+        self._note_era(store)
+        return answer
+
+    def _note_era(self, store):
+        self.era = max(self.era, store.era)
 
     async def _delay(self):
         if self.is_mute:
@@ -392,6 +402,8 @@
         self.planned_stops: list[Stop] = []
         self.idle_connections: dict[int, list] = {}
         self.revoked_keys: dict[str, float] = {}
+        self.ended_at = 0.0
+        self.unready_at_end: list[str] = []
         self.config = world_lib.make_config()
         self.keys = {world_lib.KEY: None}
         self.workers = {
@@ -477,6 +489,24 @@
         value = json.dumps(self.config).encode()
         await self.store.write('op', 'config', None, value)
 
+    def record_end(self):
+        """Records which running hosts callers aren't sent to."""
+        self.ended_at = trio.current_time()
+        self.unready_at_end = [
+            host.name
+            for host in self.hosts
+            if host.is_up and not host.is_ready()
+        ]
+
+    async def write_again(self):
+        """Writes what the operator and the servers wrote to the store."""
+        while self.store.is_down:
+            await trio.sleep(RELIST_S)
+        await self.put_config()
+        for worker in self.workers.values():
+            if not worker.is_down:
+                await self.write_listing(worker)
+
     async def write_listing(self, worker, is_removed=False):
         """Writes a worker's listing, and retries during a store outage."""
         value = None if is_removed else json.dumps(worker.entry()).encode()
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -104,6 +104,19 @@
         fleet.store.send(signal.SIGCONT)
 
 
+async def store_returns(fleet):
+    """Brings the store back from an older copy after a short outage."""
+    with fleet.disturbance('store returns from an older copy'):
+        fleet.store.send(signal.SIGSTOP)
+        await trio.sleep(fleet.rng.uniform(0.05, 1))
+        fleet.store.send(signal.SIGUSR1)
+        fleet.store.send(signal.SIGCONT)
+        await trio.sleep(fleet.rng.uniform(0.05, 1.5))
+        # The servers write their listings every second anyway.
+        while not await fleet.put_config():
+            await trio.sleep(0.1)
+
+
 async def worker_killed(fleet):
     worker = _pick_worker(fleet)
     if worker is None:
@@ -164,6 +177,7 @@
     host_reloads,
     store_link_bad,
     store_paused,
+    store_returns,
     worker_killed,
     worker_paused,
     worker_leaves,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -75,6 +75,7 @@
                 load.start_soon(callers.run, fleet)
                 load.start_soon(faults.run, fleet)
         await trio.sleep(SETTLE_S)
+        fleet.record_end()
         result = Result(
             len(fleet.requests),
             checks.served_share(fleet),
--- a/tests/soak/store_process.py
+++ b/tests/soak/store_process.py
@@ -1,10 +1,12 @@
 """A stand-in for the platform's store of rows, as a process.
 
-Usage: `python -m tests.soak.store_process PORT`.
+Usage: `python -m tests.soak.store_process PORT`. After SIGUSR1 it comes back
+from an older copy of itself.
 """
 
 import base64
 import json
+import signal
 import sys
 import urllib.parse
 
@@ -21,6 +23,8 @@
 LISTING_TTL_S = 3.6
 EXPIRY_INTERVAL_S = 0.2
 LISTINGS = 'servers'
+# About the writes of three seconds.
+LOST_WRITES = 30
 JSON = [(b'content-type', b'application/json')]
 
 
@@ -35,7 +39,8 @@
         path, _, query = req.target.decode().partition('?')
         fields = dict(urllib.parse.parse_qsl(query))
         status, body = await self._answer(path, fields, req.body)
-        await out.answer(status, JSON, json.dumps(body).encode())
+        era = (b'store-era', b'%d' % self.rows.era)
+        await out.answer(status, [*JSON, era], json.dumps(body).encode())
 
     async def _answer(self, path, fields, body):
         if path == '/-/rows-tx':
@@ -46,7 +51,10 @@
             rows = [row for row in found.rows if row.key >= start]
         else:
             wait_s = int(fields['wait_ms']) / 1000
-            after = int(fields['after_revision'])
+            after = self._make_version(int(fields['after_revision']))
+            newest = (await self.rows.read_all(fields['table'])).ok_value
+            if after > newest.version:
+                return 410, {}
             answer = await self.rows.follow(fields['table'], after, wait_s)
             if isinstance(answer, result.Err):
                 return 410, {}
@@ -54,15 +62,26 @@
             rows = found.rows
         return 200, {
             'rows': [make_row(row) for row in rows],
-            'row_version': found.version,
+            'row_version': feeds.counter_of(found.version),
             'has_more': False,
         }
 
+    def _make_version(self, counter):
+        """Returns the version that a counter has in the present era."""
+        return feeds.make_version(self.rows.era, counter) if counter else 0
+
+    async def return_from_copy(self):
+        """Loses the last writes; servers may write their listings again."""
+        self.rows.return_from_copy(LOST_WRITES)
+        now = trio.current_time()
+        listings = (await self.rows.read_all(LISTINGS)).ok_value.rows
+        self._written_at = {row.key: now for row in listings}
+
     async def _write(self, body):
         removed = [{**row, 'value': None} for row in body['remove']]
         for row in [*body['puts'], *removed]:
             expected = [
-                e['row_version']
+                self._make_version(e['row_version'])
                 for e in body['expected']
                 if e['key'] == row['key']
             ]
@@ -81,7 +100,7 @@
                 return 412, {'rows': [make_row(r) for r in found]}
             if row['table'] == LISTINGS:
                 self._written_at[row['key']] = trio.current_time()
-            version = answer.ok_value
+            version = feeds.counter_of(answer.ok_value)
         return 200, {'row_version': version}
 
     async def expire_listings(self):
@@ -96,7 +115,8 @@
 
 
 def make_row(row):
-    made = {'key': row.key, 'row_version': row.version, 'part': ''}
+    counter = feeds.counter_of(row.version)
+    made = {'key': row.key, 'row_version': counter, 'part': ''}
     if row.value is None:
         return {**made, 'deleted': True}
     return {**made, 'value': base64.b64encode(row.value).decode()}
@@ -109,6 +129,9 @@
     async with trio.open_nursery() as nursery:
         await server.start(nursery, IP, port)
         nursery.start_soon(store.expire_listings)
+        with trio.open_signal_receiver(signal.SIGUSR1) as signals:
+            async for _ in signals:
+                await store.return_from_copy()
 
 
 if __name__ == '__main__':
