Explain requests by a return of an older store and by quarantined parts

On-call saw a refusal after the store's return without its cause: explain looked five seconds back, at lines about the store that was lost only, and knew no part of prompts. The return counts up to 12 s back, since a host may lack sound evidence for 10 s (REWRITE_LIMIT_S).

Failing before: both new tests of test_explain.

--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -8,9 +8,13 @@
 
 from sardinebend_admin import errors
 
-# Context of a request: lines about its endpoints, its content or the store,
-# logged from CONTEXT_S before the request's first line up to its last line.
+# Context of a request: lines about its endpoints, its content, the parts of its
+# prompt or the store, logged from CONTEXT_S before the request's first line up
+# to its last line.
 CONTEXT_S: typing.Final = 5.0
+# Hosts may lack evidence for this long after the store has come back from an
+# older copy.
+STORE_ERA_CONTEXT_S: typing.Final = 12.0
 FAILURES: typing.Final = ('request_failed', 'request_refused')
 CAUSES: typing.Final = (
     'attempt_failed',
@@ -20,8 +24,11 @@
     'endpoint_doubted',
     'endpoint_gone',
     'endpoint_leaving',
+    'prompt_part_quarantined',
+    'store_era_changed',
     'store_lost',
 )
+STORE_CAUSES: typing.Final = ('store_era_changed', 'store_lost')
 
 
 class Line(typing.NamedTuple):
@@ -82,7 +89,7 @@
     ]
     if not request_lines:
         return []
-    window_start = min(line.time for line in request_lines) - CONTEXT_S
+    first_at = min(line.time for line in request_lines)
     window_end = max(line.time for line in request_lines)
     endpoint_ids: set[str] = set()
     for line in request_lines:
@@ -90,22 +97,32 @@
         endpoint_ids.add(line.fields.get('endpoint', ''))
     hosts = {line.host for line in request_lines}
     contents = {line.fields.get('content') for line in request_lines} - {None}
+    prompt_parts: set[str] = set()
+    for line in request_lines:
+        prompt_parts.update(line.fields.get('prompt_parts', ()))
     context = [
         line
         for line in lines
         if line.event in CAUSES
-        and window_start <= line.time <= window_end
+        and first_at - _context_s(line) <= line.time <= window_end
         and line.host in hosts
         and line.fields.get('request') is None
         and (
-            line.event == 'store_lost'
+            line.event in STORE_CAUSES
             or line.fields.get('endpoint') in endpoint_ids
             or line.fields.get('content') in contents
+            or line.fields.get('prompt_part') in prompt_parts
         )
     ]
     return sorted(request_lines + context)
 
 
+def _context_s(line: Line) -> float:
+    """Returns how long before a request a line may explain its failure."""
+    is_era = line.event == 'store_era_changed'
+    return STORE_ERA_CONTEXT_S if is_era else CONTEXT_S
+
+
 def format_report(
     selected: typing.Sequence[Line], request_id: str
 ) -> list[str]:
--- a/packages/sardinebend-admin/tests/cover/test_explain.py
+++ b/packages/sardinebend-admin/tests/cover/test_explain.py
@@ -81,3 +81,40 @@
         'content_quarantined',
         'request_failed',
     ]
+
+
+def test_a_return_of_an_older_store_explains_a_refusal_some_seconds_later():
+    log = '\n'.join(
+        (
+            '{"time":1.0,"host":"h","event":"store_era_changed","table":"op",'
+            '"era":4,"previous":3,"lost_rows":1,"evidence_age_s":0.4}',
+            '{"time":1.1,"host":"h","event":"store_lost","table":"op"}',
+            '{"time":9.0,"host":"h","event":"request_refused","request":"q1",'
+            '"status":503,"reason":"configuration outdated"}',
+        )
+    )
+    selected = explain.select_lines(explain.parse(log), 'q1')
+    output = explain.format_report(selected, 'q1')
+    assert output[2].startswith('  cause: store_era_changed table=op era=4')
+    assert 'store_lost' not in '\n'.join(output)
+
+
+def test_quarantine_of_a_prompt_part_is_context_of_requests_with_it():
+    log = '\n'.join(
+        (
+            '{"time":1.0,"host":"h","event":"request_sent","request":"q1",'
+            '"endpoint":"e1","prompt_parts":["a1979a9a","48720f35"]}',
+            '{"time":1.2,"host":"h","event":"prompt_part_quarantined",'
+            '"prompt_part":"48720f35","source":"crashes under it"}',
+            '{"time":1.2,"host":"h","event":"prompt_part_quarantined",'
+            '"prompt_part":"other","source":"crashes under it"}',
+            '{"time":1.3,"host":"h","event":"request_failed","request":"q1",'
+            '"end":"status 502","reason":"its content is quarantined"}',
+        )
+    )
+    selected = explain.select_lines(explain.parse(log), 'q1')
+    assert [line.event for line in selected] == [
+        'request_sent',
+        'prompt_part_quarantined',
+        'request_failed',
+    ]
