--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -8,6 +8,7 @@
 
 from sardinebend_gateway import gateway as gateway_lib
 from sardinebend_policy import forwarding
+from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
 from sardinebend_store import feeds
 from tests.soak import checks
@@ -46,6 +47,17 @@
     assert checks.served_share(fleet) == 1 / 3
 
 
+@pytest.mark.parametrize('was_running', [True, False])
+def test_work_after_a_disconnect_counts_if_the_server_was_running(was_running):
+    # A server that was suspended read the request when it woke.
+    fleet = types.SimpleNamespace(was_server_running=lambda *_: was_running)
+    record = fleet_lib.CallerRecord('q1', 'look', 1.0, None, 'key')
+    record.disconnected_at = 1.3
+    run = fleet_lib.Run('q1', 'app-0', 1, 2.5, 'vanua', False)
+    violation = checks.find_work_after_disconnect(fleet, record, [run])
+    assert bool(violation) == was_running
+
+
 def test_a_soak_finds_a_booking_that_is_sent_twice():
     next_step = forwarding.AttemptLedger.next_step
 
@@ -79,6 +91,17 @@
     assert any('quarantine was due' in line for line in result.violations)
 
 
+def test_a_soak_finds_a_part_of_prompts_that_keeps_crashing_engines():
+    with (
+        unittest.mock.patch.object(
+            part_evidence.PartEvidence, 'select', lambda *_: []
+        ),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.fatal_part,)),
+    ):
+        result = soak.run(3, 2 * DURATION_S)
+    assert any('quarantine was due' in line for line in result.violations)
+
+
 def test_a_soak_finds_hosts_stuck_after_the_return_of_an_older_store():
     with (
         unittest.mock.patch.object(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -230,6 +230,26 @@
         await trio.sleep(fleet.rng.uniform(0.1, 1.2))
 
 
+async def fatal_part(fleet):
+    """Sends different requests that share a part that crashes engines."""
+    if fleet.fatal_parts:
+        return
+    part = f'{fleet_lib.FATAL_PART_PREFIX}{fleet.rng.getrandbits(16):04x}'
+    fleet.fatal_parts.add(part)
+    fleet.add_log(f'part {part} starts')
+    for number in range(fleet.rng.randint(8, 16)):
+        candidates = [host for host in fleet.hosts if host.is_ready()]
+        if candidates:
+            fleet.nursery.start_soon(
+                callers.send_request_with_part,
+                fleet,
+                fleet.rng.choice(candidates),
+                part,
+                number,
+            )
+        await trio.sleep(fleet.rng.uniform(0.3, 1.5))
+
+
 async def key_revoked(fleet):
     """Adds a key, and revokes the oldest one if there are several."""
     if fleet.store.is_down:
@@ -273,6 +293,7 @@
     endpoint_backs_off,
     endpoint_endless,
     fatal_request,
+    fatal_part,
     key_revoked,
     config_changed,
 )
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -132,9 +132,12 @@
     if worker is None:
         return
     fleet.add_log(f'{worker.name} paused')
+    pause = [trio.current_time(), float('inf')]
+    worker.pauses.append(pause)
     worker.process.send(signal.SIGSTOP)
     await trio.sleep(fleet.rng.uniform(0.3, 3))
     worker.process.send(signal.SIGCONT)
+    pause[1] = trio.current_time()
 
 
 async def worker_leaves(fleet):
@@ -183,4 +186,5 @@
     worker_leaves,
     worker_misbehaves,
     faults.fatal_request,
+    faults.fatal_part,
 )
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -147,6 +147,7 @@
         self.port = ports.find_free(1)[0]
         self.process = None
         self.is_leaving = False
+        self.pauses = []
 
     def start(self):
         """Starts its process, unless another fault has done so already."""
@@ -258,6 +259,7 @@
         self.runs = []
         self.fatal_runs = []
         self.fatal_contents = set()
+        self.fatal_parts = set()
         self.planned_stops = []
         self.idle_connections = {}
         self.departures = []
@@ -361,6 +363,15 @@
             started < end and ended > start for started, ended in host.pauses
         )
 
+    def was_server_running(self, name, start, end):
+        return self.was_running(self.workers[name], start, end)
+
+    def running_from(self, name, at):
+        for started, ended in sorted(self.workers[name].pauses):
+            if started <= at < ended:
+                at = ended
+        return at
+
     def read_records(self):
         """Reads what the workers recorded."""
         for name in self.workers:
