--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -20,6 +20,7 @@
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import errors
 from sardinebend_policy import outcomes
+from sardinebend_policy import quarantine
 from sardinebend_policy import retries
 from sardinebend_policy import routes
 from sardinebend_policy import stream_watch
@@ -66,6 +67,7 @@
         self._shared = shared
         self._state = _State.IDLE
         self._attempts = attempts.Attempts(request, cfg.failure_domain, shared)
+        self._crashes: tuple[quarantine.Crash, ...] = ()
         self._delivered: list[str] = []
         self._failed_preflights = 0
         self._is_probing_stall = False
@@ -312,6 +314,7 @@
         # stages that crash at once are one piece of evidence against this
         # request, not several.
         crash = self._attempts.record_crash(crashed[0], now)
+        self._crashes += (crash,)
         actions = self._close_attempt()
         # Also where the request is quarantined now: its caller may send it
         # again to any peer as soon as it has the answer.
@@ -319,7 +322,8 @@
         notify_until = now + self._cfg.suspicion_wait_s
         return [
             *actions,
-            msg.ReportCrashes((crash,)),
+            # All of them: a peer may have missed an earlier report.
+            msg.ReportCrashes(self._crashes),
             msg.SetTimer(msg.Timer('notify'), notify_until),
         ]
 
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -231,7 +231,9 @@
     session.handle(msg.StreamBroken(2), 1.4)
     second = msg.DeadEndpoint('e0b', 'i', crashed=True)
     actions = session.handle(msg.Probed(2, (second,)), 1.5)
-    assert any(isinstance(action, msg.ReportCrashes) for action in actions)
+    [report] = [a for a in actions if isinstance(a, msg.ReportCrashes)]
+    # A peer that missed the first report learns of both crashes.
+    assert len(report.crashes) == 2
     assert session.outcome is None
     session.handle(msg.CrashesReported(), 1.6)
     assert session.outcome.reason is outcomes.Reason.QUARANTINED
