Name the classes for evidence against parts after what they do

Read as a newcomer: SharedParts and StoredParts read as if they held parts, and a parameter of the crash detector shadowed the module of the same name.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -8,7 +8,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import events
-from sardinebend_gateway import shared_parts
+from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -105,11 +105,11 @@
         self,
         state: state_lib.State,
         shared: shared_quarantine.SharedQuarantine,
-        parts: shared_parts.SharedParts,
+        shared_evidence: shared_part_evidence.SharedPartEvidence,
     ) -> None:
         self._state = state
         self._shared = shared
-        self._parts = parts
+        self._shared_evidence = shared_evidence
         self._probes: dict[str, tuple[float, ProbeResult]] = {}
         self._in_progress: dict[str, trio.Event] = {}
 
@@ -183,7 +183,7 @@
             prompt_parts=_shorten(use.part for use in crash.part_uses),
         )
         # First, since a part that is known to crash explains the crash.
-        self._parts.record_crash(crash)
+        self._shared_evidence.record_crash(crash)
         self._shared.record(crash)
 
     def record_served(self, parts: typing.Iterable[str]) -> None:
@@ -192,7 +192,7 @@
         Args:
             parts: Their fingerprints.
         """
-        self._parts.record_served(parts)
+        self._shared_evidence.record_served(parts)
 
     def record_delisted(self, endpoint: endpoints_lib.Endpoint) -> None:
         """Records that an endpoint is no longer listed.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -19,11 +19,11 @@
 from sardinebend_gateway import placement_controller
 from sardinebend_gateway import relay
 from sardinebend_gateway import settings as settings_lib
-from sardinebend_gateway import shared_parts
+from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
-from sardinebend_gateway import stored_parts
+from sardinebend_gateway import stored_part_evidence
 from sardinebend_gateway import supervisor
 from sardinebend_gateway import watch
 from sardinebend_store import feeds
@@ -72,10 +72,14 @@
         self._quarantine = shared_quarantine.SharedQuarantine(
             self.state, lambda: self.placement_controller.holds_lease
         )
-        self._parts = shared_parts.SharedParts(self.state, self._quarantine)
-        self._stored_parts = stored_parts.StoredParts(self.state, self._parts)
+        self._shared_evidence = shared_part_evidence.SharedPartEvidence(
+            self.state, self._quarantine
+        )
+        self._stored_evidence = stored_part_evidence.StoredPartEvidence(
+            self.state, self._shared_evidence
+        )
         self._crashes = crashes.CrashDetector(
-            self.state, self._quarantine, self._parts
+            self.state, self._quarantine, self._shared_evidence
         )
         self._calls = calls.EngineCalls(self.state, self._crashes)
         self.placement_controller = placement_controller.PlacementController(
@@ -108,7 +112,7 @@
             self.state,
             self.members,
             self._quarantine,
-            self._parts,
+            self._shared_evidence,
             addresses.heartbeats,
             self.incarnation,
         )
@@ -134,8 +138,8 @@
                 'life signs': self._heartbeats.run,
                 'crashes': self._crashes.run,
                 'quarantine': self._quarantine.run,
-                'prompt parts': self._parts.run,
-                'stored parts': self._stored_parts.run,
+                'prompt parts': self._shared_evidence.run,
+                'stored evidence': self._stored_evidence.run,
                 'own row': self.members.keep_published,
                 'keeper': self.placement_controller.run,
             }
@@ -216,6 +220,6 @@
             elif row.key.startswith(shared_table.QUARANTINE_PREFIX):
                 self._quarantine.apply_row(row)
             elif row.key.startswith(shared_table.EVIDENCE_PREFIX):
-                self._stored_parts.apply_row(row)
+                self._stored_evidence.apply_row(row)
         self.placement_controller.apply_missing_lease()
         self.members.refresh_live_peers()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -9,7 +9,7 @@
 from sardinebend_gateway import events
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import settings as settings_lib
-from sardinebend_gateway import shared_parts
+from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import state as state_lib
 from sardinebend_peers import codec
@@ -33,14 +33,14 @@
         state: state_lib.State,
         members: members_lib.Members,
         shared: shared_quarantine.SharedQuarantine,
-        parts: shared_parts.SharedParts,
+        shared_evidence: shared_part_evidence.SharedPartEvidence,
         address: settings_lib.Address,
         incarnation: str,
     ) -> None:
         self._state = state
         self._members = members
         self._quarantine = shared
-        self._parts = parts
+        self._shared_evidence = shared_evidence
         self._address = address
         self._incarnation = incarnation
 
@@ -110,8 +110,8 @@
                 messages.EndpointStart(*incarnation)
                 for incarnation in self._state.unreachable.recent(now)
             ),
-            self._parts.crashes_to_send(),
-            self._parts.objections_to_send(),
+            self._shared_evidence.crashes_to_send(),
+            self._shared_evidence.objections_to_send(),
             tuple(
                 messages.Verdict(fingerprint, int(left_s * 1000))
                 for fingerprint, left_s in self._quarantine.verdicts_to_send()
@@ -160,7 +160,7 @@
             self._state.record_peer_report(incarnation, heartbeat.host)
         for notice in heartbeat.crashes:
             self._quarantine.record(quarantine.Crash(*notice))
-        self._parts.apply_reports(heartbeat)
+        self._shared_evidence.apply_reports(heartbeat)
         for verdict in heartbeat.verdicts:
             self._quarantine.apply_verdict(
                 verdict.fingerprint, verdict.left_ms / 1000
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_parts.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_part_evidence.py
@@ -30,7 +30,7 @@
 MAX_OLDER_SENT: typing.Final = 2
 
 
-class SharedParts:
+class SharedPartEvidence:
     """Synchronizes this host's evidence about parts with other hosts."""
 
     def __init__(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stored_parts.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stored_part_evidence.py
@@ -12,7 +12,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
-from sardinebend_gateway import shared_parts
+from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import part_evidence
@@ -33,14 +33,16 @@
     crashes: shared_table.RequestsByCrash
 
 
-class StoredParts:
+class StoredPartEvidence:
     """Synchronizes this host's evidence about parts with the store."""
 
     def __init__(
-        self, state: state_lib.State, parts: shared_parts.SharedParts
+        self,
+        state: state_lib.State,
+        shared_evidence: shared_part_evidence.SharedPartEvidence,
     ) -> None:
         self._state = state
-        self._parts = parts
+        self._shared_evidence = shared_evidence
         self._rows: dict[str, _Row] = {}
         self._due: dict[str, float] = {}
 
@@ -105,7 +107,7 @@
         restored = [
             crash_id
             for crash_id, request in crashes.items()
-            if self._parts.restore(
+            if self._shared_evidence.restore(
                 part_evidence.PartCrash(part, crash_id, request)
             )
         ]
