--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -121,6 +121,11 @@
     return fleet.rng.choice(candidates) if len(candidates) > MIN_HOSTS else None
 
 
+def _pick_ready_host(fleet):
+    candidates = [host for host in fleet.hosts if host.is_ready()]
+    return fleet.rng.choice(candidates) if candidates else None
+
+
 async def server_crashed(fleet):
     await _disable_worker(fleet, 'crashed', is_listed=False)
 
@@ -217,12 +222,12 @@
     fleet.fatal_contents.add(content)
     fleet.add_log(f'{content.decode()} ({kind}) starts')
     for number in range(times):
-        candidates = [host for host in fleet.hosts if host.is_ready()]
-        if candidates:
+        host = _pick_ready_host(fleet)
+        if host is not None:
             fleet.nursery.start_soon(
                 callers.send_fatal_request,
                 fleet,
-                fleet.rng.choice(candidates),
+                host,
                 kind,
                 content,
                 f'{content.decode()}-{number}'.replace(' ', '-'),
@@ -238,12 +243,12 @@
     fleet.fatal_parts.add(part)
     fleet.add_log(f'part {part} starts')
     for number in range(fleet.rng.randint(8, 16)):
-        candidates = [host for host in fleet.hosts if host.is_ready()]
-        if candidates:
+        host = _pick_ready_host(fleet)
+        if host is not None:
             fleet.nursery.start_soon(
                 callers.send_request_with_part,
                 fleet,
-                fleet.rng.choice(candidates),
+                host,
                 part,
                 number,
             )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -517,15 +517,6 @@
         value = json.dumps(self.config).encode()
         await self.store.write('op', 'config', None, value)
 
-    def record_end(self):
-        """Records which running hosts callers aren't sent to."""
-        self.ended_at = trio.current_time()
-        self.unready_at_end = [
-            host.name
-            for host in self.hosts
-            if host.is_up and not host.is_ready()
-        ]
-
     async def write_again(self):
         """Writes what the operator and the servers wrote to the store."""
         while self.store.is_down:
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -313,15 +313,6 @@
                 await trio.sleep(0.1)
         await trio.sleep(2.5)
 
-    def record_end(self):
-        """Records which running hosts callers aren't sent to."""
-        self.ended_at = trio.current_time()
-        self.unready_at_end = [
-            host.name
-            for host in self.hosts
-            if host.is_up and not host.is_ready()
-        ]
-
     async def put_config(self):
         from sardinebend_adapter import store_client  # noqa: PLC0415
 
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -27,7 +27,7 @@
                     load.start_soon(callers.run, fleet)
                     load.start_soon(process_faults.run, fleet)
             await trio.sleep(SETTLE_S)
-            fleet.record_end()
+            soak.record_end(fleet)
         finally:
             fleet.close()
         fleet.read_records()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -75,7 +75,7 @@
                 load.start_soon(callers.run, fleet)
                 load.start_soon(faults.run, fleet)
         await trio.sleep(SETTLE_S)
-        fleet.record_end()
+        record_end(fleet)
         result = Result(
             len(fleet.requests),
             checks.served_share(fleet),
@@ -84,3 +84,11 @@
         )
         nursery.cancel_scope.cancel()
     return result
+
+
+def record_end(fleet) -> None:
+    """Records which running hosts callers aren't sent to."""
+    fleet.ended_at = trio.current_time()
+    fleet.unready_at_end = [
+        host.name for host in fleet.hosts if host.is_up and not host.is_ready()
+    ]
