Give every admitted request one last line, whatever ends it

Operators saw streams end without any line: a stream that a planned stop cut, and one whose caller disconnected, had `request_sent` as the last line with their id, and were neither counted nor timed.

The forwarder logged `request_cancelled` in `except trio.Cancelled`. A nursery of which several tasks are cancelled raises a group of `Cancelled`, which that doesn't catch; every stream attempt has such a nursery.

Now the forwarder closes a record of the request's end in `finally`. `request_cut` tells the hypotheses of the incident apart: when the request arrived and was cut, relative to the beginning of the stop, the endpoint that served it, the time since its last event, and what was sent or left unsent. `request_ended` is written once the whole answer was handed to the kernel, not before: an answer that the stop cut at its last bytes had both `request_ended` and `request_cancelled`. Its `took_s` now includes that time.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -74,7 +74,17 @@
 REQUEST_FAILED = Event(
     'request_failed', 'request, route, end, reason, took_s', True
 )
-REQUEST_CANCELLED = Event('request_cancelled', 'request, route, took_s')
+REQUEST_CANCELLED = Event(
+    'request_cancelled',
+    'request, route, took_s, endpoint, has_begun, answered, sent_bytes,'
+    ' unsent_bytes, since_event_s',
+)
+REQUEST_CUT = Event(
+    'request_cut',
+    'request, route, took_s, arrived_after_stop_s, cut_after_stop_s, endpoint,'
+    ' has_begun, answered, sent_bytes, unsent_bytes, since_event_s',
+    True,
+)
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed', True)
 ROLE_CHANGED = Event('role_changed', 'reader, is_shared, live')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -8,6 +8,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
+from sardinebend_gateway import endings
 from sardinebend_gateway import events
 from sardinebend_gateway import http_server
 from sardinebend_gateway import responder
@@ -52,6 +53,7 @@
         req: The request as it was received.
         admitted: Its route, service and customer.
         out: Sends the answer.
+        ending: Records how the request ends.
         ledger: Record of its attempts.
         crash_detector: Detects crashed endpoints.
         content_fingerprint: Fingerprint of its content and its customer.
@@ -71,6 +73,7 @@
         self.req = req
         self.admitted = admitted
         self.out = out
+        self.ending = endings.Ending(state, req, admitted, out)
         self.ledger = forwarding.AttemptLedger(admitted.route)
         self.crash_detector = crash_detector
         self.content_fingerprint = make_content_fingerprint(req, admitted)
@@ -95,7 +98,7 @@
 
     def took_s(self) -> float:
         """Returns the time since the request arrived."""
-        return round(trio.current_time() - self.req.arrived_at, 4)
+        return self.ending.took_s()
 
     def try_spend_retry(self) -> bool:
         """Takes a retry from the shared budget if this attempt is a retry.
@@ -206,6 +209,7 @@
             parts: Number of endpoints on the path.
             **inputs: What the choice of the path was based on.
         """
+        self.ending.endpoint = endpoint
         self.state.audit.log(
             events.REQUEST_SENT,
             request=self.admitted.facts.request_id,
@@ -234,6 +238,7 @@
         self, endpoint: endpoints_lib.Endpoint, reason: str, next_step: str
     ) -> None:
         """Logs a failed attempt and what follows it."""
+        self.ending.endpoint = None
         self.state.audit.log(
             events.ATTEMPT_FAILED,
             request=self.admitted.facts.request_id,
@@ -246,7 +251,7 @@
         """Sends a complete answer of an endpoint to the caller."""
         codec = self.state.edges.requests
         headers = codec.make_answer_headers(reply.headers)
-        self.record_served(str(reply.status))
+        self.ending.record_answered(str(reply.status))
         await self.out.answer(reply.status, headers, reply.body)
 
     async def send_error(
@@ -263,37 +268,9 @@
             headers.append(make_retry_after(retry_after_s))
         else:
             status = 504 if step is forwarding.Step.TIME_OUT else 502
-        self.record_failed(f'status {status}', reason)
+        self.ending.record_failed(f'status {status}', reason)
         await self.out.answer(status, headers, b'')
 
-    def record_served(self, outcome: str) -> None:
-        """Logs and counts a request that was served."""
-        self.state.metrics.count(
-            'requests', route=self.admitted.route.name, end=outcome
-        )
-        self.state.metrics.record_time('request', self.took_s())
-        self.state.audit.log(
-            events.REQUEST_ENDED,
-            request=self.admitted.facts.request_id,
-            route=self.admitted.route.name,
-            status=outcome,
-            took_s=self.took_s(),
-        )
-
-    def record_failed(self, outcome: str, reason: str) -> None:
-        """Logs and counts a request that was not served."""
-        self.state.metrics.count(
-            'requests', route=self.admitted.route.name, end=outcome
-        )
-        self.state.audit.log(
-            events.REQUEST_FAILED,
-            request=self.admitted.facts.request_id,
-            route=self.admitted.route.name,
-            end=outcome,
-            reason=reason,
-            took_s=self.took_s(),
-        )
-
 
 def make_content_fingerprint(
     req: http_server.Request, admitted: admission.Admitted
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -1,7 +1,5 @@
 """Admits requests and dispatches them to streams or plain services."""
 
-import trio
-
 from sardinebend_gateway import admission
 from sardinebend_gateway import calls
 from sardinebend_gateway import crashes
@@ -62,19 +60,25 @@
             await self._refuse(facts, refusal, out)
             return
         try:
-            if admitted.route.is_stream or admitted.service.has_layers:
-                handler = streams.StreamRequestHandler(exchange, self._calls)
-                await handler.run()
-            else:
-                await plain.PlainRequestHandler(exchange).run()
-        except trio.Cancelled:
-            self._state.audit.log(
-                events.REQUEST_CANCELLED,
-                request=facts.request_id,
-                route=admitted.route.name,
-                took_s=exchange.took_s(),
-            )
+            await self._run(exchange)
+            exchange.ending.record_return()
+        except Exception as exc:
+            exchange.ending.record_error(exc)
             raise
+        finally:
+            # Not by the type of the exception: a nursery of which several tasks
+            # are cancelled raises a group of `Cancelled`.
+            exchange.ending.close()
+
+    async def _run(self, exchange: exchange_lib.Exchange) -> None:
+        admitted = exchange.admitted
+        if admitted.route.is_stream or admitted.service.has_layers:
+            handler = streams.StreamRequestHandler(exchange, self._calls)
+            await handler.run()
+        else:
+            await plain.PlainRequestHandler(exchange).run()
+        if exchange.out.is_ended:
+            await exchange.out.flush()
 
     async def _refuse(
         self,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -179,6 +179,7 @@
         if self.state.is_stopping:
             return
         self.state.is_stopping = True
+        self.state.stop_began_at = trio.current_time()
         self.server.begin_stop()
         self.state.audit.log(
             events.STOPPING,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -125,7 +125,9 @@
     ) -> None:
         """Runs the handler; cancels it if the caller disconnects."""
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._watch_caller, nursery.cancel_scope)
+            nursery.start_soon(
+                self._watch_caller, nursery.cancel_scope, responder
+            )
             try:
                 await self._server.handler(req, responder)
                 if responder.is_ended:
@@ -139,10 +141,13 @@
                 _LOGGER.exception('a request handler failed')
             nursery.cancel_scope.cancel()
 
-    async def _watch_caller(self, scope: trio.CancelScope) -> None:
+    async def _watch_caller(
+        self, scope: trio.CancelScope, responder: responder_lib.Responder
+    ) -> None:
         while self._early_bytes <= MAX_EARLY_BYTES:
             data = await self._receive()
             if not data:
+                responder.is_caller_gone = True
                 scope.cancel()
                 return
             self._early_bytes += len(data)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
@@ -21,12 +21,16 @@
         is_ended: Whether the answer has its end, sent or not.
         closes_connection: Whether the answer tells the caller that the
             connection is closed.
+        is_caller_gone: Whether the caller is known to have disconnected.
+        sent_bytes: Number of bytes that were sent.
     """
 
     def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
         self.is_started = False
         self.is_ended = False
         self.closes_connection = False
+        self.is_caller_gone = False
+        self.sent_bytes = 0
         self._conn = conn
         self._stream = stream
         self._unsent = bytearray()
@@ -36,6 +40,11 @@
         """Whether the whole answer has been sent."""
         return self.is_ended and not self._unsent
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Number of bytes that wait to be sent."""
+        return len(self._unsent)
+
     async def answer(self, status: int, headers: Pairs, body: bytes) -> None:
         """Sends a complete answer."""
         length = (b'content-length', str(len(body)).encode())
@@ -71,7 +80,9 @@
                 # Unlike `send_all`, returns how much a cancelled call has sent.
                 sent = await self._stream.socket.send(self._unsent)
                 del self._unsent[:sent]
+                self.sent_bytes += sent
         except (OSError, trio.ClosedResourceError) as exc:
+            self.is_caller_gone = True
             raise errors.ConnectionAborted(str(exc)) from exc
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -78,6 +78,7 @@
             prompts that crash endpoints.
         part_evidence: What speaks for and against parts of prompts.
         is_stopping: Whether a planned stop has begun.
+        stop_began_at: When it began, by trio's clock; `None` before.
         host_count: Number of listed hosts, among which retry budgets are
             divided; `None` until it is known.
         live_count: Number of hosts that are considered live, this one
@@ -116,6 +117,7 @@
         )
         self.part_evidence = part_evidence.PartEvidence()
         self.is_stopping = False
+        self.stop_began_at: float | None = None
         self.host_count: int | None = None
         self.live_count = 1
         self.role = readers.DIRECT_READER
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -214,7 +214,7 @@
             self._progress.reason = 'ended without an event'
             return
         self._end = forwarding.End.ANSWERED
-        self._exchange.record_served('200')
+        self._exchange.ending.record_answered('200')
         await out.finish()
         self._state.endpoints.mark_healthy(self._first_endpoint)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -83,6 +83,7 @@
                 first, waited_s, clocks.now()
             )
         self.record_progress()
+        self.exchange.ending.last_event_at = self.last_progress_at
         if not self.has_received_event:
             self.exchange.clear_suspicion()
         self.has_received_event = True
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -12,6 +12,7 @@
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import clocks
 from sardinebend_gateway import crashes
+from sardinebend_gateway import endings
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
@@ -133,7 +134,7 @@
 
         The raised error makes the server reset the caller's connection.
         """
-        self._exchange.record_failed('broken off', reason)
+        self._exchange.ending.record_failed(endings.BROKEN_OFF, reason)
         raise errors.ConnectionAborted(reason)
 
     async def _choose(self) -> paths_lib.Path | None:
