Tell how many requests the end of a host cut

`host_stopped` gave one number of requests in flight, in which requests that were only being read, or were being refused, looked like cut ones.

The fields `cut` and `unread_or_refused` divide it up; `in_flight` stays.

test_the_end_of_a_host_tells_how_many_requests_it_cut failed before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -18,6 +18,7 @@
     """Serves the requests of all connections of a host.
 
     Attributes:
+        open_requests: Number of admitted requests that haven't ended.
         is_refusing: Whether new requests are refused because the host is
             about to stop.
     """
@@ -28,6 +29,7 @@
         engine_calls: calls.EngineCalls,
         crash_detector: crashes.CrashDetector,
     ) -> None:
+        self.open_requests = 0
         self.is_refusing = False
         self._state = state
         self._calls = engine_calls
@@ -59,6 +61,7 @@
             )
             await self._refuse(facts, refusal, out)
             return
+        self.open_requests += 1
         try:
             await self._run(exchange)
             exchange.ending.record_return()
@@ -69,6 +72,7 @@
             # Not by the type of the exception: a nursery of which several tasks
             # are cancelled raises a group of `Cancelled`.
             exchange.ending.close()
+            self.open_requests -= 1
 
     async def _run(self, exchange: exchange_lib.Exchange) -> None:
         admitted = exchange.admitted
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -209,6 +209,10 @@
         self.state.audit.log(
             events.STOPPED,
             in_flight=self.server.in_flight,
+            cut=self._forwarder.open_requests,
+            unread_or_refused=(
+                self.server.in_flight - self._forwarder.open_requests
+            ),
             after_s=round(clocks.now() - started_at, 3),
         )
 
--- a/tests/cover/test_gateway_request_ends.py
+++ b/tests/cover/test_gateway_request_ends.py
@@ -36,6 +36,10 @@
     ]
 
 
+def fields_of(lines, wanted):
+    return next(fields for name, fields in lines if name == wanted)
+
+
 async def begin_and_hang(headers, stream):
     fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
     await trio.sleep(0.1)
@@ -186,6 +190,25 @@
     assert fields['status'] == '200'
 
 
+async def test_the_end_of_a_host_tells_how_many_requests_it_cut(lines, clock):
+    servers = world_lib.engines((0, 4), script=begin_and_hang)
+    async with world_lib.running(*servers, grace_s=GRACE_S) as world:
+        cut = await begin_request(world, '/draft/x')
+        head = world_lib.make_request('/book/x', 'POST', content_length='3')
+        world.gateway.begin_stop()
+        await trio.sleep(2.5)
+        half_sent = await world.connect()
+        await half_sent.send_all(head)
+        with trio.fail_after(5):
+            while world.gateway.server.in_flight:
+                await trio.sleep(0.01)
+        await cut.aclose()
+        await half_sent.aclose()
+    fields = fields_of(lines, events.STOPPED.name)
+    assert (fields['in_flight'], fields['cut']) == (2, 1)
+    assert fields['unread_or_refused'] == 1
+
+
 async def test_a_failed_handler_leaves_lines_with_the_request(
     lines, clock, monkeypatch
 ):
