Name the request in the lines of an unexpected error

`a request handler failed` and `a connection failed` didn't say which request they were about, so that neither `explain` nor a search for an id found them.

The handler of a request sets the fields that identify it; the server, which knows no names of the platform, adds them to these lines. That a request failed so is also its last line, `request_failed`.

test_a_failed_handler_leaves_lines_with_the_request failed before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/audit.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/audit.py
@@ -111,6 +111,10 @@
             extra={'decision_event': event, _FIELDS: fields},
         )
 
+    def log_error(self, text: str, **fields: typing.Any) -> None:
+        """Logs the exception that is being handled, which nobody expected."""
+        self._logger.exception(text, extra={_FIELDS: fields})
+
 
 def set_up(fd: int, host: str) -> LineHandler:
     """Directs the decision log of the process to a file descriptor."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -45,6 +45,7 @@
         except errors.BadRequest as exc:
             await out.answer(exc.status, [], b'')
             return
+        out.log_fields['request'] = facts.request_id
         admitted = admission.admit(self._state, req, facts)
         if self.is_refusing:
             admitted = admission.Refusal(503, 'host_stopping', 0.05)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -7,7 +7,6 @@
 """
 
 import errno
-import logging
 import socket
 import struct
 import typing
@@ -15,6 +14,7 @@
 import h11
 import trio
 
+from sardinebend_gateway import audit
 from sardinebend_gateway import errors
 from sardinebend_gateway import responder as responder_lib
 from sardinebend_policy import catalog
@@ -31,7 +31,7 @@
 ACCEPT_RETRY_S: typing.Final = 0.05
 LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 
-_LOGGER = logging.getLogger('sardinebend.decisions')
+_AUDIT = audit.Audit()
 
 
 class Request(typing.NamedTuple):
@@ -77,6 +77,7 @@
         )
         self._early_bytes = 0
         self._is_eof = False
+        self._log_fields: dict[str, str] = {}
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
@@ -84,6 +85,7 @@
             while await self._serve_one():
                 self._conn.start_next_cycle()
                 self._early_bytes = 0
+                self._log_fields = {}
         except errors.BadRequest as exc:
             await self._refuse(exc)
         except _CONNECTION_ERRORS:
@@ -91,7 +93,7 @@
         except Exception:
             # A failure of one connection must not end the process, which also
             # serves the others.
-            _LOGGER.exception('a connection failed')
+            _AUDIT.log_error('a connection failed', **self._log_fields)
             self._reset()
         finally:
             with trio.CancelScope(shield=True):
@@ -109,6 +111,7 @@
             req = Request(head.method, head.target, headers, body, arrived_at)
             responder = responder_lib.Responder(self._conn, self._stream)
             responder.closes_connection = self._server.is_stopping
+            self._log_fields = responder.log_fields
             await self._handle(req, responder)
         finally:
             self._server.record_request_end()
@@ -138,7 +141,9 @@
             except Exception:
                 # A failure of one request must not end the process, which
                 # also serves the others.
-                _LOGGER.exception('a request handler failed')
+                _AUDIT.log_error(
+                    'a request handler failed', **responder.log_fields
+                )
             nursery.cancel_scope.cancel()
 
     async def _watch_caller(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
@@ -23,6 +23,8 @@
             connection is closed.
         is_caller_gone: Whether the caller is known to have disconnected.
         sent_bytes: Number of bytes that were sent.
+        log_fields: What identifies the request in log lines; set by its
+            handler.
     """
 
     def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
@@ -31,6 +33,7 @@
         self.closes_connection = False
         self.is_caller_gone = False
         self.sent_bytes = 0
+        self.log_fields: dict[str, str] = {}
         self._conn = conn
         self._stream = stream
         self._unsent = bytearray()
--- a/tests/cover/test_gateway_request_ends.py
+++ b/tests/cover/test_gateway_request_ends.py
@@ -223,3 +223,4 @@
     ((name, fields),) = last_lines(lines)
     assert name == 'request_failed'
     assert fields['reason'] == 'error in the host: ZeroDivisionError'
+    assert fields_of(lines, 'a request handler failed')['request'] == 'r1'
