Tell whether a lost peer announced that it leaves

In the incident five hosts lost a peer within 14 ms, and their lines didn't tell whether it had begun to stop or had died: `peer_lost` gave only whether it was still listed.

The field `is_leaving` is true if the peer had announced it, false if it fell silent, and null if it is no longer listed.

test_the_line_of_a_lost_peer_tells_whether_it_announced_that failed before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -86,7 +86,7 @@
     True,
 )
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
-PEER_LOST = Event('peer_lost', 'peer, is_listed', True)
+PEER_LOST = Event('peer_lost', 'peer, is_listed, is_leaving', True)
 ROLE_CHANGED = Event('role_changed', 'reader, is_shared, live')
 TASK_FAILED = Event('task_failed', 'task, error, again_in_s', True)
 LINES_DROPPED = Event('lines_dropped', 'counts by event')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -75,8 +75,13 @@
                 domain=live[name]['domain'],
             )
         for name in sorted(self._live_names - set(live)):
+            row = self._rows.get(name)
             self._state.audit.log(
-                events.PEER_LOST, peer=name, is_listed=name in self._rows
+                events.PEER_LOST,
+                peer=name,
+                is_listed=row is not None,
+                # Otherwise it fell silent, unless it is no longer listed.
+                is_leaving=row['is_leaving'] if row is not None else None,
             )
         self._live_names = set(live)
         self._state.live_count = len(live) + 1
--- a/tests/cover/test_gateway_peers.py
+++ b/tests/cover/test_gateway_peers.py
@@ -2,9 +2,11 @@
 
 import contextlib
 
+import pytest
 import trio
 
 from sardinebend_store import feeds
+from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
 
@@ -77,3 +79,46 @@
     b'{"callers": "10.0.0.1:1", "beats": "10.0.0.1:0", "relay": "10.0.0.1:1",'
     b' "domain": "d", "incarnation": "i", "is_leaving": false}'
 )
+
+
+def lost_lines(lines):
+    """Returns the fields of the lines on the second host's loss."""
+    return [
+        fields
+        for name, fields in lines
+        if name == 'peer_lost' and fields['peer'] == 'host-2'
+    ]
+
+
+@pytest.mark.parametrize('is_leaving', [True, False])
+async def test_the_line_of_a_lost_peer_tells_whether_it_announced_that(
+    is_leaving,
+):
+    # Guards against lines of which nobody can tell whether a host was stopped
+    # or has died.
+    with decision_log.collecting() as lines:
+        async with world_lib.running() as first:
+            second = world_lib.World(
+                first.nursery, (), store=first.store, name='host-2'
+            )
+            live_peers = first.gateway.members.live_peers
+            scope = trio.CancelScope()
+
+            async def run():
+                with scope:
+                    await second.gateway.run()
+
+            first.nursery.start_soon(run)
+            with trio.fail_after(20):
+                while 'host-2' not in live_peers():
+                    await trio.sleep(0.02)
+                await trio.sleep(0.5)
+                if is_leaving:
+                    second.gateway.begin_stop()
+                else:
+                    scope.cancel()
+                while not lost_lines(lines):
+                    await trio.sleep(0.02)
+    assert lost_lines(lines) == [
+        {'peer': 'host-2', 'is_listed': True, 'is_leaving': is_leaving}
+    ]
