Write the counts of dropped log lines before the process ends

`lines_dropped` was written only together with a later line. The last second of a host, in which it cuts requests, has none, so nobody knew which lines were missing. Counts were also lost if the reader didn't keep up at the moment at which they were to be written.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/audit.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/audit.py
@@ -18,6 +18,8 @@
 FAILURE_LINES_PER_S: typing.Final = 300
 # Bytes that can be written to a pipe without blocking after POLLOUT.
 MAX_LINE_BYTES: typing.Final = select.PIPE_BUF
+# Time that the end of the process waits for the reader to take the last line.
+END_WAIT_MS: typing.Final = 500
 
 _FIELDS: typing.Final = 'decision_fields'
 
@@ -64,10 +66,21 @@
     def _start_second(self, second: int) -> None:
         self._second = second
         self._written.clear()
-        if self._dropped:
-            counts = dict(self._dropped)
-            self._dropped.clear()
-            self._write(events.LINES_DROPPED.name, time.time(), counts)
+        self._write_dropped(0)
+
+    def write_dropped(self) -> None:
+        """Writes the counts of dropped lines; call it before the process ends.
+
+        Waits a little for a reader that doesn't keep up.
+        """
+        self._write_dropped(END_WAIT_MS)
+
+    def _write_dropped(self, wait_ms: int) -> None:
+        if not self._dropped or not self._poll.poll(wait_ms):
+            return
+        counts = dict(self._dropped)
+        self._dropped.clear()
+        self._write(events.LINES_DROPPED.name, time.time(), counts)
 
     def _drop(self, name: str) -> None:
         self._dropped[name] += 1
--- a/packages/sardinebend-gateway/tests/cover/test_audit.py
+++ b/packages/sardinebend-gateway/tests/cover/test_audit.py
@@ -3,6 +3,8 @@
 import json
 import os
 
+import pytest
+
 from sardinebend_gateway import audit
 from sardinebend_gateway import events
 
@@ -72,6 +74,54 @@
     os.close(writer)
 
 
+def test_the_lines_dropped_last_are_counted_before_the_process_ends():
+    # Guards against counts that only a later line would have written: the last
+    # second of a host, in which it cuts requests, has none.
+    reader, writer, handler, log = make_log()
+    count = audit.FAILURE_LINES_PER_S + 107
+    for number in range(count):
+        log.log(events.REQUEST_CUT, request=str(number))
+    handler.write_dropped()
+    lines = read_lines(reader)
+    dropped = sum(
+        line['request_cut']
+        for line in lines
+        if line['event'] == 'lines_dropped'
+    )
+    written = sum(line['event'] == 'request_cut' for line in lines)
+    assert dropped > 0
+    assert written + dropped == count
+    handler.write_dropped()
+    assert read_lines(reader) == []
+    os.close(reader)
+    os.close(writer)
+
+
+def test_counts_that_cannot_be_written_yet_are_kept():
+    # Guards against counts that are lost because the reader didn't keep up at
+    # the moment at which they were to be written.
+    reader, writer, handler, log = make_log()
+    fill = b'x' * 4096 + b'\n'
+    os.set_blocking(writer, False)
+    with pytest.raises(BlockingIOError):
+        while True:
+            os.write(writer, fill)
+    log.log(events.REQUEST_CUT, request='r1')
+    handler._start_second(1)
+    handler._start_second(2)
+    os.set_blocking(reader, False)
+    while True:
+        try:
+            os.read(reader, 65536)
+        except BlockingIOError:
+            break
+    handler.write_dropped()
+    (line,) = read_lines(reader)
+    assert line['request_cut'] == 1
+    os.close(reader)
+    os.close(writer)
+
+
 def test_the_line_limit_is_higher_for_failures():
     assert audit.FAILURE_LINES_PER_S > audit.LINES_PER_S
 
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -1,8 +1,11 @@
 """Tests of the adapter: valid and invalid settings, rows and headers."""
 
 import json
+import logging
+import os
 import pathlib
 import re
+import sys
 
 import h11
 import pytest
@@ -14,7 +17,9 @@
 from sardinebend_adapter import request_codec
 from sardinebend_adapter import state_codec
 from sardinebend_adapter import store_client
+from sardinebend_gateway import audit
 from sardinebend_gateway import errors
+from sardinebend_gateway import events
 from sardinebend_policy import endpoints
 from sardinebend_store import errors as store_errors
 from sardinebend_store import feeds
@@ -472,3 +477,31 @@
     monkeypatch.setattr(adapter_main, 'read_settings', fail)
     adapter_main.reload_settings(gateway)
     assert gateway.lines == [('settings_rejected', {'error': 'no node name'})]
+
+
+def test_a_process_writes_the_counts_of_dropped_lines_before_it_ends(
+    monkeypatch,
+):
+    # Guards against lines of a host's last second that nobody knows of.
+    reader, writer = os.pipe()
+
+    def drop_lines(run, cfg):
+        log = audit.Audit()
+        for _ in range(audit.FAILURE_LINES_PER_S + 50):
+            log.log(events.REQUEST_CUT, request='r1')
+        raise ZeroDivisionError('a bug')
+
+    cfg = node_settings.parse(SETTINGS)
+    logger = logging.getLogger(audit.LOGGER_NAME)
+    monkeypatch.setattr(logger, 'handlers', [])
+    monkeypatch.setattr(logger, 'propagate', False)
+    monkeypatch.setattr(adapter_main, 'read_settings', lambda: cfg)
+    monkeypatch.setattr(trio, 'run', drop_lines)
+    with os.fdopen(writer, 'w') as stdout, pytest.raises(ZeroDivisionError):
+        monkeypatch.setattr(sys, 'stdout', stdout)
+        adapter_main.main()
+    monkeypatch.undo()
+    with os.fdopen(reader) as lines:
+        last = json.loads(lines.readlines()[-1])
+    assert last['event'] == 'lines_dropped'
+    assert last['request_cut'] > 0
