Tell in the log that an error ended a host

A host that an error ended left a log that just stops, like that of a host that was killed: the error was only on standard error.

test_a_process_that_an_error_ends_tells_so failed before. The test of the dropped lines beside it now shares its set-up and raises the same group of errors; it checks the same.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -24,6 +24,7 @@
 STARTED = Event('host_started', 'incarnation, domain, version of the program')
 STOPPING = Event('host_stopping', 'in_flight, grace_s')
 STOPPED = Event('host_stopped', 'in_flight, cut, unread_or_refused, after_s')
+FAILED = Event('host_failed', 'error that ended the process', True)
 SETTINGS_RELOADED = Event('settings_reloaded', 'changed fields')
 SETTINGS_REJECTED = Event('settings_rejected', 'error', True)
 CATALOG_APPLIED = Event('catalog_applied', 'version, previous, routes, age_s')
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -479,29 +479,48 @@
     assert gateway.lines == [('settings_rejected', {'error': 'no node name'})]
 
 
+@pytest.fixture(name='run_process')
+def fixture_run_process(monkeypatch):
+    """Returns a function that runs a host's `main` and returns its lines."""
+
+    def run_process(run):
+        reader, writer = os.pipe()
+        cfg = node_settings.parse(SETTINGS)
+        logger = logging.getLogger(audit.LOGGER_NAME)
+        with os.fdopen(writer, 'w') as stdout, monkeypatch.context() as patch:
+            patch.setattr(logger, 'handlers', [])
+            patch.setattr(logger, 'propagate', False)
+            patch.setattr(adapter_main, 'read_settings', lambda: cfg)
+            patch.setattr(trio, 'run', run)
+            patch.setattr(sys, 'stdout', stdout)
+            with pytest.raises(ExceptionGroup):
+                adapter_main.main()
+        with os.fdopen(reader) as lines:
+            return [json.loads(line) for line in lines]
+
+    return run_process
+
+
 def test_a_process_writes_the_counts_of_dropped_lines_before_it_ends(
-    monkeypatch,
+    run_process,
 ):
     # Guards against lines of a host's last second that nobody knows of.
-    reader, writer = os.pipe()
-
     def drop_lines(run, cfg):
         log = audit.Audit()
         for _ in range(audit.FAILURE_LINES_PER_S + 50):
             log.log(events.REQUEST_CUT, request='r1')
-        raise ZeroDivisionError('a bug')
+        raise ExceptionGroup('', [ZeroDivisionError('a bug')])
 
-    cfg = node_settings.parse(SETTINGS)
-    logger = logging.getLogger(audit.LOGGER_NAME)
-    monkeypatch.setattr(logger, 'handlers', [])
-    monkeypatch.setattr(logger, 'propagate', False)
-    monkeypatch.setattr(adapter_main, 'read_settings', lambda: cfg)
-    monkeypatch.setattr(trio, 'run', drop_lines)
-    with os.fdopen(writer, 'w') as stdout, pytest.raises(ZeroDivisionError):
-        monkeypatch.setattr(sys, 'stdout', stdout)
-        adapter_main.main()
-    monkeypatch.undo()
-    with os.fdopen(reader) as lines:
-        last = json.loads(lines.readlines()[-1])
+    last = run_process(drop_lines)[-1]
     assert last['event'] == 'lines_dropped'
     assert last['request_cut'] > 0
+
+
+def test_a_process_that_an_error_ends_tells_so(run_process):
+    # Guards against a host whose log just ends, like that of a killed one.
+    def fail(run, cfg):
+        raise ExceptionGroup('', [ZeroDivisionError('a bug')])
+
+    last = run_process(fail)[-1]
+    assert last['event'] == 'host_failed'
+    assert "ZeroDivisionError('a bug')" in last['error']
