Log a draft, lookup or booking that ends without an outcome

They are logged as `request cut`, a warning, with id, customer, kind and duration. Counters and durations stay as they are.

test_a_request_that_the_end_of_its_host_cuts_leaves_a_line failed before for all three kinds.

--- a/packages/sardinebend-router/src/sardinebend_router/draft_runner.py
+++ b/packages/sardinebend-router/src/sardinebend_router/draft_runner.py
@@ -7,6 +7,7 @@
 from sardinebend_router import calls
 from sardinebend_router import drafting
 from sardinebend_router import engines
+from sardinebend_router import logs
 from sardinebend_router import state as state_lib
 
 
@@ -60,6 +61,8 @@
             state.metrics.count('drafts', outcome=kind)
             elapsed_s = trio.current_time() - start
             state.metrics.record_time('draft', elapsed_s)
+            if outcome is None:
+                logs.log_cut(request.request_id, customer, 'draft', elapsed_s)
 
     def make_session_runner(
         self, request: msg.DraftRequest, route: str
--- a/packages/sardinebend-router/src/sardinebend_router/logs.py
+++ b/packages/sardinebend-router/src/sardinebend_router/logs.py
@@ -30,6 +30,28 @@
     logger.propagate = False
 
 
+def log_cut(request_id: str, customer: str, kind: str, took_s: float) -> None:
+    """Logs a request that ended without an outcome.
+
+    Its host ended, or an error ended its task.
+
+    Args:
+        request_id: Id of the request.
+        customer: Its customer.
+        kind: `draft`, `lookup` or `booking`.
+        took_s: Time since it began to wait for admission.
+    """
+    get().warning(
+        'request cut',
+        extra={
+            'request_id': request_id,
+            'customer': customer,
+            'kind': kind,
+            'took_s': round(took_s, 3),
+        },
+    )
+
+
 def get() -> logging.Logger:
     """Returns the package's logger."""
     return logging.getLogger(LOGGER_NAME)
--- a/packages/sardinebend-router/src/sardinebend_router/operations.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operations.py
@@ -21,6 +21,7 @@
 from sardinebend_router import booking
 from sardinebend_router import calls
 from sardinebend_router import errors
+from sardinebend_router import logs
 from sardinebend_router import lookup
 from sardinebend_router import service_crashes
 from sardinebend_router import services
@@ -131,11 +132,13 @@
                     outcome = await self._run_booking(call, req)
                 return outcome
         finally:
-            name = 'lookups' if req.repeatable else 'bookings'
+            name = 'lookup' if req.repeatable else 'booking'
             kind = type(outcome).__name__
-            state.metrics.count(name, outcome=kind)
+            state.metrics.count(f'{name}s', outcome=kind)
             elapsed_s = trio.current_time() - start
-            state.metrics.record_time(name.removesuffix('s'), elapsed_s)
+            state.metrics.record_time(name, elapsed_s)
+            if outcome is None:
+                logs.log_cut(call.request_id, customer, name, elapsed_s)
 
     async def _run_lookup(
         self, call: calls.Call, req: _OperationRequest
--- a/packages/sardinebend-router/tests/cover/test_http.py
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -5,6 +5,8 @@
 import pytest
 import trio
 
+from sardinebend_router import embedded
+from sardinebend_router import logs
 from sardinebend_settings import tree as tree_lib
 from tests.common import embedded_host as eh
 
@@ -305,3 +307,46 @@
 
 def hash_key(key):
     return eh.embedded.auth.hash_key(key)
+
+
+def hang_in_service(monkeypatch):
+    async def hang(self, call):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(embedded.EmbeddedService, 'send', hang)
+
+
+CUT_REQUESTS = {
+    'draft': {'body': eh.draft(max_tokens=1000)},
+    'lookup': {'path': LOOKUP, 'body': b'{}'},
+    'booking': {'path': CONFIRM, 'body': b'{}', 'idempotency_key': 'k'},
+}
+
+
+@pytest.mark.parametrize('kind', CUT_REQUESTS)
+async def test_a_request_that_the_end_of_its_host_cuts_leaves_a_line(
+    kind, monkeypatch, caplog
+):
+    # Guards against requests of which no line says that they were cut.
+    hang_in_service(monkeypatch)
+    host = embedded.make_host(port=0)
+    with caplog.at_level('INFO', logs.LOGGER_NAME):
+        async with trio.open_nursery() as nursery:
+            await nursery.start(host.run)
+            data = eh.make_request(**CUT_REQUESTS[kind])
+            stream = await eh.send_raw(host, data)
+            await eh.wait_until(lambda: host.state.in_flight)
+            (request_id,) = host.state.in_flight
+            await trio.sleep(0.1)
+            nursery.cancel_scope.cancel()
+        await stream.aclose()
+    (line,) = [
+        record
+        for record in caplog.records
+        if getattr(record, 'request_id', '') == request_id
+    ]
+    assert line.message == 'request cut'
+    assert line.levelname == 'WARNING'
+    assert line.kind == kind
+    assert line.customer == 'demo'
+    assert line.took_s > 0
