Explain requests that a stop cut, and those whose caller left

`sardinebendctl explain` printed "no failure logged" for a stream that the end of its host had cut, and for one whose caller had left.

It names both, and for a cut request when it arrived and was cut relative to the stop, what served it, when the engine's last event came or what was left unsent; the cause is the `host_stopping` line of that host, or its `host_failed`. A request without a last line is reported as such.

The six new tests of recorded logs failed before.

--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -28,6 +28,15 @@
     'store_era_changed',
     'store_lost',
 )
+# Lines on the end of a host, the causes of a request that it cut. They are
+# looked for on that host from the beginning of its stop until a little after
+# the cut.
+HOST_END_CAUSES: typing.Final = ('host_failed', 'host_stopping')
+HOST_END_EVENTS: typing.Final = (*HOST_END_CAUSES, 'host_stopped')
+HOST_END_SLACK_S: typing.Final = 1.0
+CUT: typing.Final = 'request_cut'
+CALLER_LEFT: typing.Final = 'request_cancelled'
+LAST_EVENTS: typing.Final = (*FAILURES, CUT, CALLER_LEFT, 'request_ended')
 STORE_CAUSES: typing.Final = ('store_era_changed', 'store_lost')
 
 
@@ -114,7 +123,22 @@
             or line.fields.get('prompt_part') in prompt_parts
         )
     ]
-    return sorted(request_lines + context)
+    host_ends = [
+        line
+        for line in lines
+        if line.event in HOST_END_EVENTS
+        and any(_ends_host_of(line, cut) for cut in request_lines)
+    ]
+    return sorted(request_lines + context + host_ends)
+
+
+def _ends_host_of(line: Line, cut: Line) -> bool:
+    """Returns whether a line is on the end of a host that cut a request."""
+    if cut.event != CUT or line.host != cut.host:
+        return False
+    stop_s = cut.fields.get('cut_after_stop_s') or 0.0
+    start = cut.time - stop_s - HOST_END_SLACK_S
+    return start <= line.time <= cut.time + HOST_END_SLACK_S
 
 
 def _context_s(line: Line) -> float:
@@ -128,14 +152,27 @@
 ) -> list[str]:
     """Formats lines for display: outcome, causes, then all in order."""
     failed = [line for line in selected if line.event in FAILURES]
-    causes = [line for line in selected if line.event in CAUSES]
+    causes = [
+        line
+        for line in selected
+        if line.event in CAUSES or line.event in HOST_END_CAUSES
+    ]
     output = [f'request {request_id}']
     for line in failed:
         end = line.fields.get('end') or line.fields.get('status')
         output.append(f'  ended as {end}: {line.fields.get("reason")}')
+    ended_early = [
+        text for line in selected for text in _describe_early_end(line)
+    ]
+    output += ended_early
     output += [f'  cause: {_describe(line)}' for line in causes]
-    if not failed:
+    if not failed and not ended_early:
         output.append('  no failure logged')
+    if not any(line.event in LAST_EVENTS for line in selected):
+        output.append(
+            '  no end logged: it still runs, its host was killed, or lines were'
+            ' dropped'
+        )
     output.append('  timeline:')
     start = selected[0].time
     output += [
@@ -145,6 +182,44 @@
     return output
 
 
+def _describe_early_end(line: Line) -> list[str]:
+    """Describes the end of a request that was neither served nor failed."""
+    fields = line.fields
+    if line.event == CALLER_LEFT:
+        return [f'  its caller left after {fields.get("took_s")} s']
+    if line.event != CUT:
+        return []
+    arrived_s = fields.get('arrived_after_stop_s')
+    cut_s = fields.get('cut_after_stop_s')
+    if arrived_s is None or cut_s is None:
+        first = f'  cut by the end of {line.host}, which no planned stop began'
+    else:
+        order = 'before' if arrived_s < 0 else 'after'
+        first = (
+            f'  cut by the planned stop of {line.host}: arrived'
+            f' {abs(arrived_s):.3f} s {order} the stop began,'
+            f' cut {cut_s:.3f} s after that'
+        )
+    return [first, f'  {_describe_work(fields)}']
+
+
+def _describe_work(fields: dict[str, typing.Any]) -> str:
+    """Describes how far a request was when it was cut."""
+    if fields.get('answered') is not None:
+        unsent = fields.get('unsent_bytes')
+        return f'the whole answer was there; {unsent} bytes of it were not sent'
+    endpoint = fields.get('endpoint')
+    if endpoint is None:
+        return 'served by no endpoint when it was cut'
+    event_s = fields.get('since_event_s')
+    if event_s is None:
+        return f'served by {endpoint}, which had sent no event'
+    return (
+        f'served by {endpoint}, whose last event came {event_s:.3f} s before'
+        ' the cut'
+    )
+
+
 def _describe(line: Line) -> str:
     fields = ' '.join(
         f'{name}={value}'
--- a/packages/sardinebend-admin/tests/cover/test_explain.py
+++ b/packages/sardinebend-admin/tests/cover/test_explain.py
@@ -118,3 +118,128 @@
         'prompt_part_quarantined',
         'request_failed',
     ]
+
+
+def make_log(*lines):
+    """Returns a log of lines `(time, host, event, fields)`."""
+    return '\n'.join(
+        json.dumps({'time': at, 'host': host, 'event': event, **fields})
+        for at, host, event, fields in lines
+    )
+
+
+def report(log, request_id):
+    selected = explain.select_lines(explain.parse(log), request_id)
+    return explain.format_report(selected, request_id)
+
+
+def make_cut(**changes):
+    return {
+        'request': 'q1',
+        'route': 'draft',
+        'took_s': 9.5,
+        'arrived_after_stop_s': -2.1,
+        'cut_after_stop_s': 7.4,
+        'endpoint': 'e1',
+        'has_begun': True,
+        'answered': None,
+        'sent_bytes': 120,
+        'unsent_bytes': 0,
+        'since_event_s': 0.1,
+        **changes,
+    }
+
+
+STOP_LINES = (
+    (10.0, 'b', 'host_stopping', {'in_flight': 9, 'grace_s': 8.0}),
+    (20.0, 'a', 'host_stopping', {'in_flight': 2, 'grace_s': 8.0}),
+    (27.4, 'a', 'host_stopped', {'in_flight': 1, 'cut': 1, 'after_s': 7.4}),
+)
+SENT = {'request': 'q1', 'endpoint': 'e1'}
+
+
+def test_report_of_a_request_that_a_stop_cut_names_the_stop_as_its_cause():
+    # Guards against a report without a failure for a stream that was cut.
+    log = make_log(
+        (1.0, 'a', 'host_stopping', {'in_flight': 0, 'grace_s': 8.0}),
+        *STOP_LINES,
+        (17.9, 'a', 'request_sent', SENT),
+        (27.4, 'a', 'request_cut', make_cut()),
+    )
+    output = report(log, 'q1')
+    assert output[:6] == [
+        'request q1',
+        '  cut by the planned stop of a: arrived 2.100 s before the stop began,'
+        ' cut 7.400 s after that',
+        '  served by e1, whose last event came 0.100 s before the cut',
+        '  cause: host_stopping in_flight=2 grace_s=8.0',
+        '  timeline:',
+        '    +  0.000 s a: request_sent endpoint=e1',
+    ]
+    assert sum('host_stopped' in line for line in output) == 1
+    assert not any('in_flight=9' in line for line in output)
+    assert '  no failure logged' not in output
+
+
+def test_report_of_a_request_that_came_during_the_stop_says_so():
+    # Guards against a stop that is left out because it began long before the
+    # request.
+    fields = make_cut(arrived_after_stop_s=6.3, endpoint=None)
+    fields['since_event_s'] = None
+    log = make_log(
+        *STOP_LINES,
+        (26.3, 'a', 'request_sent', SENT),
+        (27.4, 'a', 'request_cut', fields),
+    )
+    output = report(log, 'q1')
+    assert output[1].endswith(
+        'arrived 6.300 s after the stop began, cut 7.400 s after that'
+    )
+    assert output[2] == '  served by no endpoint when it was cut'
+    assert output[3].startswith('  cause: host_stopping in_flight=2')
+
+
+def test_report_of_a_cut_request_tells_of_an_answer_left_unsent():
+    fields = make_cut(answered='200', unsent_bytes=5000)
+    log = make_log(*STOP_LINES, (27.4, 'a', 'request_cut', fields))
+    output = report(log, 'q1')
+    assert output[2] == (
+        '  the whole answer was there; 5000 bytes of it were not sent'
+    )
+
+
+def test_report_of_a_request_cut_without_a_stop_names_the_error():
+    fields = make_cut(arrived_after_stop_s=None, cut_after_stop_s=None)
+    log = make_log(
+        (3.0, 'b', 'host_failed', {'error': 'of another host'}),
+        (3.0, 'a', 'request_cut', fields),
+        (3.1, 'a', 'host_failed', {'error': "KeyError('x')"}),
+    )
+    output = report(log, 'q1')
+    assert output[1] == '  cut by the end of a, which no planned stop began'
+    assert output[3] == "  cause: host_failed error=KeyError('x')"
+    assert 'another host' not in '\n'.join(output)
+
+
+def test_report_of_a_request_whose_caller_left_says_so():
+    fields = {'request': 'q1', 'route': 'draft', 'took_s': 3.2}
+    log = make_log(
+        *STOP_LINES,
+        (26.0, 'a', 'request_sent', SENT),
+        (27.4, 'a', 'request_cancelled', fields),
+    )
+    output = report(log, 'q1')
+    assert output[1] == '  its caller left after 3.2 s'
+    assert output[2] == '  timeline:'
+    assert not any('host_stop' in line for line in output)
+
+
+def test_report_of_a_request_without_a_last_line_says_so():
+    # Guards against a report that reads as if all had gone well.
+    log = make_log((17.9, 'a', 'request_sent', SENT))
+    output = report(log, 'q1')
+    assert output[1:3] == [
+        '  no failure logged',
+        '  no end logged: it still runs, its host was killed, or lines were'
+        ' dropped',
+    ]
