Sort lines of a report by their time only

`sardinebendctl explain` failed with a type error if two lines of the same host, event and millisecond were to be reported: sorting compared their fields, which are mappings. Lines of the same moment could also change places.

Lines are sorted by their time alone, and keep the order of the log otherwise.

test_lines_of_the_same_moment_are_reported_in_the_order_of_the_log failed before.

--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -109,32 +109,35 @@
     prompt_parts: set[str] = set()
     for line in request_lines:
         prompt_parts.update(line.fields.get('prompt_parts', ()))
-    context = [
-        line
-        for line in lines
-        if line.event in CAUSES
-        and first_at - _context_s(line) <= line.time <= window_end
-        and line.host in hosts
-        and line.fields.get('request') is None
-        and (
-            line.event in STORE_CAUSES
-            or line.fields.get('endpoint') in endpoint_ids
-            or line.fields.get('content') in contents
-            or line.fields.get('prompt_part') in prompt_parts
+    cuts = [line for line in request_lines if line.event == CUT]
+
+    def is_context(line: Line) -> bool:
+        return (
+            line.event in CAUSES
+            and first_at - _context_s(line) <= line.time <= window_end
+            and line.host in hosts
+            and line.fields.get('request') is None
+            and (
+                line.event in STORE_CAUSES
+                or line.fields.get('endpoint') in endpoint_ids
+                or line.fields.get('content') in contents
+                or line.fields.get('prompt_part') in prompt_parts
+            )
         )
-    ]
-    host_ends = [
+
+    selected = [
         line
         for line in lines
-        if line.event in HOST_END_EVENTS
-        and any(_ends_host_of(line, cut) for cut in request_lines)
+        if line.fields.get('request') == request_id
+        or is_context(line)
+        or any(_ends_host_of(line, cut) for cut in cuts)
     ]
-    return sorted(request_lines + context + host_ends)
+    return sorted(selected, key=lambda line: line.time)
 
 
 def _ends_host_of(line: Line, cut: Line) -> bool:
     """Returns whether a line is on the end of a host that cut a request."""
-    if cut.event != CUT or line.host != cut.host:
+    if line.event not in HOST_END_EVENTS or line.host != cut.host:
         return False
     stop_s = cut.fields.get('cut_after_stop_s') or 0.0
     start = cut.time - stop_s - HOST_END_SLACK_S
--- a/packages/sardinebend-admin/tests/cover/test_explain.py
+++ b/packages/sardinebend-admin/tests/cover/test_explain.py
@@ -243,3 +243,19 @@
         '  no end logged: it still runs, its host was killed, or lines were'
         ' dropped',
     ]
+
+
+def test_lines_of_the_same_moment_are_reported_in_the_order_of_the_log():
+    # Guards against a report that fails with a type error: lines that are alike
+    # up to their fields were compared by these.
+    log = make_log(
+        (1.0, 'a', 'request_sent', SENT),
+        (1.0, 'a', 'request_sent', {**SENT, 'attempt': 2}),
+        (1.0, 'a', 'attempt_failed', SENT),
+    )
+    output = report(log, 'q1')
+    assert [line.split()[4] for line in output[-3:]] == [
+        'request_sent',
+        'request_sent',
+        'attempt_failed',
+    ]
