--- /dev/null
+++ b/tests/cover/test_gateway_planned_stop.py
@@ -0,0 +1,61 @@
+"""Tests of planned stops whose signal is handled late, on the virtual clock."""
+
+import pytest
+import trio
+
+from tests.common import gateway_world as world_lib
+
+GRACE_S = 8.0
+# Requests that were sent later than this after the signal may not be cut.
+EXCUSED_S = 3.0
+STREAM_S = 6.0
+EVENT_S = 0.25
+
+
+async def send_stream(headers, stream):
+    fixed_headers = [
+        ('Request-Id', headers['request-id']),
+        ('Content-Type', 'text/event-stream'),
+        world_lib.SEAL,
+    ]
+    await stream.send_all(world_lib.head(200, fixed_headers, 'chunked'))
+    for number in range(1, int(STREAM_S / EVENT_S) + 1):
+        await trio.sleep(EVENT_S)
+        await stream.send_all(world_lib.chunk(world_lib.event(number)))
+    return world_lib.Answer(b'0\r\n\r\n')
+
+
+async def ask(world, port, request_id):
+    """Returns whether a stream was answered completely."""
+    data = world_lib.make_request(
+        '/draft/x', 'POST', b'p', request_id=request_id, deadline_ms='8000'
+    )
+    try:
+        async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
+            await stream.send_all(data)
+            return (await world_lib.read_answer(stream))[3]
+    except OSError:
+        return False
+
+
+# Guards against streams that are accepted later than 3 s after the signal was
+# sent and cut at the end of the grace period.
+@pytest.mark.parametrize('late_s', [0.0, 0.3, 0.5])
+async def test_a_stream_is_not_cut_if_the_stop_began_late(late_s, clock):
+    server = world_lib.Server('llm-0', 'llm', send_stream)
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    async with world_lib.running(
+        server, config=config, grace_s=GRACE_S
+    ) as world:
+        port = world.gateway.server.port
+        # Keeps the host busy for most of its grace period.
+        world.nursery.start_soon(ask, world, port, 'first')
+        await trio.sleep(0.1)
+        signal_at = trio.current_time()
+        await trio.sleep(late_s)
+        world.gateway.begin_stop()
+        await trio.sleep_until(signal_at + EXCUSED_S + 0.2)
+        is_whole = await ask(world, port, 'late')
+    was_passed_on = 'late' in [r[2]['request-id'] for r in server.requests]
+    assert is_whole or not was_passed_on
