Handle signals from the first line of a host on

A reload signal that came while a host was starting ended the process, and one between the reading of the settings and the handlers would have been lost as well: a host that ends by itself, with settings that nobody reads.

Cause: the default action of SIGHUP is to end the process, and the handlers were installed after the settings had been read and the modules loaded.

It is ignored until the host handles it, which it does before it reads the settings, so that no change is missed. A SIGTERM meanwhile still ends the process at once: nothing has been accepted.

Two tests of the adapter replace the body of the process elsewhere now; what they check is the same.

--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -491,7 +491,7 @@
             patch.setattr(logger, 'handlers', [])
             patch.setattr(logger, 'propagate', False)
             patch.setattr(adapter_main, 'read_settings', lambda: cfg)
-            patch.setattr(trio, 'run', run)
+            patch.setattr(adapter_main, '_serve', run)
             patch.setattr(sys, 'stdout', stdout)
             with pytest.raises(ExceptionGroup):
                 adapter_main.main()
@@ -505,7 +505,7 @@
     run_process,
 ):
     # Guards against lines of a host's last second that nobody knows of.
-    def drop_lines(run, cfg):
+    async def drop_lines(cfg, signals):
         log = audit.Audit()
         for _ in range(audit.FAILURE_LINES_PER_S + 50):
             log.log(events.REQUEST_CUT, request='r1')
@@ -518,7 +518,7 @@
 
 def test_a_process_that_an_error_ends_tells_so(run_process):
     # Guards against a host whose log just ends, like that of a killed one.
-    def fail(run, cfg):
+    async def fail(cfg, signals):
         raise ExceptionGroup('', [ZeroDivisionError('a bug')])
 
     last = run_process(fail)[-1]
