Cut no stream because the announcement of a stop fails

What callers would see: all streams of a host end with its process, right at the beginning of a planned stop.

The first and the leaving row of a host were written by tasks of the host's own nursery, so that any unexpected error there ended the process. They are supervised now, as all other background tasks are.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -140,14 +140,18 @@
                 'quarantine': self._quarantine.run,
                 'prompt parts': self._shared_evidence.run,
                 'stored evidence': self._stored_evidence.run,
+                'first row': lambda: self.members.publish(False),
                 'own row': self.members.keep_published,
                 'keeper': self.placement_controller.run,
             }
             for name, job in jobs.items():
                 nursery.start_soon(self.supervisor.run, name, job)
-            nursery.start_soon(self.members.publish, False)
             await self._stop_requested.wait()
-            nursery.start_soon(self.members.publish, True)
+            nursery.start_soon(
+                self.supervisor.run,
+                'leaving row',
+                lambda: self.members.publish(True),
+            )
             await self._drain()
             nursery.cancel_scope.cancel()
 
