Let a stopping host begin only what it can end

Callers saw streams end without a whole answer around the SIGTERM of their host (LOST), though it had read them and passed them on.

Cause: a stop accepted whatever came for 3.0 s from when the process *handled* the signal, and cut what was left at the end of the grace period. Nobody compared the two: whether a request could end in time played no part. A host that handles the signal late, because its machine or its event loop is busy, accepts beyond the time in which a cut is excused, which counts from when the signal was sent; with no delay at all the bound had no margin.

Class of fault: work is taken over beyond the time that is left to do it, by a clock that starts when one is told, not when others began to count.

Change: during a stop a request is admitted if its deadline comes before the cut, or if it is predicted to end before it and a late signal can't matter any more (until 2 s after the stop began). The prediction is the 90th percentile of time per expected token over the recent requests of the service, those that still run counted with their age. All others are refused at once, as not run: another host serves them. From 3 s on everything is refused, as before.

Why it works: whatever an engine has begun during a stop was either sent within the time of the excuse, however late the signal was handled (up to 1 s), or ends by its own deadline before the cut.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
@@ -2,12 +2,16 @@
 
 import typing
 
+import trio
+
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import http_server
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
 
+# A stopping host asks callers to come back at once: another host serves them.
+STOPPING_RETRY_AFTER_S: typing.Final = 0.05
 # Margin by which evidence must be younger than a limit, to allow for the time
 # that the request takes to reach an endpoint.
 EVIDENCE_MARGIN_S: typing.Final = 0.3
@@ -45,6 +49,16 @@
     customer: catalog_lib.Customer | None
     ends_at: float
 
+    @property
+    def expected_answer_tokens(self) -> int:
+        """Expected number of tokens of the answer; 0 if it has none."""
+        answer: float = self.facts.answer_tokens
+        if self.facts.expected_tokens is not None:
+            answer = self.facts.expected_tokens
+        elif self.service.engine is not None:
+            answer = min(answer, self.service.engine.usual_answer)
+        return int(answer)
+
     @property
     def priority(self) -> int:
         """Urgency between 0 (most urgent) and 9."""
@@ -99,6 +113,22 @@
     return Admitted(facts, route, service, customer, ends_at)
 
 
+def admit_while_stopping(
+    state: state_lib.State, admitted: Admitted
+) -> Admitted | Refusal:
+    """Returns an admitted request, or a refusal if the host stops too soon."""
+    stop = state.planned_stop
+    if stop is None:
+        return admitted
+    now = trio.current_time()
+    predicted_s = state.service_times.predict_s(
+        admitted.service.name, admitted.expected_answer_tokens, now
+    )
+    if stop.may_admit(now, admitted.ends_at, predicted_s):
+        return admitted
+    return Refusal(503, 'host_stopping', STOPPING_RETRY_AFTER_S)
+
+
 def can_trust_keys(state: state_lib.State) -> bool:
     """Returns whether the configuration is recent enough to check keys.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -45,12 +45,22 @@
         self.last_event_at: float | None = None
         self._state = state
         self._arrived_at = req.arrived_at
+        self._admitted = admitted
         self._request_id = admitted.facts.request_id
         self._route = admitted.route.name
+        self._timing = 0
         self._out = out
         self._answered: str | None = None
         self._is_recorded = False
 
+    def start(self) -> None:
+        """Begins to time the request; `close` ends that."""
+        self._timing = self._state.service_times.begin(
+            self._admitted.service.name,
+            self._admitted.expected_answer_tokens,
+            self._arrived_at,
+        )
+
     def took_s(self) -> float:
         """Returns the time since the request arrived."""
         return round(trio.current_time() - self._arrived_at, 4)
@@ -91,6 +101,10 @@
 
         Its handler was cancelled, or its caller has left.
         """
+        self._record_last_line()
+        self._state.service_times.end(self._timing)
+
+    def _record_last_line(self) -> None:
         if self._is_recorded:
             return
         if self._answered is not None and self._out.is_finished:
@@ -106,6 +120,12 @@
         if self._is_recorded:
             return
         self._count(outcome)
+        # Failures and resumed streams take less time than whole answers.
+        is_resumed = self._admitted.facts.resume_after is not None
+        if outcome.startswith('2') and not is_resumed:
+            self._state.service_times.record_served(
+                self._timing, trio.current_time()
+            )
         took_s = self.took_s()
         self._state.metrics.record_time('request', took_s)
         self._state.audit.log(
@@ -140,7 +160,8 @@
 
     def _log_cut(self) -> None:
         now = trio.current_time()
-        stop_at = self._state.stop_began_at
+        stop = self._state.planned_stop
+        stop_at = stop.started_at if stop else None
         self._state.audit.log(
             events.REQUEST_CUT,
             request=self._request_id,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -19,8 +19,6 @@
 
     Attributes:
         open_requests: Number of admitted requests that haven't ended.
-        is_refusing: Whether new requests are refused because the host is
-            about to stop.
     """
 
     def __init__(
@@ -30,7 +28,6 @@
         crash_detector: crashes.CrashDetector,
     ) -> None:
         self.open_requests = 0
-        self.is_refusing = False
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
@@ -47,8 +44,8 @@
             return
         out.log_fields['request'] = facts.request_id
         admitted = admission.admit(self._state, req, facts)
-        if self.is_refusing:
-            admitted = admission.Refusal(503, 'host_stopping', 0.05)
+        if isinstance(admitted, admission.Admitted):
+            admitted = admission.admit_while_stopping(self._state, admitted)
         if isinstance(admitted, admission.Refusal):
             await self._refuse(facts, admitted, out)
             return
@@ -63,6 +60,7 @@
             await self._refuse(facts, refusal, out)
             return
         self.open_requests += 1
+        exchange.ending.start()
         try:
             await self._run(exchange)
             exchange.ending.record_return()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -7,7 +7,6 @@
 import trio
 
 from sardinebend_gateway import calls
-from sardinebend_gateway import clocks
 from sardinebend_gateway import crashes
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
@@ -26,14 +25,9 @@
 from sardinebend_gateway import stored_part_evidence
 from sardinebend_gateway import supervisor
 from sardinebend_gateway import watch
+from sardinebend_policy import planned_stop
 from sardinebend_store import feeds
 
-# In a planned stop, requests are accepted for this time, because callers cache
-# the address of this host for a few seconds and still connect to it.
-LATE_CALLERS_S: typing.Final = 3.0
-# Time left at the end of the grace period to close connections.
-EXIT_MARGIN_S: typing.Final = 0.6
-
 
 class PeerAddresses(typing.NamedTuple):
     """Addresses at which this host and its peers reach each other.
@@ -152,7 +146,8 @@
                 'leaving row',
                 lambda: self.members.publish(True),
             )
-            await self._drain()
+            assert self.state.planned_stop is not None
+            await self._drain(self.state.planned_stop)
             nursery.cancel_scope.cancel()
 
     def _start_relay(self, nursery: trio.Nursery) -> None:
@@ -182,8 +177,9 @@
         """Begins a planned stop; `run` returns when it is complete."""
         if self.state.is_stopping:
             return
-        self.state.is_stopping = True
-        self.state.stop_began_at = trio.current_time()
+        self.state.planned_stop = planned_stop.PlannedStop.begin(
+            trio.current_time(), self.state.cfg.grace_s
+        )
         self.server.begin_stop()
         self.state.audit.log(
             events.STOPPING,
@@ -201,12 +197,10 @@
             return False
         return state.catalog_age_s() < state.cfg.revoke_s
 
-    async def _drain(self) -> None:
+    async def _drain(self, stop: planned_stop.PlannedStop) -> None:
         """Waits until no request is in flight or the grace period is over."""
-        started_at = clocks.now()
-        with trio.move_on_after(self.state.cfg.grace_s - EXIT_MARGIN_S):
-            await trio.sleep(LATE_CALLERS_S)
-            self._forwarder.is_refusing = True
+        with trio.move_on_at(stop.cut_at):
+            await trio.sleep_until(stop.refuses_at)
             self.server.close_idle()
             await self.server.wait_idle()
         self.server.close()
@@ -217,7 +211,7 @@
             unread_or_refused=(
                 self.server.in_flight - self._forwarder.open_requests
             ),
-            after_s=round(clocks.now() - started_at, 3),
+            after_s=round(trio.current_time() - stop.started_at, 3),
         )
 
     def _apply_shared_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -21,9 +21,11 @@
 from sardinebend_policy import path_cache
 from sardinebend_policy import paths as paths_lib
 from sardinebend_policy import peer_reports
+from sardinebend_policy import planned_stop as planned_stop_lib
 from sardinebend_policy import quarantine
 from sardinebend_policy import readers
 from sardinebend_policy import retries
+from sardinebend_policy import service_times
 from sardinebend_policy import stream_gaps
 from sardinebend_policy import suspects as suspects_lib
 
@@ -77,8 +79,8 @@
         quarantine: Requests during which endpoints have crashed, and parts of
             prompts that crash endpoints.
         part_evidence: What speaks for and against parts of prompts.
-        is_stopping: Whether a planned stop has begun.
-        stop_began_at: When it began, by trio's clock; `None` before.
+        planned_stop: The planned stop, if one has begun.
+        service_times: Times that served requests took.
         host_count: Number of listed hosts, among which retry budgets are
             divided; `None` until it is known.
         live_count: Number of hosts that are considered live, this one
@@ -116,8 +118,8 @@
             QUARANTINE_HOLD_S, CRASHES_TO_QUARANTINE, CRASHES_TO_QUARANTINE
         )
         self.part_evidence = part_evidence.PartEvidence()
-        self.is_stopping = False
-        self.stop_began_at: float | None = None
+        self.planned_stop: planned_stop_lib.PlannedStop | None = None
+        self.service_times = service_times.ServiceTimes()
         self.host_count: int | None = None
         self.live_count = 1
         self.role = readers.DIRECT_READER
@@ -127,6 +129,11 @@
         self.endpoints_changed = trio.Event()
         self.quarantine_changed = trio.Event()
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether a planned stop has begun."""
+        return self.planned_stop is not None
+
     def catalog_age_s(self) -> float:
         """Returns the time since the catalog was last known to be in force."""
         return clocks.now() - self.catalog_at
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -8,7 +8,6 @@
 
 import trio
 
-from sardinebend_gateway import admission
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import clocks
 from sardinebend_gateway import crashes
@@ -33,17 +32,6 @@
 NO_PATH_RETRY_AFTER_S: typing.Final = 1.0
 
 
-def _estimate_tokens(admitted: admission.Admitted) -> int:
-    """Returns the expected total of prompt and answer tokens."""
-    facts = admitted.facts
-    answer: float = facts.answer_tokens
-    if facts.expected_tokens is not None:
-        answer = facts.expected_tokens
-    elif admitted.service.engine is not None:
-        answer = min(answer, admitted.service.engine.usual_answer)
-    return facts.prompt_tokens + int(answer)
-
-
 class StreamRequestHandler:
     """Serves one streamed request, with one or more attempts."""
 
@@ -58,7 +46,10 @@
         self._last_id = exchange.admitted.facts.resume_after
         self._excluded_ids: set[str] = set()
         self._reason = ''
-        self._tokens = _estimate_tokens(exchange.admitted)
+        admitted = exchange.admitted
+        self._tokens = (
+            admitted.facts.prompt_tokens + admitted.expected_answer_tokens
+        )
 
     async def run(self) -> None:
         """Serves the request and answers the caller."""
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -0,0 +1,70 @@
+"""Decides which requests a host still admits during a planned stop."""
+
+import typing
+
+# Callers cache the address of a host for a few seconds and still connect to it.
+LATE_CALLERS_S: typing.Final = 3.0
+# A busy host handles the signal to stop late by up to this time. Nobody is
+# promised an answer to requests that are sent later than LATE_CALLERS_S after
+# the signal, so a host that may be late must not let an engine begin them.
+SIGNAL_DELAY_S: typing.Final = 1.0
+# Time left at the end of the grace period to end the process.
+EXIT_MARGIN_S: typing.Final = 0.6
+# For this long before requests in flight are cut off, no connection is
+# accepted, so that whatever has been read is still answered.
+CLOSING_S: typing.Final = 0.4
+
+
+class PlannedStop(typing.NamedTuple):
+    """A planned stop that has begun.
+
+    Times are those of the clock that the caller uses, in seconds.
+
+    Attributes:
+        started_at: When the host began to stop.
+        cut_at: When requests that are still in flight are cut off.
+    """
+
+    started_at: float
+    cut_at: float
+
+    @classmethod
+    def begin(cls, now: float, grace_s: float) -> 'PlannedStop':
+        """Returns a stop that begins now.
+
+        Args:
+            now: The time.
+            grace_s: Time from the signal to the forced end of the process.
+        """
+        return cls(now, now + max(0.0, grace_s - EXIT_MARGIN_S))
+
+    @property
+    def closes_at(self) -> float:
+        """When connections are no longer accepted, at the latest."""
+        return max(self.started_at, self.cut_at - CLOSING_S)
+
+    @property
+    def refuses_at(self) -> float:
+        """When all requests are refused."""
+        return min(self.started_at + LATE_CALLERS_S, self.closes_at)
+
+    def may_admit(
+        self, now: float, deadline: float, predicted_s: float | None
+    ) -> bool:
+        """Returns whether a request is expected to end before the host does.
+
+        A caller that is refused at once can go to another host; one whose
+        answer is cut off has waited for nothing.
+
+        Args:
+            now: The time.
+            deadline: When the request ends at the latest.
+            predicted_s: How long it will take, if that is known.
+        """
+        if now >= self.refuses_at:
+            return False
+        if deadline <= self.cut_at:
+            return True
+        if predicted_s is None or now >= self.refuses_at - SIGNAL_DELAY_S:
+            return False
+        return now + predicted_s <= self.cut_at
--- /dev/null
+++ b/packages/sardinebend-policy/tests/cover/test_planned_stop.py
@@ -0,0 +1,102 @@
+import math
+
+import pytest
+
+from sardinebend_policy import planned_stop
+from sardinebend_policy import service_times
+
+GRACE_S = 8.0
+
+
+def make_stop(now=100.0, grace_s=GRACE_S):
+    return planned_stop.PlannedStop.begin(now, grace_s)
+
+
+def test_requests_are_cut_off_before_the_end_of_the_grace_period():
+    stop = make_stop()
+    assert stop.started_at < stop.refuses_at < stop.closes_at < stop.cut_at
+    assert stop.cut_at < stop.started_at + GRACE_S
+
+
+def test_a_request_whose_deadline_is_before_the_end_is_admitted():
+    stop = make_stop()
+    assert stop.may_admit(102.9, 104.0, None)
+    assert stop.may_admit(102.9, 104.0, 60.0)
+
+
+def test_nothing_is_admitted_once_callers_know_other_addresses():
+    stop = make_stop()
+    assert not stop.may_admit(stop.refuses_at, stop.refuses_at + 0.1, 0.01)
+
+
+def test_a_request_that_may_outlive_the_host_needs_a_prediction():
+    stop = make_stop()
+    assert not stop.may_admit(100.0, 120.0, None)
+    assert stop.may_admit(100.0, 120.0, 5.0)
+    assert not stop.may_admit(100.0, 120.0, 7.5)
+    assert not stop.may_admit(101.9, 120.0, 5.6)
+
+
+# Guards against an engine that begins a request which was sent too late after
+# the signal, because the host handled the signal late.
+@pytest.mark.parametrize('delay_s', [0.1, 0.5, 1.0])
+def test_a_host_that_is_late_admits_no_request_sent_after_the_late_callers(
+    delay_s,
+):
+    sent_at = 100.0
+    stop = make_stop(sent_at + delay_s)
+    after = sent_at + planned_stop.LATE_CALLERS_S
+    assert not stop.may_admit(after, after + 20.0, 0.1)
+
+
+@pytest.mark.parametrize('grace_s', [0.1, 0.6, 1.0, 2.0])
+def test_a_short_grace_period_leaves_the_times_in_order(grace_s):
+    stop = make_stop(grace_s=grace_s)
+    assert stop.started_at <= stop.refuses_at <= stop.closes_at <= stop.cut_at
+    assert stop.cut_at <= stop.started_at + grace_s
+
+
+def test_too_few_requests_support_no_prediction():
+    times = service_times.ServiceTimes()
+    for _ in range(service_times.MIN_SAMPLES - 1):
+        serve(times, 'llm', 10, 0.0, 1.0)
+    assert times.predict_s('llm', 10, 2.0) is None
+    serve(times, 'llm', 10, 0.0, 1.0)
+    assert times.predict_s('llm', 10, 2.0) == 1.0
+    assert times.predict_s('app', 10, 2.0) is None
+
+
+def test_a_prediction_grows_with_the_size_and_covers_most_requests():
+    times = service_times.ServiceTimes()
+    for number in range(100):
+        serve(times, 'llm', 10, 0.0, float(number))
+    assert math.isclose(times.predict_s('llm', 10, 0.0), 90.0)
+    assert math.isclose(times.predict_s('llm', 20, 0.0), 180.0)
+
+
+# Guards against predictions from the shortest requests alone, which end first.
+def test_requests_that_still_run_count_with_their_age():
+    times = service_times.ServiceTimes()
+    for _ in range(10):
+        serve(times, 'llm', 1, 0.0, 0.5)
+    keys = [times.begin('llm', 1, 0.0) for _ in range(10)]
+    assert times.predict_s('llm', 1, 6.0) == 6.0
+    for key in keys:
+        times.end(key)
+    assert times.predict_s('llm', 1, 6.0) == 0.5
+    assert times.running_count == 0
+
+
+def test_only_the_most_recent_requests_count():
+    times = service_times.ServiceTimes()
+    for _ in range(service_times.MAX_SAMPLES):
+        serve(times, 'llm', 1, 0.0, 9.0)
+    for _ in range(service_times.MAX_SAMPLES):
+        serve(times, 'llm', 1, 0.0, 1.0)
+    assert times.predict_s('llm', 1, 0.0) == 1.0
+
+
+def serve(times, service, size, began_at, took_s):
+    key = times.begin(service, size, began_at)
+    times.record_served(key, began_at + took_s)
+    times.end(key)
