Answer what comes while a host stops, and end once nothing is in flight

And a host that was asked without a pause stayed until the end of its grace period, since refused requests counted as in flight, and then cut off whatever had just been read.

Cause: closing idle connections was a state that also met connections opened later, whose first request had not arrived yet; and one count stood for all requests. The listening socket was closed with the process, which resets the connections that wait to be accepted.

Change: connections are accepted, and all requests answered 503 with the time to come back, until no admitted request is in flight, or 0.4 s before the cut. Then the listener closes, after what waits there has been accepted; each open connection may bring one request within 0.2 s; the process ends when all are closed. Options of a connection are set by its own task, so that an error there can't end the process.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -1,5 +1,7 @@
 """Admits requests and dispatches them to streams or plain services."""
 
+import trio
+
 from sardinebend_gateway import admission
 from sardinebend_gateway import calls
 from sardinebend_gateway import crashes
@@ -28,6 +30,7 @@
         crash_detector: crashes.CrashDetector,
     ) -> None:
         self.open_requests = 0
+        self._ended = trio.Event()
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
@@ -72,6 +75,8 @@
             # are cancelled raises a group of `Cancelled`.
             exchange.ending.close()
             self.open_requests -= 1
+            self._ended.set()
+            self._ended = trio.Event()
 
     async def _run(self, exchange: exchange_lib.Exchange) -> None:
         admitted = exchange.admitted
@@ -83,6 +88,11 @@
         if exchange.out.is_ended:
             await exchange.out.flush()
 
+    async def wait_idle(self) -> None:
+        """Waits until no admitted request is in progress."""
+        while self.open_requests:
+            await self._ended.wait()
+
     async def _refuse(
         self,
         facts: edges_lib.RequestFacts,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -198,12 +198,16 @@
         return state.catalog_age_s() < state.cfg.revoke_s
 
     async def _drain(self, stop: planned_stop.PlannedStop) -> None:
-        """Waits until no request is in flight or the grace period is over."""
+        """Waits until no request is in flight or the grace period is over.
+
+        Requests that come meanwhile are refused, and don't prolong the stop.
+        """
+        await trio.sleep_until(stop.refuses_at)
+        with trio.move_on_at(stop.closes_at):
+            await self._forwarder.wait_idle()
         with trio.move_on_at(stop.cut_at):
-            await trio.sleep_until(stop.refuses_at)
-            self.server.close_idle()
-            await self.server.wait_idle()
-        self.server.close()
+            self.server.close()
+            await self.server.wait_closed()
         self.state.audit.log(
             events.STOPPED,
             in_flight=self.server.in_flight,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -6,7 +6,6 @@
 connection is detected while the request is being served.
 """
 
-import errno
 import socket
 import struct
 import typing
@@ -29,6 +28,9 @@
 KEEPALIVE_PROBES: typing.Final = 2
 USER_TIMEOUT_MS: typing.Final = 4000
 ACCEPT_RETRY_S: typing.Final = 0.05
+# When a server closes, connections without a request in progress are kept for
+# this long: a caller may have sent one already.
+LAST_REQUEST_WAIT_S: typing.Final = 0.2
 LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 
 _AUDIT = audit.Audit()
@@ -82,6 +84,7 @@
     async def run(self) -> None:
         """Serves requests until either side closes."""
         try:
+            _set_options(self._stream.socket)
             while await self._serve_one():
                 self._conn.start_next_cycle()
                 self._early_bytes = 0
@@ -98,6 +101,7 @@
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
+            self._server.record_connection_end()
 
     async def _serve_one(self) -> bool:
         head = await self._read_head()
@@ -114,7 +118,7 @@
             self._log_fields = responder.log_fields
             await self._handle(req, responder)
         finally:
-            self._server.record_request_end()
+            self._server.in_flight -= 1
         if not responder.is_finished:
             raise errors.ConnectionAborted('answer aborted before its end')
         return (
@@ -279,9 +283,15 @@
         self.is_stopping = False
         self.handler = handler
         self.limits = limits
-        self._closing_idle = trio.Event()
-        self._ended = trio.Event()
-        self._socket: trio.socket.SocketType | None = None
+        self._connection_count = 0
+        self._connection_ended = trio.Event()
+        self._closing = trio.Event()
+        self._accept_scope = trio.CancelScope()
+        self._nursery: trio.Nursery | None = None
+        # Both are the listening socket. Only the first can be read without
+        # waiting.
+        self._socket: socket.socket | None = None
+        self._listener: trio.socket.SocketType | None = None
 
     @property
     def port(self) -> int:
@@ -290,37 +300,52 @@
 
     async def start(self, nursery: trio.Nursery, ip: str, port: int) -> None:
         """Binds the address and starts accepting connections."""
-        sock = trio.socket.socket()
+        sock = socket.socket()
+        sock.setblocking(False)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await sock.bind((ip, port))
+        listener = trio.socket.from_stdlib_socket(sock)
+        await listener.bind((ip, port))
         sock.listen(BACKLOG)
         self._socket = sock
-        nursery.start_soon(self._accept, nursery, sock)
+        self._listener = listener
+        self._nursery = nursery
+        nursery.start_soon(self._accept, listener)
 
     def begin_stop(self) -> None:
         """Makes answers tell callers to close their connections."""
         self.is_stopping = True
 
-    def close_idle(self) -> None:
-        """Closes connections without a request in progress."""
-        self._closing_idle.set()
+    def record_connection_end(self) -> None:
+        """Records that a connection has been closed."""
+        self._connection_count -= 1
+        self._connection_ended.set()
+        self._connection_ended = trio.Event()
 
-    def record_request_end(self) -> None:
-        """Records that a request has ended."""
-        self.in_flight -= 1
-        self._ended.set()
-        self._ended = trio.Event()
-
-    async def wait_idle(self) -> None:
-        """Waits until no request is in progress."""
-        while self.in_flight:
-            await self._ended.wait()
+    async def wait_closed(self) -> None:
+        """Waits until all connections have been closed."""
+        while self._connection_count:
+            await self._connection_ended.wait()
 
     def close(self) -> None:
-        """Stops accepting connections."""
-        if self._socket is not None:
-            self._socket.close()
+        """Stops accepting connections and closes those that are idle.
+
+        Connections that wait to be accepted are accepted first, since closing
+        the listening socket would reset them. Each idle connection may still
+        bring one request.
+        """
+        self.begin_stop()
+        self._closing.set()
+        self._accept_scope.cancel()
+        if self._socket is None or self._listener is None:
+            return
+        while True:
+            try:
+                conn, _ = self._socket.accept()
+            except OSError:
+                break
+            self._serve(trio.socket.from_stdlib_socket(conn))
+        self._listener.close()
 
     async def receive_unless_closing(
         self, receive: typing.Callable[[], typing.Awaitable[bytes]]
@@ -328,13 +353,14 @@
         """Receives bytes of the next request.
 
         Returns:
-            The bytes; empty if idle connections are being closed.
+            The bytes; empty if the server closes.
         """
         data = b''
         async with trio.open_nursery() as nursery:
 
             async def watch() -> None:
-                await self._closing_idle.wait()
+                await self._closing.wait()
+                await trio.sleep(LAST_REQUEST_WAIT_S)
                 nursery.cancel_scope.cancel()
 
             nursery.start_soon(watch)
@@ -342,24 +368,23 @@
             nursery.cancel_scope.cancel()
         return data
 
-    async def _accept(
-        self, nursery: trio.Nursery, sock: trio.socket.SocketType
-    ) -> None:
-        while True:
-            try:
-                conn, _ = await sock.accept()
-            except OSError as exc:
-                if exc.errno in (errno.EBADF, errno.EINVAL):
-                    return
-                # Out of file descriptors, or the caller disconnected before
-                # the accept.
-                await trio.sleep(ACCEPT_RETRY_S)
-                continue
-            except trio.ClosedResourceError:
-                return
-            _set_options(conn)
-            caller = _CallerConnection(self, trio.SocketStream(conn))
-            nursery.start_soon(caller.run)
+    async def _accept(self, listener: trio.socket.SocketType) -> None:
+        with self._accept_scope:
+            while True:
+                try:
+                    conn, _ = await listener.accept()
+                except OSError:
+                    # Out of file descriptors, or the caller disconnected
+                    # before the accept.
+                    await trio.sleep(ACCEPT_RETRY_S)
+                    continue
+                self._serve(conn)
+
+    def _serve(self, conn: trio.socket.SocketType) -> None:
+        assert self._nursery is not None
+        self._connection_count += 1
+        caller = _CallerConnection(self, trio.SocketStream(conn))
+        self._nursery.start_soon(caller.run)
 
 
 def _set_options(conn: trio.socket.SocketType) -> None:
--- a/tests/cover/test_gateway_closing.py
+++ b/tests/cover/test_gateway_closing.py
@@ -2,9 +2,14 @@
 
 import trio
 
+from sardinebend_gateway import http_server
+from sardinebend_policy import catalog
+from sardinebend_policy import planned_stop
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
 
+REFUSING_S = planned_stop.LATE_CALLERS_S + 0.1
+
 
 def stream_script(duration_s):
     """Returns a script of a server that streams an event each 0.1 s."""
@@ -34,10 +39,112 @@
         )
 
     world.nursery.start_soon(ask)
-    while not world.gateway.server.in_flight:
+    while not world.gateway.state.service_times.running_count:
         await trio.sleep(0.01)
 
 
+# Guards against new connections that a stopping host closes unread, since the
+# caller can't tell that nothing ran.
+async def test_a_request_on_a_new_connection_is_refused_while_streams_end(
+    clock,
+):
+    answers = []
+    engines = world_lib.engines((0, 4), script=stream_script(5.0))
+    async with world_lib.running(*engines) as world:
+        await begin_stream(world, answers)
+        world.gateway.begin_stop()
+        await trio.sleep(REFUSING_S)
+        async with await world.connect() as stream:
+            await trio.sleep(0.1)
+            await stream.send_all(world_lib.make_request(request_id='late'))
+            status, headers, _, is_whole = await world_lib.read_answer(stream)
+        assert (status, is_whole) == (503, True)
+        assert headers['connection'] == 'close'
+        assert 'retry-after' in headers
+        while not answers:
+            await trio.sleep(0.01)
+    assert answers[0][0] == 200
+    assert answers[0][3]
+
+
+# Guards against kept connections that a stopping host closes while their next
+# request is on its way.
+async def test_a_request_on_a_kept_connection_is_refused_while_streams_end(
+    clock,
+):
+    answers = []
+    engines = world_lib.engines((0, 4), script=stream_script(5.0))
+    app = world_lib.Server('app-1', 'app')
+    async with world_lib.running(app, *engines) as world:
+        await begin_stream(world, answers)
+        async with await world.connect() as stream:
+            await stream.send_all(world_lib.make_request(request_id='first'))
+            assert (await world_lib.read_answer(stream))[0] == 200
+            world.gateway.begin_stop()
+            # The limit for idle connections is 2 s.
+            await trio.sleep(1.9)
+            await stream.send_all(world_lib.make_request(request_id='second'))
+            second = await world_lib.read_answer(stream)
+        assert second[0] == 200
+        assert second[1]['connection'] == 'close'
+        async with await world.connect() as stream:
+            await trio.sleep(1.9)
+            await stream.send_all(world_lib.make_request(request_id='third'))
+            assert (await world_lib.read_answer(stream))[0] == 503
+    assert len(app.requests) == 2
+
+
+# Guards against a host that refuses requests until its grace period ends and
+# so starts again later than it could.
+async def test_refused_requests_do_not_prolong_a_planned_stop(clock):
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, [world_lib.Server('app-1', 'app')])
+        await world.start()
+        ended = trio.Event()
+
+        async def ask_again_and_again():
+            while True:
+                await trio.sleep(0.01)
+                try:
+                    await world.ask()
+                except OSError:
+                    ended.set()
+                    return
+
+        for _ in range(4):
+            nursery.start_soon(ask_again_and_again)
+        began_at = trio.current_time()
+        world.gateway.begin_stop()
+        await ended.wait()
+        assert trio.current_time() - began_at < REFUSING_S + 1.0
+        nursery.cancel_scope.cancel()
+
+
+# Guards against connections that are reset because they weren't accepted yet
+# when the host stopped accepting.
+async def test_connections_that_wait_to_be_accepted_are_still_served(nursery):
+    async def handle(req, out):
+        await out.answer(503, [], b'')
+
+    server = http_server.Server(handle, catalog.Limits)
+    await server.start(nursery, world_lib.IP, 0)
+    streams = []
+    port = server.port
+    for _ in range(5):
+        # Connects without letting the server accept.
+        sock = world_lib.socket.socket()
+        sock.connect((world_lib.IP, port))
+        sock.sendall(world_lib.make_request())
+        sock.setblocking(False)
+        streams.append(trio.SocketStream(trio.socket.from_stdlib_socket(sock)))
+    server.close()
+    for stream in streams:
+        async with stream:
+            assert (await world_lib.read_answer(stream))[0] == 503
+    with trio.fail_after(5):
+        await server.wait_closed()
+
+
 class FailingFeeds(feeds.MemoryFeeds):
     """A store whose writes raise an unexpected error when told to."""
 
