Count a crash also if the probe is reset while it connects

Cause: an ending process may close its streams before its listener. The probe that follows the broken stream is then still taken, or is reset while it connects. The first counted as inconclusive and was repeated; the second, a failed connect that isn't refused, was taken for silence, which is no evidence. So the second crash wasn't counted at the first host, nobody was told, and the engines that were left unhealthy gave no route.

A connect whose listener closes under it ends with ECONNRESET.

Change: a probe that fails before its time limit without a refusal is repeated, whether it was reset while connecting or later. Time-outs are as before.

Failing before: test_a_connect_that_is_reset_by_an_ending_process_shows_a_crash (a real listener in one process) and one more case of test_a_crash_is_detected_after_a_first_inconclusive_probe.

--- a/packages/sardinebend-router/src/sardinebend_router/probing.py
+++ b/packages/sardinebend-router/src/sardinebend_router/probing.py
@@ -24,11 +24,11 @@
     """Returns an endpoint's health, or the error of the last probe.
 
     Two answers are inconclusive, since they don't distinguish a crash from an
-    endpoint that is merely silent: a process that is ending may still accept a
-    connection, which is then reset; and a host that got no processor time sees
-    a refused connection only after the time-out. Both are probed again,
-    because the request behind a crash that isn't counted may crash one more
-    endpoint.
+    endpoint that is merely silent: an ending process may close its streams
+    before its listener, so that a connection is still taken, or being opened,
+    when it is reset; and a host that got no processor time sees a refused
+    connection only after the time-out. Both are probed again, because the
+    request behind a crash that isn't counted may crash one more endpoint.
     """
     for _ in range(MAX_PROBES):
         started_at = trio.current_time()
@@ -59,7 +59,5 @@
         return False
     if getattr(answer, 'refused', False):
         return False
-    was_reset = isinstance(answer, platform_errors.ExchangeFailed)
-    return took_s > DELAY_FACTOR * timeout_s or (
-        was_reset and took_s < timeout_s
-    )
+    has_failed_early = took_s < timeout_s
+    return has_failed_early or took_s > DELAY_FACTOR * timeout_s
--- a/packages/sardinebend-router/tests/cover/test_probing.py
+++ b/packages/sardinebend-router/tests/cover/test_probing.py
@@ -3,13 +3,16 @@
 import pytest
 import trio
 
+from sardinebend_policy import fleet as fleet_lib
 from sardinebend_router import engines
 from sardinebend_router import probing
 from sardinebend_store import errors
+from tests.common import ending_listener
 
 REFUSED = errors.ConnectFailed('connection refused', refused=True)
 SILENT = errors.ConnectFailed('TooSlowError')
 RESET = errors.ExchangeFailed('reset')
+CONNECT_RESET = errors.ConnectFailed('ConnectionResetError')
 TIMEOUT_S = 0.5
 
 
@@ -37,7 +40,8 @@
 
 
 @pytest.mark.parametrize(
-    'inconclusive', [(0.0, RESET), (0.9, SILENT), (0.9, RESET)]
+    'inconclusive',
+    [(0.0, RESET), (0.0, CONNECT_RESET), (0.9, SILENT), (0.9, RESET)],
 )
 async def test_a_crash_is_detected_after_a_first_inconclusive_probe(
     inconclusive, autojump_clock
@@ -82,3 +86,15 @@
     dead_endpoint, answers_left = await probe_and_evaluate(*[(0.0, RESET)] * 5)
     assert dead_endpoint is not None
     assert answers_left == 5 - probing.MAX_PROBES
+
+
+# A crash was taken for silence, so that the request that caused it was refused
+# for want of a route, at every host, instead of as quarantined.
+async def test_a_connect_that_is_reset_by_an_ending_process_shows_a_crash():
+    with ending_listener.run() as ending:
+        fleet = fleet_lib.Fleet()
+        url = f'http://127.0.0.1:{ending.port}'
+        fleet.apply_specs([fleet_lib.EndpointSpec('e', url, 'd')])
+        driver = engines.ForwardingDriver(fleet)
+        answer = await probing.probe(driver, 'e', TIMEOUT_S)
+    assert probing.find_death('e', 'one', answer).crashed
