Take a late answer to one crash report for no answer to the next

Callers could see: a resend at a peer that knows of one crash only, which there costs one more engine or is refused for want of a route.

Cause: a request waits for its peers 0.5 s after each crash. The event that ends the wait didn't say which report it belongs to. An answer to the first report that came later than 0.5 s ended the wait for the second one.

Change: reports and their answers carry the attempt, so that a late one is dropped as any event of an earlier attempt is.

Failing before: test_a_late_answer_to_the_first_crash_report_is_none_to_the_second (session and runner on the virtual clock). The other tests name the attempt now; what they check is the same.

--- a/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
@@ -147,7 +147,9 @@
 
 
 class CrashesReported(typing.NamedTuple):
-    """All reachable peers have acknowledged the crash report."""
+    """All reachable peers have answered an attempt's crash report."""
+
+    attempt: int
 
 
 class TimerDue(typing.NamedTuple):
@@ -230,8 +232,14 @@
 
 
 class ReportCrashes(typing.NamedTuple):
-    """Report crashes to all peers, then post `CrashesReported`."""
+    """Report crashes to all peers, then post `CrashesReported`.
+
+    Attributes:
+        attempt: The attempt during which the last of them was seen.
+        crashes: All crashes of the request.
+    """
 
+    attempt: int
     crashes: tuple[quarantine.Crash, ...]
 
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -323,7 +323,7 @@
         return [
             *actions,
             # All of them: a peer may have missed an earlier report.
-            msg.ReportCrashes(self._crashes),
+            msg.ReportCrashes(self.attempt, self._crashes),
             msg.SetTimer(msg.Timer('notify'), notify_until),
         ]
 
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -82,7 +82,7 @@
     st.builds(msg.Finished, ATTEMPTS, st.integers(0, 6)),
     st.builds(msg.StreamBroken, ATTEMPTS),
     st.builds(msg.Probed, ATTEMPTS, st.lists(DEAD, max_size=2).map(tuple)),
-    st.just(msg.CrashesReported()),
+    st.builds(msg.CrashesReported, ATTEMPTS),
     st.builds(
         lambda name: msg.TimerDue(msg.Timer(name)),
         st.sampled_from(['stall', 'retry', 'notify', 'deadline']),
@@ -194,7 +194,7 @@
     actions = session.handle(msg.Probed(1, (dead,)), 1.1)
     assert any(isinstance(action, msg.ReportCrashes) for action in actions)
     assert not any(isinstance(action, msg.Connect) for action in actions)
-    [probe] = session.handle(msg.CrashesReported(), 1.2)
+    [probe] = session.handle(msg.CrashesReported(1), 1.2)
     assert isinstance(probe, msg.ProbeStages)
     [connect] = session.handle(msg.Probed(2, ()), 1.3)
     assert isinstance(connect, msg.Connect)
@@ -208,7 +208,7 @@
         session.handle(msg.StreamBroken(attempt), 1.0)
         dead = msg.DeadEndpoint(endpoint, 'i', crashed=True)
         session.handle(msg.Probed(attempt, (dead,)), 1.1)
-        session.handle(msg.CrashesReported(), 1.2)
+        session.handle(msg.CrashesReported(attempt), 1.2)
         session.handle(msg.Probed(attempt + 1, ()), 1.25)
         session.handle(msg.Connected(attempt + 1), 1.3)
     assert session.outcome.reason is outcomes.Reason.QUARANTINED
@@ -226,7 +226,7 @@
     session.handle(msg.StreamBroken(1), 1.0)
     first = msg.DeadEndpoint('e0a', 'i', crashed=True)
     session.handle(msg.Probed(1, (first,)), 1.1)
-    session.handle(msg.CrashesReported(), 1.2)
+    session.handle(msg.CrashesReported(1), 1.2)
     advance_to_second_order(session, 1.3)
     session.handle(msg.StreamBroken(2), 1.4)
     second = msg.DeadEndpoint('e0b', 'i', crashed=True)
@@ -235,7 +235,7 @@
     # A peer that missed the first report learns of both crashes.
     assert len(report.crashes) == 2
     assert session.outcome is None
-    session.handle(msg.CrashesReported(), 1.6)
+    session.handle(msg.CrashesReported(2), 1.6)
     assert session.outcome.reason is outcomes.Reason.QUARANTINED
 
 
@@ -264,7 +264,7 @@
         dead = msg.DeadEndpoint(shared_endpoint, 'i', crashed=True)
         session.handle(msg.Probed(1, (dead,)), 1.1)
     for session in (crashing, harmless):
-        session.handle(msg.CrashesReported(), 1.2)
+        session.handle(msg.CrashesReported(1), 1.2)
         advance_to_second_order(session, 1.3)
     common_endpoints = set(crashing.route.endpoint_ids) & set(
         harmless.route.endpoint_ids
@@ -303,7 +303,7 @@
     session.handle(msg.StreamBroken(1), 1.0)
     first = msg.DeadEndpoint('e0a', 'i', crashed=True)
     session.handle(msg.Probed(1, (first,)), 1.1)
-    session.handle(msg.CrashesReported(), 1.2)
+    session.handle(msg.CrashesReported(1), 1.2)
     second = msg.DeadEndpoint('e2a', 'i', crashed=True)
     [_, probe] = session.handle(msg.Probed(2, (second,)), 1.3)
     assert isinstance(probe, msg.ProbeStages)
@@ -337,7 +337,7 @@
         session.handle(msg.StreamBroken(1), 1.0)
         session.handle(msg.Probed(1, (dead,)), 1.1)
     for session in sessions:
-        [probe] = session.handle(msg.CrashesReported(), 1.2)
+        [probe] = session.handle(msg.CrashesReported(1), 1.2)
         assert isinstance(probe, msg.ProbeStages)
 
 
--- a/packages/sardinebend-router/src/sardinebend_router/drafting.py
+++ b/packages/sardinebend-router/src/sardinebend_router/drafting.py
@@ -198,7 +198,7 @@
 
     async def _report_to_peers(self, action: msg.ReportCrashes) -> None:
         await self._report_crashes(action.crashes)
-        self.post(msg.CrashesReported())
+        self.post(msg.CrashesReported(action.attempt))
 
     def _deliver(self, action: msg.Deliver) -> None:
         self.answer.add(action.text)
--- /dev/null
+++ b/packages/sardinebend-router/tests/cover/test_drafting.py
@@ -0,0 +1,120 @@
+"""Tests what a draft's caller is told, and when, after its engines crash."""
+
+import random
+
+import trio
+
+from sardinebend_policy import draft_messages as msg
+from sardinebend_policy import drafts
+from sardinebend_policy import membership
+from sardinebend_policy import outcomes
+from sardinebend_policy import routes
+from sardinebend_router import drafting
+from sardinebend_router import engines
+from sardinebend_router import state as state_lib
+from sardinebend_settings import tree as tree_lib
+from sardinebend_store import errors as platform_errors
+
+LAYERS = 2
+SPEC = routes.ModelSpec('tide', '1', LAYERS)
+REQUEST = msg.DraftRequest('r', 'vanua', 'f', SPEC, 'p', 4, 100.0)
+SUSPICION_WAIT_S = 0.5
+
+
+class CrashingPipeline(engines.OpenPipeline):
+    """A connection to an engine that crashes when it gets an order."""
+
+    def __init__(self, crashed):
+        self._crashed = crashed
+
+    async def run(self, order, post):
+        self._crashed.add(order.send.route.endpoint_ids[0])
+        post(msg.StreamBroken(order.send.attempt))
+
+    async def close(self):
+        pass
+
+
+class CrashingDriver(engines.PipelineDriver):
+    """Engines of which each crashes when it gets an order."""
+
+    def __init__(self):
+        self.crashed = set()
+
+    async def connect(self, route, timeout_s):
+        return CrashingPipeline(self.crashed)
+
+    async def probe(self, endpoint_id, timeout_s):
+        if endpoint_id in self.crashed:
+            return platform_errors.ConnectFailed(endpoint_id, refused=True)
+        return {'incarnation': 'i'}
+
+    async def cancel(self, endpoint_id, request_id, attempt):
+        return True
+
+    async def _unused(self, *args):
+        raise NotImplementedError
+
+    fetch_load = order = _unused
+
+    async def close(self):
+        pass
+
+
+class Peers:
+    """Peers that answer each crash report after a delay."""
+
+    def __init__(self, *delays_s):
+        self._delays_s = list(delays_s)
+        self.reported = 0
+        self.answered = 0
+
+    async def report(self, crashes):
+        delay_s = self._delays_s[self.reported]
+        self.reported += 1
+        await trio.sleep(delay_s)
+        self.answered += 1
+
+
+def make_state():
+    endpoint = {
+        'url': 'http://e',
+        'failure_domain': 'd',
+        'role': 'engine',
+        'model': 'tide',
+        'model_version': '1',
+        'first_layer': 0,
+        'end_layer': LAYERS,
+    }
+    endpoints = {f'e{number}': endpoint for number in range(3)}
+    return state_lib.HostState(
+        membership.Member('h', 'd', 'http://h', 'h'),
+        'r',
+        tree_lib.Tree.from_document({'endpoints': endpoints}),
+        b'secret',
+        random.Random(1),
+    )
+
+
+async def run_crashing_draft(peers):
+    state = make_state()
+    cfg = msg.DraftConfig(suspicion_wait_s=SUSPICION_WAIT_S)
+    session = drafts.DraftSession(REQUEST, cfg, state.drafts)
+    runner = drafting.DraftSessionRunner(
+        session, state, CrashingDriver(), peers.report, (1.0, 1.0)
+    )
+    await runner.run(msg.Started())
+    return runner.answer.outcome
+
+
+# A late answer to the first report ended the wait for the answer to the second
+# one, so that the caller's resend reached peers that knew of one crash only.
+async def test_a_late_answer_to_the_first_crash_report_is_none_to_the_second(
+    autojump_clock,
+):
+    first_s = SUSPICION_WAIT_S + 0.2
+    second_s = 0.4
+    peers = Peers(first_s, second_s)
+    outcome = await run_crashing_draft(peers)
+    assert outcome.reason is outcomes.Reason.QUARANTINED
+    assert (peers.reported, peers.answered) == (2, 2)
