Send reports to peers again when their connection breaks

Callers could see: a resend at a peer that missed the report of a crash.

Cause: calls to a peer share a connection, and a call that times out closes it. A crash report beside a heartbeat that timed out failed with it, and counted as done: reports were sent once.

Change: crash reports and leaving notices are sent up to three times, 0.1 s apart, within the second that one call may take, so that a lookup waits no longer than before for a peer that is silent. For a peer that refuses connections it waits 0.3 s, until that peer no longer counts as live.

Failing before: test_a_crash_report_is_repeated_when_its_connection_breaks, for one and two failures.

--- a/packages/sardinebend-router/src/sardinebend_router/peering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/peering.py
@@ -19,6 +19,10 @@
 HEARTBEAT_S: typing.Final = 1.0
 CALL_TIMEOUT_S: typing.Final = 1.0
 SETTINGS_TIMEOUT_S: typing.Final = 5.0
+# How often a report is sent to a peer that doesn't answer it, and the pause
+# before it is sent again.
+MAX_REPORTS: typing.Final = 3
+REPORT_PAUSE_S: typing.Final = 0.1
 
 
 class Peering:
@@ -235,11 +239,27 @@
         now = trio.current_time()
         async with trio.open_nursery() as nursery:
             for member in self._state.membership.list_live(now):
-                nursery.start_soon(
-                    self._try_call, member, message, CALL_TIMEOUT_S
-                )
+                nursery.start_soon(self._report, member, message)
         done.set()
 
+    async def _report(
+        self, member: membership.Member, message: messages.Message
+    ) -> None:
+        """Sends a report until the peer answers, a few times at most.
+
+        A link that another call closes, such as a heartbeat that timed out,
+        takes the report with it. All sends together take as long as one may.
+        """
+        deadline = trio.current_time() + CALL_TIMEOUT_S
+        for _ in range(MAX_REPORTS):
+            left_s = deadline - trio.current_time()
+            if left_s <= 0:
+                return
+            reply = await self._try_call(member, message, left_s)
+            if reply is not None:
+                return
+            await trio.sleep(REPORT_PAUSE_S)
+
     async def close(self) -> None:
         """Closes all links."""
         for link in self._links.values():
