Check a service more than once before its crash is ruled out

Callers could see: a lookup that crashes services went on to crash more than two.

Cause: as with the probes of engines, an ending process may close its streams before its listener. A lookup's endpoint was checked by one connect, and counted as live if the connect was taken, or reset.

Change: up to three connects, 0.02 s apart; a refused one shows the crash.

Failing before: all three cases of test_a_crash_counts_if_the_ending_process_still_takes_a_connection.

--- a/packages/sardinebend-router/src/sardinebend_router/service_crashes.py
+++ b/packages/sardinebend-router/src/sardinebend_router/service_crashes.py
@@ -14,6 +14,11 @@
 # On a working network a listening process accepts a connection within a few ms.
 # A time-out is no evidence of a crash; only a refused connection is.
 PROBE_TIMEOUT_S: typing.Final = 0.3
+# An ending process may close its streams before its listener, which then takes
+# a connection or resets it as it opens. So an endpoint is checked more than
+# once before it counts as live.
+MAX_CHECKS: typing.Final = 3
+CHECK_PAUSE_S: typing.Final = 0.02
 
 ReportCrashes = typing.Callable[
     [tuple[quarantine.Crash, ...]], typing.Awaitable[None]
@@ -63,15 +68,24 @@
         self, endpoint_id: str, run: quarantine.Run
     ) -> None:
         """Records a crash if an endpoint that did not answer has ended."""
+        until = trio.current_time() + PROBE_TIMEOUT_S
+        for _ in range(MAX_CHECKS):
+            if await self._is_refused(endpoint_id):
+                await self._record_crash(endpoint_id, run)
+                return
+            if trio.current_time() >= until:
+                return
+            await trio.sleep(CHECK_PAUSE_S)
+
+    async def _is_refused(self, endpoint_id: str) -> bool:
         try:
             connection = await self._client.connect(
                 endpoint_id, PROBE_TIMEOUT_S
             )
         except platform_errors.ConnectFailed as exc:
-            if exc.refused:
-                await self._record_crash(endpoint_id, run)
-            return
+            return exc.refused
         await connection.close()
+        return False
 
     async def _record_crash(
         self, endpoint_id: str, run: quarantine.Run
--- a/packages/sardinebend-router/tests/cover/test_crashing_calls.py
+++ b/packages/sardinebend-router/tests/cover/test_crashing_calls.py
@@ -1,11 +1,20 @@
 """Tests of the quarantine of calls that crash plain service endpoints."""
 
+import random
+
+import pytest
 import trio
 
+from sardinebend_policy import membership
+from sardinebend_policy import quarantine
 from sardinebend_router import embedded
+from sardinebend_router import service_crashes
 from sardinebend_router import services
+from sardinebend_router import state as state_lib
+from sardinebend_settings import tree as tree_lib
 from sardinebend_store import errors as platform_errors
 from tests.common import embedded_host as eh
+from tests.common import ending_listener
 
 LOOKUP = '/v1/services/bookings/lookup'
 CRASHING_BODY = b'{"fatal": 1}'
@@ -66,3 +75,36 @@
             assert body['outcome'] == 'not_run'
             status, _, _ = await eh.ask(host, LOOKUP, b'{}')
     assert status == 200
+
+
+# The crash of a service whose listener outlives its streams by a moment wasn't
+# counted, so that the call behind it went on to crash others.
+@pytest.mark.parametrize('waits', [0, 1, 4])
+async def test_a_crash_counts_if_the_ending_process_still_takes_a_connection(
+    waits,
+):
+    reported = []
+
+    async def report(crashes):
+        reported.extend(crashes)
+
+    with ending_listener.run(waits) as ending:
+        endpoint = {
+            'url': f'http://127.0.0.1:{ending.port}',
+            'failure_domain': 'd',
+            'role': 'service',
+            'service': 's',
+        }
+        tree = tree_lib.Tree.from_document(
+            {
+                'services': {'s': {'operations': {}}},
+                'endpoints': {'e': endpoint},
+            }
+        )
+        own = membership.Member('h', 'd', 'http://h', 'h')
+        state = state_lib.HostState(own, 'r', tree, b'x', random.Random(1))
+        client = services.HttpServiceClient(state.fleet)
+        crashes = service_crashes.ServiceCrashes(state, client, report)
+        run = quarantine.Run('f', 'r/1')
+        await crashes.check_endpoint('e', run)
+    assert [crash.runs for crash in reported] == [frozenset({run})]
