Fail to connect to an address that is none as to any other

A listing with an address such as 10.0.0.1:99999 made `Origin` raise a ValueError, which no caller expects: requests to the service ended with a failed handler, and the task that sends orders to engines ended again and again, so that the host reported that it wasn't ready. A host name that can't be encoded did the same while connecting. Port 0 was taken for 80.

Cause: the URL was parsed outside of what callers treat as connecting.

An `Origin` of an invalid URL now fails to connect, with `ConnectFailed`; a peer's address that can't be parsed is `PeerUnreachable`.

--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -255,7 +255,13 @@
 
     async def _connect(self) -> FrameStream:
         host, _, port = self._address.rpartition(':')
-        stream: trio.abc.Stream = await trio.open_tcp_stream(host, int(port))
+        try:
+            stream: trio.abc.Stream = await trio.open_tcp_stream(
+                host, int(port)
+            )
+        except (ValueError, OverflowError) as exc:
+            # The address came from another program.
+            raise errors.PeerUnreachable('not an address') from exc
         if self._tls is not None:
             stream = trio.SSLStream(stream, self._tls, server_hostname=host)
         frames = FrameStream(stream)
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -19,6 +19,7 @@
 
 MAX_IDLE_CONNECTIONS: typing.Final = 8
 MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
+MAX_QUOTED_CHARS: typing.Final = 80
 IDLE_TIMEOUT_S: typing.Final = 20.0
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
 # A server usually sends at most one, while a request takes long.
@@ -208,15 +209,33 @@
     """
 
     def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
-        parts = urllib.parse.urlsplit(url)
-        self.url = f'{parts.scheme}://{parts.netloc}'
-        self.host_header = parts.netloc.encode()
-        self._secure = parts.scheme == 'https'
-        self._host = parts.hostname or ''
-        self._port = parts.port or (443 if self._secure else 80)
+        self.url = url
+        self.host_header = b''
+        self._secure = False
+        self._host = ''
+        self._port = 0
+        self._parse_url()
         self._tls = tls
         self._idle: list[tuple[float, Connection]] = []
 
+    def _parse_url(self) -> None:
+        """Sets the parts of the URL; an invalid one leaves no host."""
+        try:
+            parts = urllib.parse.urlsplit(self.url)
+            secure = parts.scheme == 'https'
+            port = parts.port
+            host_header = parts.netloc.encode()
+        except ValueError:
+            # The URL may have come from another program. `connect` fails.
+            return
+        if port == 0:
+            return
+        self.url = f'{parts.scheme}://{parts.netloc}'
+        self.host_header = host_header
+        self._secure = secure
+        self._host = parts.hostname or ''
+        self._port = port or (443 if secure else 80)
+
     def make_url(self, target: str | bytes) -> httpcore.URL:
         """Returns the URL of a path and query, without normalising them."""
         return httpcore.URL(
@@ -237,6 +256,10 @@
         Raises:
             errors.ConnectFailed: Connecting failed; nothing was sent.
         """
+        if not self._host:
+            raise errors.ConnectFailed(
+                f'{self.url[:MAX_QUOTED_CHARS]!r} is not the URL of a host'
+            )
         backend = httpcore.TrioBackend()
         try:
             with trio.fail_after(timeout_s):
@@ -244,7 +267,8 @@
                 if self._secure:
                     context = self._tls or ssl.create_default_context()
                     stream = await stream.start_tls(context, self._host)
-        except (*_CONNECTION_ERRORS, trio.TooSlowError) as exc:
+        # A `ValueError` is a host name that can't be encoded.
+        except (*_CONNECTION_ERRORS, trio.TooSlowError, ValueError) as exc:
             text = f'{self.url}: {format_exception(exc)}'
             raise errors.ConnectFailed(
                 text, is_connection_refused(exc)
