Replace a lease row that can't be read after the lease's duration

An unreadable lease row counted as no row at all. Each attempt to take the lease then expected that there was no row, was refused, and was repeated four times a second; nobody sent orders to engines for as long as the row was there. It also was no reason to wait for its holder.

A row that can't be read is now known by its version: hosts wait for the duration of a lease and then replace just that version.

Failed before: test_a_lease_row_that_cannot_be_read_is_replaced_after_its_duration.

--- a/packages/sardinebend-policy/src/sardinebend_policy/lease.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/lease.py
@@ -68,6 +68,9 @@
     def observe(self, row: LeaseRow | None, version: int, now: float) -> None:
         """Records the row and version that were read.
 
+        A row that can't be read is `None` with its version; an absent one has
+        version 0.
+
         A holder whose row is lost or replaced stops at once.
         """
         if row is None or row['holder'] != self._holder:
@@ -94,10 +97,13 @@
         fencing = max(lowest, self._highest_fencing) + 1
         is_waiting = now - self._version_seen_at < self._duration_s
         if self._row is None:
-            if is_waiting and self._highest_fencing:
-                # The row is lost, but its holder may not know that yet.
+            if is_waiting and (self._highest_fencing or self._version):
+                # The row is lost or unreadable, but its holder may not know
+                # that yet.
                 return None
-            return Attempt({'holder': self._holder, 'fencing': fencing}, 0)
+            return Attempt(
+                {'holder': self._holder, 'fencing': fencing}, self._version
+            )
         if self._row['holder'] == self._holder and (
             self._row['fencing'] >= lowest
         ):
--- a/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
+++ b/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
@@ -73,6 +73,16 @@
     assert again.row['fencing'] > first.row['fencing']
 
 
+def test_a_lease_row_that_cannot_be_read_is_replaced_after_its_duration():
+    # Guards against a lease that nobody can take, with a write each moment
+    # that expects no row although there is one.
+    lease = lease_lib.Lease('b', DURATION_S)
+    lease.observe(None, 7, 0.0)
+    assert lease.next_attempt(9.9) is None
+    attempt = lease.next_attempt(10.0)
+    assert attempt == ({'holder': 'b', 'fencing': 1}, 7)
+
+
 def make_engine(name, span, observed=OLD, desired=NEW, checks=True):
     return orders.Engine(name, span, desired, observed, checks)
 
