--- a/packages/sardinebend-store/src/sardinebend_store/__init__.py
+++ b/packages/sardinebend-store/src/sardinebend_store/__init__.py
@@ -2,6 +2,7 @@
 
 from sardinebend_store import batching
 from sardinebend_store import connections
+from sardinebend_store import documents
 from sardinebend_store import errors
 from sardinebend_store import feeds
 from sardinebend_store import memory
@@ -11,6 +12,7 @@
 __all__ = [
     'batching',
     'connections',
+    'documents',
     'errors',
     'feeds',
     'memory',
--- a/packages/sardinebend-store/src/sardinebend_store/errors.py
+++ b/packages/sardinebend-store/src/sardinebend_store/errors.py
@@ -66,3 +66,10 @@
 
 class BadReply(PlatformError):
     """Raised when a service's reply violates its protocol."""
+
+
+class MalformedDocument(PlatformError):
+    """Raised when JSON of another program can't be read or has another shape.
+
+    Skip it; what was known before stays in force.
+    """
--- a/packages/sardinebend-store/src/sardinebend_store/feeds.py
+++ b/packages/sardinebend-store/src/sardinebend_store/feeds.py
@@ -23,6 +23,7 @@
 
 # The counter takes the lower bits of a version.
 _COUNTER_BITS: typing.Final = 48
+MAX_COUNTER: typing.Final = (1 << _COUNTER_BITS) - 1
 
 
 def make_version(era: int, counter: int) -> int:
--- a/packages/sardinebend-store/src/sardinebend_store/remote.py
+++ b/packages/sardinebend-store/src/sardinebend_store/remote.py
@@ -13,6 +13,7 @@
 import trio
 
 from sardinebend_store import connections
+from sardinebend_store import documents
 from sardinebend_store import errors
 from sardinebend_store import store
 
@@ -315,6 +316,6 @@
 
 def _decode(body: bytes, expected_type: typing.Any) -> typing.Any:
     try:
-        return result.Ok(msgspec.json.decode(body, type=expected_type))
-    except msgspec.MsgspecError as exc:
+        return result.Ok(documents.decode(body, expected_type))
+    except errors.MalformedDocument as exc:
         return result.Err(errors.Unavailable(f'malformed reply: {exc}'))
