--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -21,6 +21,8 @@
 MAX_DATAGRAM_BYTES: typing.Final = 65536
 # More loads would make a datagram that networks fragment.
 MAX_REPORTED_LOADS: typing.Final = 40
+# The field has 32 bits.
+MAX_CROSSING_TOKENS: typing.Final = 2**31 - 1
 # Shortest time between heartbeats, however much there is to report.
 MIN_INTERVAL_S: typing.Final = 0.05
 
@@ -97,7 +99,7 @@
                 for name in largest
             ),
             self._members.liveness.digest(now, len(self._members.peers())),
-            int(inflight.crossings.read(now)),
+            min(MAX_CROSSING_TOKENS, int(inflight.crossings.read(now))),
             tuple(
                 messages.CrashReport(crash.crash_id, crash.runs)
                 for crash in self._quarantine.recent()
