Keep an odd row or answer from ending a host of the product

A row of the settings without its fields raised a KeyError, and a report, health answer or stream line nested 100,000 deep a RecursionError. Neither was caught, and background tasks of these hosts share a nursery, so the process ended.

An odd row now makes the settings unavailable, so that those in force stay; an odd answer counts as none. A node that can't be read isn't left out: its setting would silently have its default.

--- a/packages/sardinebend-router/src/sardinebend_router/engines.py
+++ b/packages/sardinebend-router/src/sardinebend_router/engines.py
@@ -14,6 +14,7 @@
 from sardinebend_policy import orders
 from sardinebend_policy import routes
 from sardinebend_store import connections
+from sardinebend_store import documents
 from sardinebend_store import errors as platform_errors
 
 CANCEL_TIMEOUT_S: typing.Final = 2.0
@@ -222,9 +223,10 @@
         except platform_errors.PlatformError as exc:
             return exc
         try:
-            return msgspec.json.decode(reply.body, type=Health)
-        except msgspec.MsgspecError:
+            health: Health = documents.decode(reply.body, Health)
+        except platform_errors.MalformedDocument:
             return Health()
+        return health
 
     async def fetch_load(self, endpoint_id: str) -> Load | None:
         """Returns an engine's load report, or `None` if it is unavailable."""
@@ -232,9 +234,10 @@
             reply = await self._origin(endpoint_id).exchange(
                 'GET', '/load', timeout_s=CANCEL_TIMEOUT_S
             )
-            return msgspec.json.decode(reply.body, type=Load)
-        except (platform_errors.PlatformError, msgspec.MsgspecError):
+            load: Load = documents.decode(reply.body, Load)
+        except platform_errors.PlatformError:
             return None
+        return load
 
     async def order(
         self, order: orders.LoadOrder
@@ -328,7 +331,7 @@
     attempt = order.send.attempt
     try:
         fields = _decode_line(line)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, ValueError, RecursionError):
         return msg.StreamBroken(attempt)
     if fields.lost:
         return msg.StreamBroken(attempt, fields.lost)
--- a/packages/sardinebend-router/src/sardinebend_router/peering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/peering.py
@@ -3,7 +3,6 @@
 import ssl
 import typing
 
-import msgspec
 import trio
 
 from sardinebend_peers import errors as peer_errors
@@ -15,6 +14,7 @@
 from sardinebend_router import logs
 from sardinebend_router import state as state_lib
 from sardinebend_settings import errors as settings_errors
+from sardinebend_store import errors as platform_errors
 
 HEARTBEAT_S: typing.Final = 1.0
 CALL_TIMEOUT_S: typing.Final = 1.0
@@ -98,7 +98,10 @@
     def _apply_settings(self, reply: messages.SettingsReply) -> bool:
         try:
             return self._state.settings.apply_reply(reply)
-        except (settings_errors.SettingsError, msgspec.MsgspecError) as exc:
+        except (
+            settings_errors.SettingsError,
+            platform_errors.MalformedDocument,
+        ) as exc:
             # The settings may come from a newer release and use keys that this
             # one doesn't know. The host stays at its version, which each of its
             # heartbeats reports.
--- a/packages/sardinebend-router/src/sardinebend_router/settings_state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_state.py
@@ -7,6 +7,7 @@
 
 from sardinebend_peers import messages
 from sardinebend_settings import tree as tree_lib
+from sardinebend_store import documents
 
 MAX_HISTORY: typing.Final = 1000
 
@@ -85,13 +86,13 @@
 
         Raises:
             sardinebend_settings.errors.SettingsError: The nodes aren't valid.
-            msgspec.MsgspecError: The nodes aren't JSON.
+            sardinebend_store.errors.MalformedDocument: The nodes aren't JSON.
         """
         if reply.version <= self.tree.version:
             return True
         if reply.base_version not in (0, self.tree.version):
             return False
-        changed = msgspec.json.decode(reply.nodes, type=dict[str, typing.Any])
+        changed = documents.decode(reply.nodes, dict[str, typing.Any])
         if reply.base_version:
             tree = self.tree.with_changes(reply.version, changed)
         else:
--- a/packages/sardinebend-router/src/sardinebend_router/settings_store.py
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_store.py
@@ -18,6 +18,7 @@
 from sardinebend_settings import changes
 from sardinebend_settings import errors as settings_errors
 from sardinebend_settings import tree as tree_lib
+from sardinebend_store import documents
 from sardinebend_store import errors as platform_errors
 from sardinebend_store import store
 
@@ -29,6 +30,13 @@
 MAX_ATTEMPTS: typing.Final = 8
 
 
+class AuditedNode(typing.TypedDict):
+    """Value of a node before and after a change."""
+
+    before: typing.Any
+    after: typing.Any
+
+
 class AuditEntry(typing.TypedDict):
     """One committed change, as stored in the audit trail.
 
@@ -48,7 +56,19 @@
     where: str
     when: float
     why: str
-    nodes: dict[str, dict[str, typing.Any]]
+    nodes: dict[str, AuditedNode]
+
+
+class _VersionValue(typing.TypedDict):
+    """Value of a row that holds a version."""
+
+    version: int
+
+
+class _NodeValue(typing.TypedDict):
+    """Value of a node's row."""
+
+    value: typing.Any
 
 
 class StoredTree(typing.NamedTuple):
@@ -98,7 +118,9 @@
         if isinstance(read, result.Err):
             return read
         row = read.ok_value
-        return result.Ok(row.value['version'] if row else 0)
+        if row is None:
+            return result.Ok(0)
+        return _convert(row.value, _VersionValue).map(lambda v: v['version'])
 
     async def load(
         self,
@@ -115,7 +137,7 @@
                 # A change was committed between the reads; the nodes may be of
                 # two versions.
                 continue
-            return result.Ok(_parse_rows(before.unwrap(), rows.unwrap()))
+            return _parse_rows(before.unwrap(), rows.unwrap())
         return result.Err(
             platform_errors.Unavailable(
                 'the settings changed during each attempt to read them'
@@ -197,7 +219,11 @@
         if isinstance(read, result.Err):
             return read
         row = read.ok_value
-        return result.Ok(Committed(row.value['version'], None) if row else None)
+        if row is None:
+            return result.Ok(None)
+        return _convert(row.value, _VersionValue).map(
+            lambda value: Committed(value['version'], None)
+        )
 
     async def read_audit_entries(
         self, after_version: int
@@ -205,9 +231,10 @@
         """Returns the audit entries after a version, oldest first."""
         after = audit_key(after_version)
         rows = await self._table.scan(AUDIT_PREFIX, after, PAGE_ROWS)
-        return rows.map(
-            lambda items: [typing.cast(AuditEntry, row.value) for row in items]
-        )
+        if isinstance(rows, result.Err):
+            return rows
+        values = [row.value for row in rows.ok_value]
+        return _convert(values, list[AuditEntry])
 
     async def _try_change(
         self, stored: StoredTree, change: changes.Change, author: Author
@@ -291,18 +318,40 @@
     return tree.with_changes(version, changed)
 
 
-def _parse_rows(root: store.Row | None, rows: list[store.Row]) -> StoredTree:
+def _parse_rows(
+    root: store.Row | None, rows: list[store.Row]
+) -> result.Result[StoredTree, platform_errors.Unavailable]:
+    """Returns the tree that rows hold.
+
+    A row that can't be read makes the whole tree unavailable: without it, a
+    setting would silently have its default.
+    """
+    if root is None:
+        return result.Ok(StoredTree(tree_lib.Tree(0, {}), {}, 0))
+    version = _convert(root.value, _VersionValue)
+    values = _convert([row.value for row in rows], list[_NodeValue])
+    for converted in (version, values):
+        if isinstance(converted, result.Err):
+            return converted
     nodes = {}
     versions = {}
-    for row in rows:
+    for row, value in zip(rows, values.unwrap(), strict=True):
         path = row.key.removeprefix(NODE_PREFIX)
         versions[path] = row.version
-        if row.value['value'] is not None:
-            nodes[path] = row.value['value']
-    if root is None:
-        return StoredTree(tree_lib.Tree(0, {}), {}, 0)
-    tree = tree_lib.Tree.from_nodes(root.value['version'], nodes)
-    return StoredTree(tree, versions, root.version)
+        if value['value'] is not None:
+            nodes[path] = value['value']
+    tree = tree_lib.Tree.from_nodes(version.unwrap()['version'], nodes)
+    return result.Ok(StoredTree(tree, versions, root.version))
+
+
+def _convert(
+    value: typing.Any, shape: typing.Any
+) -> result.Result[typing.Any, platform_errors.Unavailable]:
+    """Returns the value of a row, which another program may have written."""
+    try:
+        return result.Ok(documents.convert(value, shape))
+    except platform_errors.MalformedDocument as exc:
+        return result.Err(platform_errors.Unavailable(f'odd row: {exc}'))
 
 
 def _choose_error(
