Draw free ports for tests from the system's random numbers

Hypothesis seeds the global generator, from which the ports were drawn, so all of them drew the same.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -10,6 +10,9 @@
 IP: typing.Final = '127.0.0.1'
 
 _allocated: set[int] = set()
+# Test runners seed the global generator, so that suites beside each other would
+# draw the same ports from it.
+_RNG: typing.Final = random.SystemRandom()
 
 
 def find_free(count: int) -> list[int]:
@@ -19,7 +22,7 @@
     """
     ports: list[int] = []
     while len(ports) < count:
-        port = random.randrange(*PORT_RANGE)
+        port = _RNG.randrange(*PORT_RANGE)
         if (
             port in _allocated
             and len(_allocated) < PORT_RANGE[1] - PORT_RANGE[0]
