Apply each row on its own, so that one costs no other

A follower passes each row on once. An error that no reader expected, at one row, ended the task in the middle of the rows: those after it were never applied, and after the restart of the task it counted them as known. Servers in them got no requests until they wrote their entry again, and a host that met three such rows in ten seconds reported that it wasn't ready.

Each row is now applied on its own. A host whose own row was overwritten writes it again; an unreadable row of evidence keeps its version, so that it can be replaced.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -15,6 +15,7 @@
 from sardinebend_gateway import heartbeats
 from sardinebend_gateway import http_server
 from sardinebend_gateway import members
+from sardinebend_gateway import odd_rows
 from sardinebend_gateway import placement_controller
 from sardinebend_gateway import relay
 from sardinebend_gateway import settings as settings_lib
@@ -220,13 +221,18 @@
 
     def _apply_shared_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         for row in rows:
-            if row.key == shared_table.LEASE_KEY:
-                self.placement_controller.apply_lease_row(row)
-            elif row.key.startswith(shared_table.HOST_PREFIX):
-                self.members.apply_row(row)
-            elif row.key.startswith(shared_table.QUARANTINE_PREFIX):
-                self._quarantine.apply_row(row)
-            elif row.key.startswith(shared_table.EVIDENCE_PREFIX):
-                self._stored_evidence.apply_row(row)
+            odd_rows.apply_row(
+                self.state, shared_table.TABLE, row, self._apply_shared_row
+            )
         self.placement_controller.apply_missing_lease()
         self.members.refresh_live_peers()
+
+    def _apply_shared_row(self, row: feeds.FeedRow) -> None:
+        if row.key == shared_table.LEASE_KEY:
+            self.placement_controller.apply_lease_row(row)
+        elif row.key.startswith(shared_table.HOST_PREFIX):
+            self.members.apply_row(row)
+        elif row.key.startswith(shared_table.QUARANTINE_PREFIX):
+            self._quarantine.apply_row(row)
+        elif row.key.startswith(shared_table.EVIDENCE_PREFIX):
+            self._stored_evidence.apply_row(row)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -103,7 +103,11 @@
             )
 
     def apply_row(self, row: feeds.FeedRow) -> None:
-        """Applies a host's row."""
+        """Applies a host's row.
+
+        Raises:
+            errors.Malformed: It isn't a valid host row.
+        """
         name = row.key.removeprefix(shared_table.HOST_PREFIX)
         if row.value is None:
             self._rows.pop(name, None)
@@ -112,19 +116,16 @@
             return
         try:
             host = shared_table.decode_host(row.value)
-            if name != self._state.cfg.name:
-                self._rows[name] = host
-            elif host['incarnation'] != self._own_row['incarnation']:
+        except errors.Malformed:
+            if name == self._state.cfg.name:
                 self._own_row_lost.set()
-            self._state.set_host_count(len(self.peers()) + 1)
-            self._drop_old_incarnations()
-        except errors.Malformed as exc:
-            self._state.audit.log(
-                events.ENTRY_SKIPPED,
-                table=shared_table.TABLE,
-                key=row.key,
-                reason=str(exc),
-            )
+            raise
+        if name != self._state.cfg.name:
+            self._rows[name] = host
+        elif host['incarnation'] != self._own_row['incarnation']:
+            self._own_row_lost.set()
+        self._state.set_host_count(len(self.peers()) + 1)
+        self._drop_old_incarnations()
 
     def _drop_old_incarnations(self) -> None:
         """Drops the heartbeats of incarnations that no row names any more."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -16,6 +16,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
+from sardinebend_gateway import odd_rows
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
@@ -100,11 +101,8 @@
             try:
                 value = shared_table.decode_lease(row.value)
             except errors.Malformed as exc:
-                self._state.audit.log(
-                    events.ENTRY_SKIPPED,
-                    table=shared_table.TABLE,
-                    key=row.key,
-                    reason=str(exc),
+                odd_rows.log_skipped(
+                    self._state, shared_table.TABLE, row.key, str(exc)
                 )
         self._version = row.version if row.value is not None else 0
         self._lease.observe(value, self._version, clocks.now())
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stored_part_evidence.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stored_part_evidence.py
@@ -10,7 +10,6 @@
 import trio
 
 from sardinebend_gateway import clocks
-from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_table
@@ -82,7 +81,11 @@
             self._state.metrics.count('part_evidence_unwritten')
 
     def apply_row(self, row: feeds.FeedRow) -> None:
-        """Applies the row of a part."""
+        """Applies the row of a part.
+
+        Raises:
+            errors.Malformed: It isn't a valid row of a part.
+        """
         part = row.key.removeprefix(shared_table.EVIDENCE_PREFIX)
         known = self._rows.pop(part, None)
         self._due.pop(part, None)
@@ -93,16 +96,9 @@
             ):
                 self._state.part_evidence.forget(part, known.crashes.keys())
             return
-        try:
-            crashes = shared_table.decode_evidence(row.value)
-        except errors.Malformed as exc:
-            self._state.audit.log(
-                events.ENTRY_SKIPPED,
-                table=shared_table.TABLE,
-                key=row.key,
-                reason=str(exc),
-            )
-            return
+        # A row that can't be read can still be replaced or deleted.
+        self._rows[part] = _Row(row.version, {})
+        crashes = shared_table.decode_evidence(row.value)
         self._rows[part] = _Row(row.version, crashes)
         restored = [
             crash_id
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import follower as follower_lib
+from sardinebend_gateway import odd_rows
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_store import feeds
@@ -88,7 +89,6 @@
     ) -> None:
         self._state = state
         self._crashes = crashes
-        self._skipped_versions: dict[str, int] = {}
         self._postponed_removals: dict[str, float] = {}
         table = state.edges.state.endpoint_table
         self.follower = follower_lib.Follower(
@@ -107,31 +107,17 @@
     def _apply_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         changed = False
         for row in rows:
-            changed |= (
-                self._handle_missing(row)
-                if row.value is None
-                else self._put(row)
+            changed |= odd_rows.apply_row(
+                self._state, self.follower.table, row, self._apply_row
             )
         if changed:
             self._state.notify_change()
 
-    def _put(self, row: feeds.FeedRow) -> bool:
-        assert row.value is not None
+    def _apply_row(self, row: feeds.FeedRow) -> bool:
+        if row.value is None:
+            return self._handle_missing(row)
         self._postponed_removals.pop(row.key, None)
-        try:
-            endpoint = self._state.edges.state.decode_endpoint(
-                row.key, row.value
-            )
-        except errors.Malformed as exc:
-            if self._skipped_versions.get(row.key) != row.version:
-                self._skipped_versions[row.key] = row.version
-                self._state.audit.log(
-                    events.ENTRY_SKIPPED,
-                    table=self.follower.table,
-                    key=row.key,
-                    reason=str(exc),
-                )
-            return False
+        endpoint = self._state.edges.state.decode_endpoint(row.key, row.value)
         previous = self._state.endpoints.get(endpoint.endpoint_id)
         if not self._state.endpoints.put(endpoint):
             return False
