Take an entry only if it is complete and its values are in range

Another writer's entry among those of the servers could end tasks of every host that read it, again and again, and make the hosts unready: - nested 100,000 deep, a RecursionError (also in the configuration, the hosts' own rows, reports and refusals); - with slots of 400 digits, an OverflowError for each request to the service; with negative layers or ones beyond the model, an IndexError in each plan of the layers; - with a start time beyond 64 bits, heartbeats that couldn't be encoded; - with a port of 99999, a ValueError for each request and order; - a host row whose address has a port of 5,000 digits or a host name that can't be encoded ended the shared rows' task or the heartbeats.

Cause: only some errors of decoding were caught, and values weren't checked before they were used.

Decoders now raise nothing but Malformed. The pages write addresses as IP:PORT, so host names aren't taken. An engine with layers beyond the model is in no path and no plan.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -193,8 +193,15 @@
     def _place_service(
         self, service: catalog_lib.Service, nursery: trio.Nursery
     ) -> None:
-        engines = self._state.endpoints.list_all(service.name)
-        engines = [e for e in engines if not e.is_draining]
+        model = service.engine
+        assert model is not None
+        # A listing with layers beyond the model isn't one of its engines.
+        engines = [
+            e
+            for e in self._state.endpoints.list_all(service.name)
+            if not e.is_draining
+            and (e.span is None or e.span.fits(model.layers))
+        ]
         now = clocks.now()
         names = {e.endpoint_id for e in engines}
         if not names <= self._known_names:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -1,9 +1,12 @@
 """Settings of a gateway host."""
 
+import ipaddress
 import typing
 
 from sardinebend_gateway import errors
 
+MAX_QUOTED_CHARS: typing.Final = 80
+
 
 class Address(typing.NamedTuple):
     """An IP address and a port."""
@@ -19,14 +22,45 @@
             errors.InvalidSettings: The text doesn't have this form.
         """
         ip, _, port = text.rpartition(':')
-        if not ip or not port.isdigit() or not 0 < int(port) < 65536:
-            raise errors.InvalidSettings(f'{text!r} is not in the form ip:port')
+        if not ip or not _is_port(port):
+            raise errors.InvalidSettings(
+                f'{text[:MAX_QUOTED_CHARS]!r} is not in the form ip:port'
+            )
         return cls(ip, int(port))
 
+    @classmethod
+    def parse_ip(cls, text: str) -> 'Address':
+        """Returns the address that another program wrote as `ip:port`.
+
+        Host names aren't accepted, nor other spellings of a number. An IPv6
+        address is in square brackets.
+
+        Raises:
+            errors.InvalidSettings: The text doesn't have this form.
+        """
+        address = cls.parse(text)
+        is_v6 = address.ip.startswith('[') and address.ip.endswith(']')
+        try:
+            if is_v6 and '%' not in address.ip:
+                ipaddress.IPv6Address(address.ip[1:-1])
+            else:
+                ipaddress.IPv4Address(address.ip)
+        except ValueError as exc:
+            raise errors.InvalidSettings(
+                f'{text[:MAX_QUOTED_CHARS]!r} has no IP address'
+            ) from exc
+        return address
+
     def __str__(self) -> str:
         return f'{self.ip}:{self.port}'
 
 
+def _is_port(text: str) -> bool:
+    """Returns whether a text is a port as `str` writes one."""
+    is_number = text.isascii() and text.isdigit() and len(text) <= 5
+    return is_number and 0 < int(text) < 65536 and str(int(text)) == text
+
+
 class HostSettings(typing.NamedTuple):
     """Settings of one host; `check` validates them.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -12,6 +12,8 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import lease as lease_lib
+from sardinebend_store import documents
+from sardinebend_store import errors as store_errors
 
 TABLE: typing.Final = 'sardinebend'
 HOST_PREFIX: typing.Final = 'host/'
@@ -24,6 +26,14 @@
 # Crash ids, and the abbreviated fingerprint of a request of each crash.
 RequestsByCrash = dict[str, str]
 
+# A fencing number is far below this, even after many eras of the store.
+MAX_FENCING: typing.Final = 2**53
+# What a row holds goes into heartbeats, which must fit a datagram.
+_EvidenceText = typing.Annotated[str, msgspec.Meta(max_length=300)]
+_Evidence = typing.Annotated[
+    dict[_EvidenceText, _EvidenceText], msgspec.Meta(max_length=256)
+]
+
 
 class HostRow(typing.TypedDict):
     """Addresses and state of a host.
@@ -57,10 +67,10 @@
         errors.Malformed: The bytes aren't a valid host row.
     """
     try:
-        row = msgspec.json.decode(value, type=HostRow)
+        row: HostRow = documents.decode(value, HostRow)
         for address in (row['callers'], row['beats'], row['relay']):
-            settings_lib.Address.parse(address)
-    except (msgspec.DecodeError, errors.InvalidSettings) as exc:
+            settings_lib.Address.parse_ip(address)
+    except (store_errors.MalformedDocument, errors.InvalidSettings) as exc:
         raise errors.Malformed(str(exc)) from exc
     return row
 
@@ -72,9 +82,12 @@
         errors.Malformed: The bytes aren't a valid lease row.
     """
     try:
-        return msgspec.json.decode(value, type=lease_lib.LeaseRow)
-    except msgspec.DecodeError as exc:
+        row: lease_lib.LeaseRow = documents.decode(value, lease_lib.LeaseRow)
+    except store_errors.MalformedDocument as exc:
         raise errors.Malformed(str(exc)) from exc
+    if not 0 <= row['fencing'] < MAX_FENCING:
+        raise errors.Malformed('fencing number out of range')
+    return row
 
 
 def encode_evidence(crashes: RequestsByCrash) -> bytes:
@@ -86,9 +99,10 @@
     """Returns the crashes under requests with a part that JSON bytes hold.
 
     Raises:
-        errors.Malformed: The bytes aren't an object of texts.
+        errors.Malformed: The bytes aren't an object of short texts.
     """
     try:
-        return msgspec.json.decode(value, type=RequestsByCrash)
-    except msgspec.DecodeError as exc:
+        crashes: RequestsByCrash = documents.decode(value, _Evidence)
+    except store_errors.MalformedDocument as exc:
         raise errors.Malformed(str(exc)) from exc
+    return crashes
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -38,6 +38,10 @@
         """Returns whether another range lies within this one."""
         return self.start <= other.start and other.end <= self.end
 
+    def fits(self, layers: int) -> bool:
+        """Returns whether the range lies within a model of so many layers."""
+        return 0 <= self.start <= self.end <= layers
+
 
 class Endpoint(typing.NamedTuple):
     """An endpoint as described by its own listing.
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -144,7 +144,9 @@
         self._holders = [
             e
             for e in endpoints
-            if e.span is not None and e.card in engine.cards
+            if e.span is not None
+            and e.span.fits(engine.layers)
+            and e.card in engine.cards
         ]
         self._loads = loads
         self._same_domain_cost = HOP_LATENCY_MS * (1 + STEP_WEIGHT)
