Read no reply to an earlier call on a connection that is used again

A store that wrote a refusal once more got the next call believed refused, though it had applied it: a claim on the product's table, and an object in the same way (a stale 200 counted as written). Two ways led there. Bytes that had arrived together with a reply stayed in the parser, and the check before reuse looks at the socket only. And a write used a kept connection, on which an extra reply can arrive where its own is due.

A connection with unread bytes isn't used again, and each write of the table and the object store has a connection of its own, as each attempt, order and write of a row had already.

test_gateway_repeated_refusals failed before (6 of its cases for the table, an object and a reused connection); the cases for rows passed.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -189,8 +189,19 @@
             return Reply(response.status, header_values, b''.join(chunks))
 
     def is_reusable(self) -> bool:
-        """Returns whether another request can be sent on this connection."""
-        return self._conn.is_idle() and not self._conn.has_expired()
+        """Returns whether another request can be sent on this connection.
+
+        Bytes beyond a reply would be read as the beginning of the next one.
+        """
+        return (
+            self._conn.is_idle()
+            and not self._conn.has_expired()
+            and not self._has_unread_bytes()
+        )
+
+    def _has_unread_bytes(self) -> bool:
+        # `httpcore` has no public way to learn of them.
+        return bool(self._conn._h11_state.trailing_data[0])
 
     async def close(self) -> None:
         """Closes the connection, within at most a second."""
--- a/packages/sardinebend-store/src/sardinebend_store/remote.py
+++ b/packages/sardinebend-store/src/sardinebend_store/remote.py
@@ -2,7 +2,9 @@
 
 After a failed exchange the idle connections are closed, so that the next call
 opens a new one. A write is tried once: only the caller knows whether repeating
-it is safe. A read of the table is repeated once on a new connection.
+it is safe. It has a connection of its own, so that the reply to an earlier call
+can't be taken for its own. A read of the table is repeated once on a new
+connection.
 """
 
 import typing
@@ -119,7 +121,9 @@
         """Applies all writes, or none of them."""
         body = msgspec.json.encode({'writes': [w._asdict() for w in writes]})
         try:
-            reply = await self._call('POST', '/v1/transact', body)
+            reply = await self._call(
+                'POST', '/v1/transact', body, new_connection=True
+            )
         except errors.ConnectFailed as exc:
             return result.Err(errors.Unavailable(str(exc)))
         except errors.ExchangeFailed as exc:
@@ -166,7 +170,7 @@
         """Writes an object, replacing an older one."""
         path = f'/v1/objects/{urllib.parse.quote(key, safe="")}'
         try:
-            reply = await self._call('PUT', path, data)
+            reply = await self._call('PUT', path, data, new_connection=True)
         except errors.ConnectFailed as exc:
             return result.Err(errors.Unavailable(str(exc)))
         except errors.ExchangeFailed as exc:
