Believe a refusal only if it carries the id of its request

A server that wrote an earlier refusal once more had its new request sent to a second server though it ran (TWICE), or reported as not run (REFUSED): "not run" was looked at before the request id was compared, for 503, 429 and 421, with another id or none, at the first and second attempt, for non_idempotent requests and streams that can't be resumed; what the refusal said besides (Retry-After, leaving, another server at the address, an engine at fault) was applied, an hour of Retry-After included.

The id is compared first. An answer without it proves nothing: the request may have run, is repeated only if it may run more than once, and says nothing about its server. Reading and classifying answers has moved to replies.py.

The stand-ins of test_an_address_taken_over_by_another_server_gets_no_requests, of the crashing world and of the soak refused without the id; PROTOCOL says that servers echo it, so they do now, and what the tests demand is the same.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -134,6 +134,13 @@
             )
             return None
 
+    def is_answered_by(self, facts: edges_lib.AnswerFacts) -> bool:
+        """Returns whether an answer belongs to this request.
+
+        An endpoint may send an answer of an earlier request once more.
+        """
+        return facts.request_id == self.admitted.facts.request_id
+
     def clear_suspicion(self) -> None:
         """Clears the content and its parts after a run without a crash."""
         self.state.quarantine.clear(self.content_fingerprint, clocks.now())
@@ -287,51 +294,3 @@
     return quarantine.make_fingerprint(
         b'', customer, request_line.decode('latin-1'), req.body
     )
-
-
-async def read_body(state: state_lib.State, response: typing.Any) -> bytes:
-    """Returns the complete body of a response.
-
-    Raises:
-        errors.TooLarge: The body exceeds the size limit, or was dropped to
-            free memory.
-    """
-    buffer = state.answer_buffers.open()
-    try:
-        async for chunk in response.aiter_stream():
-            await buffer.add(chunk)
-        return buffer.join()
-    finally:
-        buffer.close()
-
-
-def classify_reply(
-    state: state_lib.State,
-    exchange: Exchange,
-    endpoint: endpoints_lib.Endpoint,
-    reply: Reply,
-) -> tuple[forwarding.End, str, Reply | None]:
-    """Classifies an endpoint's answer to a request.
-
-    Returns:
-        How the attempt ended, the reason if it wasn't answered, and the reply
-        if it is genuine or states that nothing was run.
-    """
-    facts = reply.facts
-    if facts.was_not_run:
-        if facts.answered_by not in (None, endpoint.endpoint_id):
-            # Another endpoint uses the address, so the listing is outdated.
-            state.endpoints.mark_leaving(endpoint.incarnation)
-            state.audit.log(
-                events.ENDPOINT_GONE,
-                endpoint=endpoint.endpoint_id,
-                source='address in use by another endpoint',
-            )
-        return forwarding.End.NOT_RUN, f'status {reply.status}', reply
-    if facts.request_id != exchange.admitted.facts.request_id:
-        return forwarding.End.BROKEN, 'answer to another request', None
-    if not facts.is_genuine:
-        return forwarding.End.BROKEN, 'answer without a mark of origin', None
-    if reply.status >= 500:
-        return forwarding.End.FAILED, f'status {reply.status}', reply
-    return forwarding.End.ANSWERED, '', reply
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -8,6 +8,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import replies
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
 from sardinebend_store import connections
@@ -156,20 +157,12 @@
                 async with conn.stream(
                     req.method, req.target, headers, req.body
                 ) as response:
-                    facts = codec.decode_answer(
-                        response.status, response.headers
-                    )
-                    self._state.apply_answer_facts(endpoint, facts)
-                    body = await exchange_lib.read_body(self._state, response)
+                    facts = replies.decode_answer(exchange, endpoint, response)
+                    reply = await replies.read_reply(exchange, response, facts)
             except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
                 exchange.record_oversized_answer(endpoint)
                 return forwarding.End.BROKEN, str(exc), None
             except (errors.Malformed, store_errors.ExchangeFailed) as exc:
                 return forwarding.End.BROKEN, str(exc), None
-            reply = exchange_lib.Reply(
-                response.status, response.headers, body, facts
-            )
-            return exchange_lib.classify_reply(
-                self._state, exchange, endpoint, reply
-            )
+            return replies.classify_reply(exchange, endpoint, reply)
         return forwarding.End.TIMED_OUT, 'no answer in time', None
--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -0,0 +1,85 @@
+"""Reads the answers of endpoints and classifies them."""
+
+import typing
+
+from sardinebend_gateway import edges as edges_lib
+from sardinebend_gateway import events
+from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import state as state_lib
+from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import forwarding
+
+
+def decode_answer(
+    exchange: exchange_lib.Exchange,
+    endpoint: endpoints_lib.Endpoint,
+    response: typing.Any,
+) -> edges_lib.AnswerFacts:
+    """Returns the values from the head of an answer.
+
+    What it states about the endpoint is applied if it is an answer to this
+    request.
+    """
+    codec = exchange.state.edges.requests
+    facts = codec.decode_answer(response.status, response.headers)
+    if exchange.is_answered_by(facts):
+        exchange.state.apply_answer_facts(endpoint, facts)
+    return facts
+
+
+async def read_reply(
+    exchange: exchange_lib.Exchange,
+    response: typing.Any,
+    facts: edges_lib.AnswerFacts,
+) -> exchange_lib.Reply:
+    """Returns the complete answer whose head was read.
+
+    Raises:
+        errors.TooLarge: The body exceeds the size limit, or was dropped to
+            free memory.
+    """
+    body = await _read_body(exchange.state, response)
+    return exchange_lib.Reply(response.status, response.headers, body, facts)
+
+
+async def _read_body(state: state_lib.State, response: typing.Any) -> bytes:
+    buffer = state.answer_buffers.open()
+    try:
+        async for chunk in response.aiter_stream():
+            await buffer.add(chunk)
+        return buffer.join()
+    finally:
+        buffer.close()
+
+
+def classify_reply(
+    exchange: exchange_lib.Exchange,
+    endpoint: endpoints_lib.Endpoint,
+    reply: exchange_lib.Reply,
+) -> tuple[forwarding.End, str, exchange_lib.Reply | None]:
+    """Classifies an endpoint's answer to a request.
+
+    An answer that doesn't carry the request's id proves nothing about it.
+
+    Returns:
+        How the attempt ended, the reason if it wasn't answered, and the reply
+        if it is genuine or states that nothing was run.
+    """
+    facts = reply.facts
+    if not exchange.is_answered_by(facts):
+        return forwarding.End.BROKEN, 'answer to another request', None
+    if facts.was_not_run:
+        if facts.answered_by not in (None, endpoint.endpoint_id):
+            # Another endpoint uses the address, so the listing is outdated.
+            exchange.state.endpoints.mark_leaving(endpoint.incarnation)
+            exchange.state.audit.log(
+                events.ENDPOINT_GONE,
+                endpoint=endpoint.endpoint_id,
+                source='address in use by another endpoint',
+            )
+        return forwarding.End.NOT_RUN, f'status {reply.status}', reply
+    if not facts.is_genuine:
+        return forwarding.End.BROKEN, 'answer without a mark of origin', None
+    if reply.status >= 500:
+        return forwarding.End.FAILED, f'status {reply.status}', reply
+    return forwarding.End.ANSWERED, '', reply
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -10,6 +10,7 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import event_stream
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import replies
 from sardinebend_gateway import stream_progress
 from sardinebend_gateway import stream_watchdog
 from sardinebend_policy import endpoints as endpoints_lib
@@ -114,18 +115,12 @@
             self._abort_error = exc
 
     async def _read_response(self, response: typing.Any) -> None:
-        codec = self._state.edges.requests
-        facts = codec.decode_answer(response.status, response.headers)
-        self._state.apply_answer_facts(self._first_endpoint, facts)
+        exchange = self._exchange
+        facts = replies.decode_answer(exchange, self._first_endpoint, response)
         if response.status != 200:
-            body = await exchange_lib.read_body(self._state, response)
-            reply = exchange_lib.Reply(
-                response.status, response.headers, body, facts
-            )
+            reply = await replies.read_reply(exchange, response, facts)
             self._end, self._progress.reason, self._reply = (
-                exchange_lib.classify_reply(
-                    self._state, self._exchange, self._first_endpoint, reply
-                )
+                replies.classify_reply(exchange, self._first_endpoint, reply)
             )
             at_fault_endpoints = self._mark_part_at_fault(facts)
             if self._end in forwarding.ENDS_SHOWING_LIVENESS:
@@ -134,8 +129,8 @@
                 await self._exchange.crash_detector.probe(endpoint)
             return
         reply = exchange_lib.Reply(200, response.headers, b'', facts)
-        self._end, self._progress.reason, _ = exchange_lib.classify_reply(
-            self._state, self._exchange, self._first_endpoint, reply
+        self._end, self._progress.reason, _ = replies.classify_reply(
+            exchange, self._first_endpoint, reply
         )
         if self._end is not forwarding.End.ANSWERED:
             return
@@ -151,7 +146,9 @@
             A list with that engine; empty if no engine of the path is named, or
             the first one, which sent the refusal.
         """
-        at_fault_endpoints = []
+        at_fault_endpoints: list[endpoints_lib.Endpoint] = []
+        if not self._exchange.is_answered_by(facts):
+            return at_fault_endpoints
         for part in self._progress.path:
             if part.endpoint.address == facts.faulty_address:
                 self._progress.failed_ids.add(part.endpoint.endpoint_id)
--- a/tests/common/crashing_world.py
+++ b/tests/common/crashing_world.py
@@ -127,10 +127,12 @@
                 await trio.sleep(0.02)
         if not self.is_up:
             return None
-        fault = ('At-Server', self.paths[request_id][-1].address)
-        return world_lib.Answer(
-            world_lib.head(503, [('Not-Executed', '1'), fault])
-        )
+        refusal_headers = [
+            ('Request-Id', request_id),
+            ('Not-Executed', '1'),
+            ('At-Server', self.paths[request_id][-1].address),
+        ]
+        return world_lib.Answer(world_lib.head(503, refusal_headers))
 
     def take_order(self, order):
         """Runs a repaired path, which crashes the engine of its last part."""
--- a/tests/cover/test_gateway_requests.py
+++ b/tests/cover/test_gateway_requests.py
@@ -243,7 +243,11 @@
 
 async def test_an_address_taken_over_by_another_server_gets_no_requests():
     def moved(headers):
-        return Answer(head(421, [('Instance-Id', 'other')]))
+        fixed_headers = [
+            ('Request-Id', headers['request-id']),
+            ('Instance-Id', 'other'),
+        ]
+        return Answer(head(421, fixed_headers))
 
     servers = [app('app-1', scripted(moved)), app('app-2')]
     async with world_lib.running(*servers) as world:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -203,10 +203,11 @@
         return 409
 
     async def _run(self, headers, stream):
+        own_id = ('Request-Id', headers['request-id'])
         if headers.get('expect-instance') != self.name:
-            return world_lib.Answer(world_lib.head(421, []))
+            return world_lib.Answer(world_lib.head(421, [own_id]))
         if self.backs_off:
-            refusal = [('Not-Executed', '1'), ('Retry-After', '1.5')]
+            refusal = [own_id, ('Not-Executed', '1'), ('Retry-After', '1.5')]
             return world_lib.Answer(world_lib.head(503, refusal))
         content = self.requests[-1][3]
         if content.startswith(FATAL_PREFIX):
@@ -244,9 +245,7 @@
         self.fleet.nursery.start_soon(target.crash)
         if target is not self:
             await trio.sleep(STALL_S)
-            fault = ('At-Server', target.address)
-            head = world_lib.head(503, [('Not-Executed', '1'), fault])
-            return world_lib.Answer(head)
+            return refuse(headers, target.address)
         await trio.sleep_forever()
         return None
 
@@ -295,7 +294,7 @@
         self.paths[run.request_id] = path
         last_event = int(headers.get('last-event-id', 0))
         if not all(self.fleet.is_up(address) for address, _, _ in path):
-            return refuse_at_failed_part(self.fleet, path)
+            return refuse_at_failed_part(self.fleet, headers, path)
         if self.is_endless:
             await self._send_without_end(run, stream)
             return None
@@ -347,10 +346,19 @@
     return None
 
 
-def refuse_at_failed_part(fleet, path):
+def refuse_at_failed_part(fleet, headers, path):
     failed = next(a for a, _, _ in path if not fleet.is_up(a))
-    headers = [('Not-Executed', '1'), ('At-Server', failed)]
-    return world_lib.Answer(world_lib.head(503, headers))
+    return refuse(headers, failed)
+
+
+def refuse(headers, failed):
+    """Returns a refusal that names the engine at fault."""
+    fixed_headers = [
+        ('Request-Id', headers['request-id']),
+        ('Not-Executed', '1'),
+        ('At-Server', failed),
+    ]
+    return world_lib.Answer(world_lib.head(503, fixed_headers))
 
 
 def read_path(text):
