Don't believe a refusal that further bytes follow

A refusal with the id of its request, with the real answer right behind it on the same connection, had the request sent to a second server or reported as not run. An engine may get a refused request again, over another path, so even the id doesn't tell such a refusal from the current one.

For requests that may run only once, a refusal counts only if nothing follows it within 5 ms; otherwise the outcome is unknown. No wait rules out an answer that comes later; this is the part that can be seen.

test_a_refusal_followed_by_another_answer_is_not_believed failed before (8 cases: sent together and 4 ms later, with a body and without, both kinds of request).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -32,12 +32,22 @@
 
 
 class Reply(typing.NamedTuple):
-    """A complete answer of an endpoint."""
+    """A complete answer of an endpoint.
+
+    Attributes:
+        status: HTTP status.
+        headers: Names and values as received.
+        body: The body without its framing.
+        facts: Values from the headers.
+        is_followed: Whether further bytes follow an answer which states that
+            nothing was run.
+    """
 
     status: int
     headers: list[tuple[bytes, bytes]]
     body: bytes
     facts: edges_lib.AnswerFacts
+    is_followed: bool = False
 
 
 def make_retry_after(seconds: float) -> tuple[bytes, bytes]:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -158,7 +158,9 @@
                     req.method, req.target, headers, req.body
                 ) as response:
                     facts = replies.decode_answer(exchange, endpoint, response)
-                    reply = await replies.read_reply(exchange, response, facts)
+                    reply = await replies.read_reply(
+                        exchange, conn, response, facts
+                    )
             except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
                 exchange.record_oversized_answer(endpoint)
                 return forwarding.End.BROKEN, str(exc), None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -8,6 +8,12 @@
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
+from sardinebend_store import connections
+
+# Wait for bytes that follow a refusal. An earlier refusal that is written once
+# more is followed by the real answer, at the latest when the request has run.
+# No wait rules that out; this one finds those that were sent together.
+FURTHER_BYTES_WAIT_S: typing.Final = 0.005
 
 
 def decode_answer(
@@ -29,17 +35,25 @@
 
 async def read_reply(
     exchange: exchange_lib.Exchange,
+    conn: connections.Connection,
     response: typing.Any,
     facts: edges_lib.AnswerFacts,
 ) -> exchange_lib.Reply:
-    """Returns the complete answer whose head was read.
+    """Returns the complete answer whose head was read on a connection.
 
     Raises:
         errors.TooLarge: The body exceeds the size limit, or was dropped to
             free memory.
     """
     body = await _read_body(exchange.state, response)
-    return exchange_lib.Reply(response.status, response.headers, body, facts)
+    is_followed = (
+        facts.was_not_run
+        and not exchange.admitted.route.may_repeat
+        and await conn.has_further_bytes(FURTHER_BYTES_WAIT_S)
+    )
+    return exchange_lib.Reply(
+        response.status, response.headers, body, facts, is_followed
+    )
 
 
 async def _read_body(state: state_lib.State, response: typing.Any) -> bytes:
@@ -59,7 +73,8 @@
 ) -> tuple[forwarding.End, str, exchange_lib.Reply | None]:
     """Classifies an endpoint's answer to a request.
 
-    An answer that doesn't carry the request's id proves nothing about it.
+    An answer that doesn't carry the request's id proves nothing about it, and
+    a refusal that further bytes follow may be an earlier one.
 
     Returns:
         How the attempt ended, the reason if it wasn't answered, and the reply
@@ -68,6 +83,8 @@
     facts = reply.facts
     if not exchange.is_answered_by(facts):
         return forwarding.End.BROKEN, 'answer to another request', None
+    if reply.is_followed:
+        return forwarding.End.BROKEN, 'refusal before another answer', None
     if facts.was_not_run:
         if facts.answered_by not in (None, endpoint.endpoint_id):
             # Another endpoint uses the address, so the listing is outdated.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -102,7 +102,7 @@
             async with conn.stream(
                 req.method, req.target, headers, req.body
             ) as response:
-                await self._read_response(response)
+                await self._read_response(conn, response)
         except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
             exchange.record_oversized_answer(self._first_endpoint)
             self._progress.reason = str(exc)
@@ -114,11 +114,13 @@
             # Re-raised outside the nursery, which would wrap it in a group.
             self._abort_error = exc
 
-    async def _read_response(self, response: typing.Any) -> None:
+    async def _read_response(
+        self, conn: connections.Connection, response: typing.Any
+    ) -> None:
         exchange = self._exchange
         facts = replies.decode_answer(exchange, self._first_endpoint, response)
         if response.status != 200:
-            reply = await replies.read_reply(exchange, response, facts)
+            reply = await replies.read_reply(exchange, conn, response, facts)
             self._end, self._progress.reason, self._reply = (
                 replies.classify_reply(exchange, self._first_endpoint, reply)
             )
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -199,6 +199,23 @@
             and not self._has_unread_bytes()
         )
 
+    async def has_further_bytes(self, wait_s: float) -> bool:
+        """Returns whether bytes follow a reply that has been read completely.
+
+        Call this before the reply is closed. Bytes that it waited for are lost.
+
+        Args:
+            wait_s: How long to wait for bytes that haven't arrived yet.
+        """
+        if self._has_unread_bytes():
+            return True
+        with trio.move_on_after(wait_s):
+            try:
+                return bool(await self._stream.read(1))
+            except _CONNECTION_ERRORS:
+                return False
+        return False
+
     def _has_unread_bytes(self) -> bool:
         # `httpcore` has no public way to learn of them.
         return bool(self._conn._h11_state.trailing_data[0])
--- a/tests/cover/test_gateway_repeated_refusals.py
+++ b/tests/cover/test_gateway_repeated_refusals.py
@@ -143,6 +143,27 @@
     assert (answer[0], arrivals >= 2) == (503, True)
 
 
+@pytest.mark.parametrize('pause', [(), (0.004,)])
+@pytest.mark.parametrize(
+    'body', [b'', b'busy'], ids=['without a body', 'with a body']
+)
+@pytest.mark.parametrize('kind', TARGETS)
+async def test_a_refusal_followed_by_another_answer_is_not_believed(
+    kind, body, pause, clock
+):
+    # Guards against "not run" for a request whose answer was on its way.
+    async def refuse_and_answer(headers, stream):
+        fixed = [('Request-Id', OWN_ID), ('Not-Executed', '1')]
+        good = await answer_plainly(headers, stream)
+        if not pause:
+            return Answer(head(503, fixed, body=body) + good.pieces[0])
+        return Answer(head(503, fixed, body=body), *pause, *good.pieces)
+
+    servers = make_servers(TARGETS[kind], *[refuse_and_answer] * 2)
+    answer, arrivals = await ask(TARGETS[kind], servers)
+    assert (answer[0], answer[2], arrivals) == (502, b'', 1)
+
+
 @pytest.mark.parametrize('length', [3, 9])
 async def test_a_refusal_that_is_not_complete_is_not_believed(length, clock):
     fixed = [('Request-Id', OWN_ID), ('Not-Executed', '1')]
