Go on with a begun stream only with an answer of its kind

A stream had begun and broke off. Its media type was never looked at. A sealed 4xx or 204 was taken for the answer: it was counted as served, and only the parser's refusal of a second head kept it out of the stream, as a failure of the handler; no third server was asked.

Such an answer has to have the media type of the head that the caller got; anything else that isn't a refusal counts as a failure, so that the next server is asked or the stream is broken off. A responder refuses a second head by itself, with a typed error.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
@@ -18,6 +18,7 @@
 
     Attributes:
         is_started: Whether the answer has a head, sent or not.
+        media_type: Media type that the head states; empty if none.
         is_ended: Whether the answer has its end, sent or not.
         closes_connection: Whether the answer tells the caller that the
             connection is closed.
@@ -29,6 +30,7 @@
 
     def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
         self.is_started = False
+        self.media_type = b''
         self.is_ended = False
         self.closes_connection = False
         self.is_caller_gone = False
@@ -89,10 +91,14 @@
             raise errors.ConnectionAborted(str(exc)) from exc
 
     def _start(self, status: int, headers: list[tuple[bytes, bytes]]) -> None:
+        if self.is_started:
+            # A second head would be taken for a part of the body.
+            raise errors.ConnectionAborted('the answer has begun already')
         if self.closes_connection:
             headers.append((b'connection', b'close'))
         self._add(h11.Response(status_code=status, headers=headers))
         self.is_started = True
+        self.media_type = get_media_type(headers)
 
     def _end(self) -> None:
         self._add(h11.EndOfMessage())
@@ -100,3 +106,11 @@
 
     def _add(self, event: h11.Event) -> None:
         self._unsent += self._conn.send(event) or b''
+
+
+def get_media_type(headers: Pairs) -> bytes:
+    """Returns the media type that headers state; empty if none."""
+    for name, value in headers:
+        if name.lower() == b'content-type':
+            return value.partition(b';')[0].strip().lower()
+    return b''
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import event_stream
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import replies
+from sardinebend_gateway import responder
 from sardinebend_gateway import stream_progress
 from sardinebend_gateway import stream_watchdog
 from sardinebend_policy import endpoints as endpoints_lib
@@ -124,6 +125,10 @@
             self._end, self._progress.reason, self._reply = (
                 replies.classify_reply(exchange, self._first_endpoint, reply)
             )
+            if self._end is forwarding.End.ANSWERED and exchange.out.is_started:
+                # Such an answer can't go on with the stream.
+                self._end = forwarding.End.FAILED
+                self._progress.reason = f'status {response.status} midway'
             at_fault_endpoints = self._mark_part_at_fault(facts)
             if self._end in forwarding.ENDS_SHOWING_LIVENESS:
                 self._progress.clear_exposures(except_for=at_fault_endpoints)
@@ -137,6 +142,11 @@
         if self._end is not forwarding.End.ANSWERED:
             return
         self._end = forwarding.End.BROKEN
+        if exchange.out.is_started and exchange.out.media_type != (
+            responder.get_media_type(response.headers)
+        ):
+            self._progress.reason = 'answer of another media type midway'
+            return
         await self._forward_events(response)
 
     def _mark_part_at_fault(
--- a/packages/sardinebend-gateway/tests/cover/test_responder.py
+++ b/packages/sardinebend-gateway/tests/cover/test_responder.py
@@ -1,8 +1,10 @@
 """Answers whose sending is cancelled and then goes on."""
 
 import h11
+import pytest
 import trio
 
+from sardinebend_gateway import errors
 from sardinebend_gateway import responder as responder_lib
 
 HEADERS = [(b'transfer-encoding', b'chunked')]
@@ -78,3 +80,21 @@
         nursery.start_soon(out.flush)
         assert await read_answer(theirs) == LARGE
     assert out.is_finished
+
+
+async def test_a_begun_answer_gets_no_second_head():
+    # Guards against an error answer in the middle of a stream, also while the
+    # stream's own bytes are still unsent.
+    out, theirs = make_responder()
+    await out.start(200, [])
+    with trio.move_on_after(0.01):
+        await out.write(LARGE)
+    for begin_again in (
+        lambda: out.answer(504, [], b'error'),
+        lambda: out.start(502, []),
+    ):
+        with pytest.raises(errors.ConnectionAborted):
+            await begin_again()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(out.finish)
+        assert await read_answer(theirs) == LARGE
