Forward only events whose lines are fields or comments

Each line of an event has to be a standard field or a comment; an engine's own fields may only come first, as the one that names the weights does. Anything else breaks the attempt, so that the stream is resumed elsewhere or broken off. Text that looks like such lines can't be told from an event.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
@@ -1,18 +1,34 @@
 """Splits a server-sent event stream into complete events."""
 
+import re
 import typing
 
 TERMINATORS: typing.Final = (b'\n\n', b'\r\n\r\n')
 MAX_TERMINATOR_BYTES: typing.Final = 4
 # An event holds a few tokens; a much larger one is taken to be endless.
 MAX_EVENT_BYTES: typing.Final = 256 * 1024
+# Names of fields; the empty one begins a comment.
+_STANDARD_FIELDS: typing.Final = frozenset(
+    (b'', b'data', b'event', b'id', b'retry')
+)
+# An endpoint may send fields of its own, before the others.
+_OWN_FIELD_RE: typing.Final = re.compile(rb'[A-Za-z][A-Za-z0-9_-]*')
+_BYTE_ORDER_MARK: typing.Final = b'\xef\xbb\xbf'
 
 
 class StreamEvent(typing.NamedTuple):
-    """One event: its bytes as received, and its id if it has one."""
+    """One event.
+
+    Attributes:
+        data: Its bytes as received.
+        event_id: Its id, if it has one.
+        is_well_formed: Whether all of its lines are fields or comments. The
+            text or the head of an error isn't.
+    """
 
     data: bytes
     event_id: bytes | None
+    is_well_formed: bool = True
 
     @property
     def is_progress(self) -> bool:
@@ -66,10 +82,23 @@
 
 
 def _make_event(data: bytes) -> StreamEvent:
-    for line in data.splitlines():
-        if line.startswith(b'id:'):
-            return StreamEvent(data, line[3:].strip())
-    return StreamEvent(data, None)
+    event_id = None
+    has_standard_field = False
+    is_well_formed = True
+    for line in data.removeprefix(_BYTE_ORDER_MARK).splitlines():
+        name, colon, value = line.partition(b':')
+        if name in _STANDARD_FIELDS:
+            has_standard_field = has_standard_field or bool(line)
+            if name == b'id' and colon and event_id is None:
+                event_id = value.strip()
+        elif (
+            has_standard_field or not colon or not _OWN_FIELD_RE.fullmatch(name)
+        ):
+            is_well_formed = False
+    is_blank = not data.strip()
+    return StreamEvent(
+        data, event_id, is_well_formed and (has_standard_field or is_blank)
+    )
 
 
 def is_later_id(newer: bytes, older: bytes | None) -> bool:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -191,7 +191,7 @@
                 )
                 await buffer.throttle(len(chunk))
                 continue
-            self._check_order(new_events)
+            self._check_events(new_events)
             if not out.is_started:
                 headers = self._state.edges.requests.make_answer_headers(
                     response.headers
@@ -227,11 +227,13 @@
         await out.finish()
         self._state.endpoints.mark_healthy(self._first_endpoint)
 
-    def _check_order(
+    def _check_events(
         self, new_events: typing.Sequence[event_stream.StreamEvent]
     ) -> None:
         last = self.last_id
         for event in new_events:
+            if not event.is_well_formed:
+                raise errors.Malformed('not an event')
             if event.event_id is None:
                 continue
             if not event_stream.is_later_id(event.event_id, last):
--- a/tests/cover/test_gateway_broken_streams.py
+++ b/tests/cover/test_gateway_broken_streams.py
@@ -5,6 +5,7 @@
 import pytest
 import trio
 
+from sardinebend_gateway import event_stream
 from tests.common import gateway_world as world_lib
 
 Answer = world_lib.Answer
@@ -50,6 +51,17 @@
         BEGUN + b'id: 3\nda', framing=''
     ),
     'an error in place of a chunk': begin(chunk(BEGUN), PAUSE_S, ERROR_HEAD),
+    'an error within a chunk': begin(
+        chunk(BEGUN), PAUSE_S, chunk(ERROR_HEAD), LAST_CHUNK
+    ),
+    'an error without chunks': begin(BEGUN, PAUSE_S, ERROR_HEAD, framing=''),
+    'an error within an event, without chunks': begin(
+        BEGUN, PAUSE_S, b'id: 3\n' + ERROR_HEAD, framing=''
+    ),
+    'an error within a line, without chunks': begin(
+        BEGUN, PAUSE_S, b'id: 3\ndata: x' + ERROR_HEAD, framing=''
+    ),
+    'a page in a chunk': begin(chunk(BEGUN), PAUSE_S, chunk(HTML), LAST_CHUNK),
 }
 # What the next server answers.
 ERRORS = {
@@ -75,6 +87,7 @@
         ('Content-Type', 'application/json'),
         body=b'{"data": "error"}\n\n',
     ),
+    'a page as a stream': error(200, OTHER_SEAL, EVENT_STREAM),
     'a stream without a mark of origin': error(
         200, EVENT_STREAM, body=event(3)
     ),
@@ -211,6 +224,21 @@
         check_is_broken_off(await ask(make_script(answer)), caplog, BEGUN)
 
 
+@pytest.mark.parametrize('second', [n for n in ERRORS if n[:3] != 'ids'])
+async def test_an_error_before_the_first_event_leaves_the_head_to_the_next(
+    second, caplog, clock
+):
+    answer = await ask(make_script(ERRORS[second]), send_remaining_events)
+    status, headers, body, _ = answer
+    if status == 200:
+        assert (body, headers['response-seal']) == (ALL_EVENTS, 'd.e.f')
+    else:
+        # A server's own answer to a proper attempt.
+        assert second.endswith('with a mark of origin')
+        assert status == int(second[:3])
+    check_is_intended(caplog)
+
+
 async def test_a_route_that_times_out_within_a_stream_writes_no_error(
     caplog, clock
 ):
@@ -285,3 +313,35 @@
     async with world_lib.running(server) as world:
         status, _, body, _ = await world.ask('/book/x', 'POST', b'p')
     assert (status, body) == (502, b'')
+
+
+WELL_FORMED = [
+    b'id: 1\ndata: x\n\n',
+    b'weights-versions: 3\nid: 1\ndata: x\n\n',
+    b'\xef\xbb\xbfdata: x\n\n',
+    b': a comment\n\n',
+    b':\r\n\r\n',
+    b'data\n\n',
+    b'event:error\r\ndata: <html>\r\n\r\n',
+    b'data: HTTP/1.1 500 X\n\n',
+    b'\n\n',
+]
+MALFORMED = [
+    b'HTTP/1.1 500 X\r\nRequest-Id: r1\r\n\r\n',
+    b'id: 3\nHTTP/1.1 500 X\r\nRequest-Id: r1\r\n\r\n',
+    b'<html>\n\n',
+    b'{"data": 1}\n\n',
+    b'error\n\n',
+    b'upstream failed: no server\n\n',
+    b'da\n\n',
+    b'id: 3\ndata: xHTTP/1.1 500 X\r\nRequest-Id: r1\r\n\r\n',
+    b'Error: no server\n\n',
+    b'\0\1: x\n\n',
+]
+
+
+@pytest.mark.parametrize('data', WELL_FORMED + MALFORMED)
+def test_an_event_consists_of_fields_and_comments(data):
+    (found,) = event_stream.EventSplitter().feed(data)
+    assert found.data == data
+    assert found.is_well_formed == (data in WELL_FORMED)
