Take no refusal of a service that another reply follows

The product's bookings believed a refusal with the real reply right behind it on the same connection: callers got "not run" for a booking that ran. The replies of services carry no request id, so this is the part that can be seen: after a reply of 400 or more, further bytes within 5 ms leave the outcome unknown.

--- a/packages/sardinebend-router/src/sardinebend_router/services.py
+++ b/packages/sardinebend-router/src/sardinebend_router/services.py
@@ -10,6 +10,10 @@
 from sardinebend_store import errors as platform_errors
 
 IDEMPOTENCY_HEADER: typing.Final = b'idempotency-key'
+# Replies from this status on may declare that the call didn't run.
+FIRST_REFUSAL_STATUS: typing.Final = 400
+# Wait for bytes that follow such a reply.
+FURTHER_BYTES_WAIT_S: typing.Final = 0.005
 
 
 class Call(typing.NamedTuple):
@@ -68,7 +72,11 @@
         self._conn = conn
 
     async def send(self, call: Call) -> connections.Reply:
-        """Sends a call once and returns the whole reply."""
+        """Sends a call once and returns the whole reply.
+
+        A refusal that another reply follows may be the one to an earlier call,
+        written once more, while this call runs. It counts as no reply.
+        """
         headers = [
             (b'content-type', call.content_type.encode('latin-1', 'replace')),
             (b'x-request-id', call.request_id.encode()),
@@ -77,7 +85,13 @@
             key = call.idempotency_key.encode('latin-1', 'replace')
             headers.append((IDEMPOTENCY_HEADER, key))
         path = f'/operations/{call.operation}'
-        return await self._conn.exchange('POST', path, headers, call.body)
+        reply = await self._conn.exchange('POST', path, headers, call.body)
+        if (
+            reply.status >= FIRST_REFUSAL_STATUS
+            and await self._conn.has_further_bytes(FURTHER_BYTES_WAIT_S)
+        ):
+            raise platform_errors.ExchangeFailed('more than one reply')
+        return reply
 
     async def close(self) -> None:
         """Closes the connection."""
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -202,7 +202,8 @@
     async def has_further_bytes(self, wait_s: float) -> bool:
         """Returns whether bytes follow a reply that has been read completely.
 
-        Call this before the reply is closed. Bytes that it waited for are lost.
+        A closed connection has only those that had arrived by then. Bytes that
+        it waited for are lost.
 
         Args:
             wait_s: How long to wait for bytes that haven't arrived yet.
