Let the soaks judge streams at planned stops, also without time limits

So no soak could see the streams that stops cut.

It now counts streams like plain requests, whether or not time limits are checked. Excused are streams whose server or service failed, whose time limit was reached, or that were sent within 3 s of the signal and met the last sixth of the grace period. Disturbances of the store alone excuse nothing. Requests that no server had are judged by 0.2 s as before, in a timed check of their own. Plain requests have no further excuse, as before.

Both soaks now stop hosts with the signal handled 0, 0.3 or 0.5 s late, in series and overlapping, with reloads beside it (SIGHUP over processes). Callers ask a stopping host until it is gone, and send it streams of 30 to 70 events (2.4 to 5.6 s); so does a tenth of the usual streams.

A server of the soak that failed to send to a host that had gone ended its process: the error left its nursery in a group. It is caught now; otherwise a cut stream would pass as a failure of its server.

New tests turn the check red: in one process with a host that ends 1 s into a stop, over processes with one that is killed 2.5 s into it, and by cases that count or are excused. The settling time over processes grows from 9 to 12 s, as a stop may last 8.5 s and the host must be ready again; in one process from 9 to 10 s.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -58,6 +58,57 @@
     assert bool(violation) == was_running
 
 
+# Guards against a check that looked away from streams and whenever the store
+# was disturbed. Each case: its kind, when it was sent and cut, when its server
+# ended, and whether it counts.
+@pytest.mark.parametrize(
+    ('case', 'kind', 'sent_at', 'ended_at', 'run_end', 'is_counted'),
+    [
+        ('', 'draft', 103.1, 107.4, 107.4, True),
+        ('', 'draft', 103.0, 107.4, 107.4, False),
+        ('', 'draft', 102.0, 107.4, 106.0, True),
+        ('', 'draft', 99.0, 101.0, 101.0, True),
+        ('', 'look', 103.0, 107.4, 107.4, True),
+        ('server broke off', 'draft', 103.1, 107.4, 107.4, False),
+        ('server failed', 'draft', 103.1, 107.4, 107.4, False),
+        ('time limit', 'draft', 103.1, 107.4, 107.4, False),
+        ('host disturbed', 'draft', 103.1, 107.4, 107.4, False),
+        ('store disturbed', 'draft', 103.1, 107.4, 107.4, True),
+        ('ended later', 'draft', 103.1, 107.9, 107.9, False),
+        ('whole', 'draft', 103.1, 107.4, 107.4, False),
+    ],
+)
+def test_a_stream_cut_at_a_planned_stop_counts_if_nothing_excuses_it(
+    case, kind, sent_at, ended_at, run_end, is_counted
+):
+    fleet = fleet_lib.Disturbances()
+    host = types.SimpleNamespace(name='host-0')
+    fleet.planned_stops = [fleet_lib.Stop(host, 100.0, 107.5)]
+    window = [100.0, 110.0]
+    if case in ('host disturbed', 'store disturbed'):
+        fleet.disturbances.append(window)
+    if case == 'host disturbed':
+        fleet.host_disturbances.append(window)
+    if case == 'server failed':
+        fleet.server_failures.append(('llm', window))
+    record = fleet_lib.CallerRecord(
+        'q1',
+        kind,
+        sent_at,
+        host,
+        'key',
+        status=200,
+        sent_at=sent_at,
+        ended_at=ended_at,
+        ended_incomplete=case != 'whole',
+        limit_s=4.0 if case == 'time limit' else 6.0,
+    )
+    run = fleet_lib.Run('q1', 'engine-0', 1, sent_at, 'vanua', False, run_end)
+    run.is_sound = case != 'server broke off'
+    found = checks.find_unanswered_at_planned_stop(fleet, record, [run])
+    assert bool(found) == is_counted
+
+
 def test_a_soak_finds_a_booking_that_is_sent_twice():
     next_step = forwarding.AttemptLedger.next_step
 
@@ -130,3 +181,16 @@
     ):
         result = soak.run(3, DURATION_S)
     assert any('closed without' in line for line in result.violations)
+
+
+def test_a_soak_finds_streams_cut_at_a_planned_stop():
+    async def end_early(gateway):
+        await trio.sleep(1.0)
+        gateway.server.close()
+
+    with (
+        unittest.mock.patch.object(gateway_lib.Gateway, '_drain', end_early),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.host_stopped,)),
+    ):
+        result = soak.run(3, DURATION_S)
+    assert any('(draft): closed without' in line for line in result.violations)
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -4,7 +4,9 @@
 """
 
 import pytest
+import trio
 
+from tests.soak import process_faults
 from tests.soak import process_fleet
 from tests.soak import process_soak
 
@@ -33,3 +35,21 @@
     monkeypatch.setattr(process_fleet.ProcessFleet, '_add_record', add_twice)
     result = process_soak.run(2, 6.0, hosts=3, engines=4, is_timed=False)
     assert any('ran 2 times' in line for line in result.violations)
+
+
+def test_a_soak_over_processes_finds_streams_cut_at_a_planned_stop(monkeypatch):
+    """Kills hosts while they stop, when their servers are still at work."""
+    stop_host = process_faults.stop_host
+
+    async def stop_and_kill(fleet, host):
+        fleet.nursery.start_soon(kill_soon, host.process)
+        await stop_host(fleet, host)
+
+    async def kill_soon(process):
+        await trio.sleep(2.5)
+        process.kill()
+
+    monkeypatch.setattr(process_faults, 'stop_host', stop_and_kill)
+    monkeypatch.setattr(process_faults, 'KINDS', (process_faults.host_stopped,))
+    result = process_soak.run(2, 6.0, hosts=3, engines=4, is_timed=False)
+    assert any('(draft): closed without' in line for line in result.violations)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -17,6 +17,12 @@
 REQUESTS_PER_S = 14
 REVOKED_KEY_SHARE = 0.2
 REUSE_SHARE = 0.6
+LONG_SHARE = 0.1
+# Callers of a host that stops: one that comes back at once, and long streams
+# until a while after the host refuses requests.
+COME_BACK_S = 0.1
+LONG_INTERVAL_S = 0.3
+LONG_STREAMS_S = 4.5
 # The first part of the prompt of every draft.
 SHARED_PART = '50bec7'
 # Four fifths of the hosts' idle time-out for connections.
@@ -48,6 +54,8 @@
             _choose_key(fleet),
             was_ready=not may_be_unready,
         )
+        if kind == 'draft' and fleet.stream_rng.random() < LONG_SHARE:
+            record.events = fleet.stream_rng.randint(*fleet_lib.LONG_EVENTS)
         fleet.requests.append(record)
         disconnect_after_s = None
         if fleet.rng.random() < DISCONNECT_SHARE:
@@ -57,6 +65,37 @@
         )
 
 
+async def ask_until_gone(fleet, host, is_gone):
+    """Asks a host that stops until it has ended, also on kept connections."""
+    while not is_gone.is_set():
+        kind = fleet.rng.choice(('look', 'book'))
+        await send_request(fleet, _add_record(fleet, host, kind))
+        await trio.sleep(COME_BACK_S)
+
+
+async def send_long_streams(fleet, host, is_gone):
+    """Sends streams that a planned stop meets."""
+    last_at = trio.current_time() + LONG_STREAMS_S
+    while not is_gone.is_set() and trio.current_time() < last_at:
+        record = _add_record(fleet, host, 'draft')
+        record.events = fleet.rng.randint(*fleet_lib.LONG_EVENTS)
+        fleet.nursery.start_soon(send_request, fleet, record)
+        await trio.sleep(LONG_INTERVAL_S)
+
+
+def _add_record(fleet, host, kind):
+    record = fleet_lib.CallerRecord(
+        f's{len(fleet.requests)}',
+        kind,
+        trio.current_time(),
+        host,
+        next(iter(fleet.keys)),
+        was_ready=False,
+    )
+    fleet.requests.append(record)
+    return record
+
+
 def _choose_key(fleet):
     """Returns a key, sometimes one that has been revoked."""
     if fleet.revoked_keys and fleet.rng.random() < REVOKED_KEY_SHARE:
@@ -66,7 +105,7 @@
 
 async def send_request(fleet, record, disconnect_after_s=None):
     """Sends one request and reads its answer, or disconnects before that."""
-    timeout_s = CALLER_TIMEOUT_S[record.kind]
+    timeout_s = record.limit_s = CALLER_TIMEOUT_S[record.kind]
     scope_s = (
         disconnect_after_s if disconnect_after_s is not None else timeout_s + 1
     )
@@ -151,6 +190,7 @@
     """Makes one exchange; returns whether the connection is reusable."""
     if record.kind == 'draft':
         own_part = f'd{record.request_id.encode().hex()}'
+        headers['x_events'] = str(record.events)
         headers.setdefault('prefix_hash', f'{SHARED_PART}:10,{own_part}:10')
     if content is None and record.kind != 'look':
         content = b'body of ' + record.request_id.encode()
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -25,7 +25,7 @@
         'find_late_answer',
         'find_work_after_disconnect',
         'find_run_with_revoked_key',
-        'find_unanswered_at_planned_stop',
+        'find_unread_at_planned_stop',
     )
 )
 
@@ -52,6 +52,7 @@
             find_forwarded_key,
             find_run_with_revoked_key,
             find_unanswered_at_planned_stop,
+            find_unread_at_planned_stop,
         ):
             if not is_timed and find_violation.__name__ in TIMED:
                 continue
@@ -115,7 +116,7 @@
         return None
     whole = b''.join(
         world_lib.event(n, f'{record.request_id}-')
-        for n in range(1, fleet_lib.EVENTS + 1)
+        for n in range(1, record.events + 1)
     )
     if record.is_whole and record.body != whole:
         return 'ended regularly but is incomplete'
@@ -176,32 +177,70 @@
 
 
 def find_unanswered_at_planned_stop(fleet, record, runs):
+    """Checks that a planned stop answers what the host has passed on.
+
+    Checks only times without a disturbance of hosts. Streams are excused if
+    their server failed, their time limit was reached, or the end of the grace
+    period met them.
+    """
+    stop = _find_stop(fleet, record)
+    if stop is None or not runs:
+        return None
+    if not fleet.were_hosts_undisturbed(record.at, record.ended_at):
+        return None
+    if record.kind == 'draft' and _is_excused(fleet, record, runs, stop):
+        return None
+    return (
+        f'closed without an answer at {record.host.name}, sent'
+        f' {record.sent_at - stop.started_at:.2f} s and closed'
+        f' {record.ended_at - stop.started_at:.2f} s after the signal'
+    )
+
+
+def find_unread_at_planned_stop(fleet, record, runs):
     """Checks that a planned stop answers the requests that the host has read.
 
-    Checks only times without a disturbance of hosts or store. Streams aren't
-    checked: their engine may have ended, or their time-out may be near.
+    These are the ones that no server had, by the time since they were sent.
     """
-    if (
-        not record.ended_incomplete
-        or record.sent_at is None
-        or record.kind == 'draft'
-    ):
+    stop = _find_stop(fleet, record)
+    if stop is None or runs:
+        return None
+    if record.ended_at - record.sent_at <= fleet_lib.READ_WITHIN_S:
+        return None
+    if not fleet.were_hosts_undisturbed(record.at, record.ended_at):
+        return None
+    return f'read, and closed without an answer at {record.host.name}'
+
+
+def _find_stop(fleet, record):
+    """Returns the planned stop within which a request was cut, if any."""
+    if not record.ended_incomplete or record.sent_at is None:
         return None
     for stop in fleet.planned_stops:
-        if stop.host is not record.host or not (
-            stop.started_at
-            <= record.ended_at
-            <= stop.ended_at + PROCESS_END_SLACK_S
+        end = stop.ended_at + PROCESS_END_SLACK_S
+        if (
+            stop.host is record.host
+            and stop.started_at <= record.ended_at <= end
         ):
-            continue
-        was_read = runs or (
-            record.ended_at - record.sent_at > fleet_lib.READ_WITHIN_S
-        )
-        if was_read and fleet.was_undisturbed(record.at, record.ended_at):
-            return f'closed without an answer at {record.host.name}'
+            return stop
     return None
 
 
+def _is_excused(fleet, record, runs, stop):
+    """Returns whether a planned stop may have cut a stream."""
+    if not all(run.is_sound for run in runs):
+        return True
+    if not fleet.was_service_sound('llm', record.at, record.ended_at):
+        return True
+    if record.ended_at >= record.at + record.limit_s:
+        return True
+    worked_until = max(run.ended_at or float('inf') for run in runs)
+    return (
+        record.sent_at <= stop.started_at + fleet_lib.EXCUSED_S
+        and worked_until >= stop.started_at + fleet_lib.LAST_SIXTH_S
+    )
+
+
 def find_runs_at_leaving_servers(fleet):
     """Returns requests sent to a server too long after it began leaving.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,11 @@
 # Each fatal request may crash three servers, and the plain service has two.
 MAX_FATAL_REQUESTS = 2
 MAX_LOST_WRITES = 40
+# Two planned stops that overlap begin within this time.
+OVERLAP_S = 4.0
+# How often a host's settings are read again while it stops.
+HANGUP_SHARE = 0.02
+STOP_PATTERNS = ('one', 'series', 'overlapping')
 
 
 async def run(fleet):
@@ -28,14 +33,14 @@
 
 
 async def store_down(fleet):
-    with fleet.disturbance('store down'):
+    with fleet.disturbance('store down', only_store=True):
         fleet.store.is_down = True
         await trio.sleep(fleet.rng.uniform(0.5, 4))
         fleet.store.is_down = False
 
 
 async def store_slow(fleet):
-    with fleet.disturbance('store slow'):
+    with fleet.disturbance('store slow', only_store=True):
         fleet.store_delay_s = 0.3
         await trio.sleep(fleet.rng.uniform(0.5, 3))
         fleet.store_delay_s = 0.004
@@ -49,7 +54,8 @@
     if fleet.store.is_down:
         return
     writes = fleet.rng.randint(1, MAX_LOST_WRITES)
-    with fleet.disturbance(f'store returns without its last {writes} writes'):
+    text = f'store returns without its last {writes} writes'
+    with fleet.disturbance(text, only_store=True):
         fleet.store.is_down = True
         await trio.sleep(fleet.rng.uniform(0.05, 1))
         fleet.store.return_from_copy(writes)
@@ -63,7 +69,8 @@
     attribute = fleet.rng.choice(('is_cut', 'is_mute'))
     if host.store.is_cut or host.store.is_mute:
         return
-    with fleet.disturbance(f'{host.name}: its store connection {attribute}'):
+    text = f'{host.name}: its store connection {attribute}'
+    with fleet.disturbance(text, only_store=True):
         setattr(host.store, attribute, True)
         await trio.sleep(fleet.rng.uniform(0.5, 7))
         setattr(host.store, attribute, False)
@@ -98,27 +105,64 @@
 
 
 async def host_stopped(fleet):
-    host = _pick_host(fleet)
+    await stop_hosts(fleet, _pick_host, _stop_host)
+
+
+async def stop_hosts(fleet, pick_host, stop_host):
+    """Stops one host, or two in series or overlapping."""
+    pattern = fleet.rng.choice(STOP_PATTERNS)
+    host = pick_host(fleet)
     if host is None:
         return
-    fleet.add_log(f'{host.name} stops as planned')
+    if pattern == 'overlapping':
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_host, fleet, host)
+            await trio.sleep(fleet.rng.uniform(0.0, OVERLAP_S))
+            host = pick_host(fleet, min_left=1)
+            if host is not None and not fleet.is_ending:
+                nursery.start_soon(stop_host, fleet, host)
+        return
+    await stop_host(fleet, host)
+    if pattern == 'series' and not fleet.is_ending:
+        host = pick_host(fleet)
+        if host is not None:
+            await stop_host(fleet, host)
+
+
+async def _stop_host(fleet, host):
+    late_s = fleet.rng.choice(fleet_lib.LATE_S)
+    fleet.add_log(f'{host.name} stops as planned, {late_s} s late')
+    host.is_stopping = True
     started_at = trio.current_time()
+    is_gone = start_stop_callers(fleet, host)
+    await trio.sleep(late_s)
     host.world.gateway.begin_stop()
     while host.is_up:
         await trio.sleep(0.05)
+        if fleet.rng.random() < HANGUP_SHARE:
+            state = host.world.gateway.state
+            state.cfg = state.cfg._replace()
+    is_gone.set()
     fleet.planned_stops.append(
         fleet_lib.Stop(host, started_at, trio.current_time())
     )
+    host.is_stopping = False
     fleet.nursery.start_soon(host.run)
 
 
-def _pick_host(fleet):
+def start_stop_callers(fleet, host):
+    """Starts callers of a host that stops; returns the event that ends them."""
+    is_gone = trio.Event()
+    for send in (callers.ask_until_gone, callers.send_long_streams):
+        fleet.nursery.start_soon(send, fleet, host, is_gone)
+    return is_gone
+
+
+def _pick_host(fleet, min_left=MIN_HOSTS):
     candidates = [
-        host
-        for host in fleet.hosts
-        if host.is_up and not host.world.gateway.state.is_stopping
+        host for host in fleet.hosts if host.is_up and not host.is_stopping
     ]
-    return fleet.rng.choice(candidates) if len(candidates) > MIN_HOSTS else None
+    return fleet.rng.choice(candidates) if len(candidates) > min_left else None
 
 
 def _pick_ready_host(fleet):
@@ -139,6 +183,13 @@
     if worker.is_down or worker.leaving_since is not None:
         return
     fleet.add_log(f'{worker.name} {state}')
+    with fleet.server_failure(worker):
+        await _keep_down(fleet, worker, state, is_listed)
+    worker.is_down = False
+    await fleet.write_listing(worker)
+
+
+async def _keep_down(fleet, worker, state, is_listed):
     worker.is_down = True
     if state == 'silent':
         worker.is_silent = True
@@ -153,8 +204,6 @@
     worker.is_silent = False
     if state != 'silent':
         await worker.start(fleet.nursery)
-    worker.is_down = False
-    await fleet.write_listing(worker)
 
 
 async def server_leaves(fleet):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -22,6 +22,16 @@
 HOSTS: typing.Final = 4
 EVENTS: typing.Final = 8
 EVENT_S: typing.Final = 0.08
+# Streams that a planned stop meets have a number of events in this range.
+LONG_EVENTS: typing.Final = (30, 70)
+# Time that a host has for a planned stop, by default.
+GRACE_S: typing.Final = 8.0
+# A planned stop may cut a stream that was sent no later than this after its
+# signal, if the server is still at work in the last sixth of the grace period.
+EXCUSED_S: typing.Final = 3.0
+LAST_SIXTH_S: typing.Final = GRACE_S * 5 / 6
+# How late the signal of a planned stop is handled.
+LATE_S: typing.Final = (0.0, 0.0, 0.3, 0.5)
 # An engine waits this long for a failed engine of its path, then refuses the
 # request or ends the stream.
 STALL_S: typing.Final = 3.0
@@ -62,6 +72,7 @@
 
     Attributes:
         born: The number of the server's starts, as in its listing.
+        is_sound: Whether the server did all that it should, and didn't end.
     """
 
     request_id: str
@@ -71,6 +82,7 @@
     customer: str | None
     has_key: bool
     ended_at: float | None = None
+    is_sound: bool = True
     events: list[int] = dataclasses.field(default_factory=list)
 
 
@@ -81,6 +93,8 @@
     Attributes:
         ended_incomplete: Whether the host ended the connection before the
             whole answer had arrived.
+        events: The number of events of a stream.
+        limit_s: The caller's time limit.
     """
 
     request_id: str
@@ -96,6 +110,8 @@
     disconnected_at: float | None = None
     sent_at: float | None = None
     ended_incomplete: bool = False
+    events: int = EVENTS
+    limit_s: float = float('inf')
 
 
 class Stop(typing.NamedTuple):
@@ -230,6 +246,7 @@
             return await self._run_stream(run, headers, stream)
         finally:
             run.ended_at = trio.current_time()
+            run.is_sound = run.is_sound and not self.is_down
             self.paths.pop(run.request_id, None)
 
     async def _crash_under_request(self, content, headers):
@@ -255,11 +272,12 @@
             return
         self.fleet.add_log(f'{self.name} is crashed by a request')
         self.is_down = True
-        self.close()
-        self.drop_connections()
-        await trio.sleep(self.fleet.rng.uniform(1.5, 4.0))
-        self.born += 1
-        await self.start(self.fleet.nursery)
+        with self.fleet.server_failure(self):
+            self.close()
+            self.drop_connections()
+            await trio.sleep(self.fleet.rng.uniform(1.5, 4.0))
+            self.born += 1
+            await self.start(self.fleet.nursery)
         self.is_down = False
         await self.fleet.write_listing(self)
 
@@ -267,6 +285,7 @@
         await trio.sleep(self.fleet.rng.uniform(0.01, 0.1))
         is_reply_lost = self.fleet.rng.random() < self.reply_loss_rate
         if is_reply_lost or self.is_down:
+            run.is_sound = False
             world_lib.reset(stream)
             return None
         body = f'done {run.request_id}'.encode()
@@ -275,6 +294,7 @@
             return None
         head = world_lib.head(200, self._make_headers(run), body=body)
         is_truncated = self.fleet.rng.random() < self.reply_loss_rate
+        run.is_sound = not is_truncated
         return world_lib.Answer(head[:-3] if is_truncated else head)
 
     def _make_headers(self, run):
@@ -284,6 +304,7 @@
         return headers
 
     async def _send_without_end(self, run, stream):
+        run.is_sound = False
         head = world_lib.head(200, self._make_headers(run), 'chunked')
         await stream.send_all(head)
         while True:
@@ -293,6 +314,7 @@
         path = read_path(headers['hop-count'])
         self.paths[run.request_id] = path
         last_event = int(headers.get('last-event-id', 0))
+        event_count = int(headers.get('x-events', EVENTS))
         if not all(self.fleet.is_up(address) for address, _, _ in path):
             return refuse_at_failed_part(self.fleet, headers, path)
         if self.is_endless:
@@ -302,15 +324,18 @@
         await stream.send_all(head)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_close, stream, nursery.cancel_scope)
-            for number in range(last_event + 1, EVENTS + 1):
+            for number in range(last_event + 1, event_count + 1):
                 await trio.sleep(EVENT_S)
                 if not await self._wait_for_path(run):
+                    run.is_sound = False
                     world_lib.reset(stream)
                     return None
                 run.events.append(number)
                 data = world_lib.event(number, f'{run.request_id}-')
-                await stream.send_all(world_lib.chunk(data))
-            await stream.send_all(b'0\r\n\r\n')
+                if not await try_send(stream, world_lib.chunk(data)):
+                    break
+            else:
+                await try_send(stream, b'0\r\n\r\n')
             nursery.cancel_scope.cancel()
         return None
 
@@ -330,6 +355,19 @@
         return False
 
 
+async def try_send(stream, data):
+    """Returns whether the connection was still there.
+
+    An error would leave the nursery of a stream in a group, which ends the
+    process.
+    """
+    try:
+        await stream.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return False
+    return True
+
+
 async def cancel_on_close(stream, scope):
     try:
         if not await stream.receive_some(1):
@@ -381,6 +419,7 @@
         self.store = FaultyStore(fleet)
         self.scope = None
         self.world = None
+        self.is_stopping = False
 
     @property
     def is_up(self):
@@ -411,18 +450,88 @@
             self.scope.cancel()
 
 
-class Fleet:
-    """All components and records of one soak."""
+class Disturbances:
+    """The times of the faults of a soak.
+
+    Attributes:
+        disturbances: Times at which hosts may lack changes of the store, with
+            their margins.
+        host_disturbances: Those of them that aren't only the store's.
+        server_failures: Times at which a server of a service had failed.
+    """
+
+    def __init__(self):
+        self.disturbances: list[list[float]] = []
+        self.host_disturbances: list[list[float]] = []
+        self.server_failures: list[tuple[str, list[float]]] = []
+
+    def was_undisturbed(self, start, end):
+        """Returns whether no disturbance or its margins overlap this time."""
+        return not _overlaps(self.disturbances, start, end)
+
+    def were_hosts_undisturbed(self, start, end):
+        """Returns the same, leaving out disturbances of the store alone."""
+        return not _overlaps(self.host_disturbances, start, end)
+
+    def was_service_sound(self, service, start, end):
+        """Returns whether none of its servers had failed in this time."""
+        windows = [w for name, w in self.server_failures if name == service]
+        return not _overlaps(windows, start, end)
+
+    @contextlib.contextmanager
+    def disturbance(self, text, only_store=False):
+        """Marks the time of a fault during which hosts may lack store changes.
+
+        Checks that need undisturbed hosts and store skip it.
+        """
+        self.add_log(text)
+        window = [trio.current_time() - DISTURBANCE_MARGIN_S, float('inf')]
+        self.disturbances.append(window)
+        if not only_store:
+            self.host_disturbances.append(window)
+        try:
+            yield
+        finally:
+            window[1] = trio.current_time() + DISTURBANCE_MARGIN_S
+            self.add_log(f'ended: {text}')
+
+    @contextlib.contextmanager
+    def server_failure(self, worker):
+        """Marks the time of a server's failure, until others have noticed."""
+        window = [trio.current_time(), float('inf')]
+        self.server_failures.append((worker.service, window))
+        try:
+            yield
+        finally:
+            window[1] = trio.current_time() + STALL_S
+
+    def add_log(self, text):
+        self.log.append(f'{trio.current_time():8.3f} {text}')
+
+
+def _overlaps(windows, start, end):
+    return any(began < end and ended > start for began, ended in windows)
+
+
+class Fleet(Disturbances):
+    """All components and records of one soak.
+
+    Attributes:
+        is_ending: Whether no further faults should start.
+    """
 
     def __init__(self, nursery, seed):
+        super().__init__()
+        self.is_ending = False
         self.nursery = nursery
         self.rng = random.Random(seed)
+        # Apart, so that a seed has the same faults with streams of any length.
+        self.stream_rng = random.Random(seed)
         self.store = feeds.MemoryFeeds()
         self.store_delay_s = 0.004
         self.runs: list[Run] = []
         self.requests: list[CallerRecord] = []
         self.log: list[str] = []
-        self.disturbances: list[list[float]] = []
         self.departures: list[Departure] = []
         self.fatal_runs: list[FatalRun] = []
         self.fatal_contents: set[bytes] = set()
@@ -469,13 +578,6 @@
     def is_up(self, address):
         return self.find_worker(address) is not None
 
-    def was_undisturbed(self, start, end):
-        """Returns whether no disturbance or its margins overlap this time."""
-        return not any(
-            started < end and ended > start
-            for started, ended in self.disturbances
-        )
-
     def was_running(self, host, start, end):
         """Returns whether a host wasn't suspended between two times.
 
@@ -491,24 +593,6 @@
         """Returns the first time from `at` on when a server isn't suspended."""
         return at
 
-    @contextlib.contextmanager
-    def disturbance(self, text):
-        """Marks the time of a fault during which hosts may lack store changes.
-
-        Checks that need undisturbed hosts and store skip it.
-        """
-        self.add_log(text)
-        window = [trio.current_time() - DISTURBANCE_MARGIN_S, float('inf')]
-        self.disturbances.append(window)
-        try:
-            yield
-        finally:
-            window[1] = trio.current_time() + DISTURBANCE_MARGIN_S
-            self.add_log(f'ended: {text}')
-
-    def add_log(self, text):
-        self.log.append(f'{trio.current_time():8.3f} {text}')
-
     async def start(self):
         for worker in self.workers.values():
             await worker.start(self.nursery)
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -11,6 +11,9 @@
 MIN_HOSTS = 2
 # A planned stop's grace period, and the time to start a process.
 STOP_S = 12.0
+# Share of the stops beside which SIGHUP is sent, and how often it is then.
+HANGUP_SHARE = 0.3
+HANGUPS = 0.05
 
 
 async def run(fleet):
@@ -21,9 +24,12 @@
         fleet.nursery.start_soon(fleet.rng.choice(kinds), fleet)
 
 
-def _pick_host(fleet):
-    candidates = [host for host in fleet.hosts if host.is_ready()]
-    return fleet.rng.choice(candidates) if len(candidates) > MIN_HOSTS else None
+def _pick_host(fleet, min_left=MIN_HOSTS):
+    # Readiness is polled, so a host that stops may still count as ready.
+    candidates = [
+        host for host in fleet.hosts if host.is_ready() and not host.is_stopping
+    ]
+    return fleet.rng.choice(candidates) if len(candidates) > min_left else None
 
 
 def _pick_worker(fleet):
@@ -51,18 +57,40 @@
 
 
 async def host_stopped(fleet):
-    host = _pick_host(fleet)
-    if host is None:
-        return
-    fleet.add_log(f'{host.name} stops as planned')
+    await faults.stop_hosts(fleet, _pick_host, stop_host)
+
+
+async def stop_host(fleet, host):
+    """Stops a host as planned, and starts it again.
+
+    The process may be suspended when the signal is sent, as it is on a machine
+    that has no processor left for it, and get further signals meanwhile.
+    """
+    late_s = fleet.rng.choice(fleet_lib.LATE_S)
+    has_hangups = fleet.rng.random() < HANGUP_SHARE
+    fleet.add_log(f'{host.name} stops as planned, {late_s} s late')
+    host.is_stopping = True
     started_at = trio.current_time()
+    is_gone = faults.start_stop_callers(fleet, host)
+    if late_s:
+        pause = [started_at, float('inf')]
+        host.pauses.append(pause)
+        host.process.send(signal.SIGSTOP)
     host.process.send(signal.SIGTERM)
+    if late_s:
+        await trio.sleep(late_s)
+        host.process.send(signal.SIGCONT)
+        pause[1] = trio.current_time()
     with trio.move_on_after(STOP_S):
         while host.process.is_up:
             await trio.sleep(0.05)
+            if has_hangups and fleet.rng.random() < HANGUPS:
+                host.process.send(signal.SIGHUP)
+    is_gone.set()
     fleet.planned_stops.append(
         fleet_lib.Stop(host, started_at, trio.current_time())
     )
+    host.is_stopping = False
     host.start()
 
 
@@ -91,14 +119,15 @@
     if host.proxy.mode != 'open':
         return
     mode = fleet.rng.choice(('slow', 'silent', 'reset'))
-    with fleet.disturbance(f'{host.name}: connection to the store {mode}'):
+    text = f'{host.name}: connection to the store {mode}'
+    with fleet.disturbance(text, only_store=True):
         host.proxy.set_mode(mode)
         await trio.sleep(fleet.rng.uniform(0.5, 6))
         host.proxy.set_mode('open')
 
 
 async def store_paused(fleet):
-    with fleet.disturbance('store paused'):
+    with fleet.disturbance('store paused', only_store=True):
         fleet.store.send(signal.SIGSTOP)
         await trio.sleep(fleet.rng.uniform(0.3, 4))
         fleet.store.send(signal.SIGCONT)
@@ -106,7 +135,8 @@
 
 async def store_returns(fleet):
     """Brings the store back from an older copy after a short outage."""
-    with fleet.disturbance('store returns from an older copy'):
+    text = 'store returns from an older copy'
+    with fleet.disturbance(text, only_store=True):
         fleet.store.send(signal.SIGSTOP)
         await trio.sleep(fleet.rng.uniform(0.05, 1))
         fleet.store.send(signal.SIGUSR1)
@@ -122,9 +152,10 @@
     if worker is None:
         return
     fleet.add_log(f'{worker.name} killed')
-    worker.process.kill()
-    await trio.sleep(fleet.rng.uniform(1, 5))
-    worker.start()
+    with fleet.server_failure(worker):
+        worker.process.kill()
+        await trio.sleep(fleet.rng.uniform(1, 5))
+        worker.start()
 
 
 async def worker_paused(fleet):
@@ -132,12 +163,13 @@
     if worker is None:
         return
     fleet.add_log(f'{worker.name} paused')
-    pause = [trio.current_time(), float('inf')]
-    worker.pauses.append(pause)
-    worker.process.send(signal.SIGSTOP)
-    await trio.sleep(fleet.rng.uniform(0.3, 3))
-    worker.process.send(signal.SIGCONT)
-    pause[1] = trio.current_time()
+    with fleet.server_failure(worker):
+        pause = [trio.current_time(), float('inf')]
+        worker.pauses.append(pause)
+        worker.process.send(signal.SIGSTOP)
+        await trio.sleep(fleet.rng.uniform(0.3, 3))
+        worker.process.send(signal.SIGCONT)
+        pause[1] = trio.current_time()
 
 
 async def worker_leaves(fleet):
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -27,6 +27,8 @@
 IP = '127.0.0.1'
 READY_S = 20.0
 POLL_INTERVAL_S = 0.2
+# A server that a request has crashed runs again, and is known, by then.
+CRASH_KNOWN_S = 8.0
 # Not used: `Host` takes each port from `ports.find_free`.
 PORT_SPAN = 4
 # Of the internal ports, the first receives heartbeats, the last serves metrics.
@@ -186,6 +188,7 @@
         self.proxy = StoreProxy(fleet.nursery, store_port, fleet.store_port)
         self.process = None
         self.pauses = []
+        self.is_stopping = False
         self._ready = False
         # Callers connect through `host.world`, as with the hosts of `fleet`.
         self.world = self
@@ -244,15 +247,18 @@
     return reply.status == 200
 
 
-class ProcessFleet:
+class ProcessFleet(fleet_lib.Disturbances):
     """All components and records of one soak over processes.
 
     It has the attributes of `fleet.Fleet` that the checks use.
     """
 
     def __init__(self, nursery, seed, hosts, engines):
+        super().__init__()
+        self.is_ending = False
         self.nursery = nursery
         self.rng = random.Random(seed)
+        self.stream_rng = random.Random(seed)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='soak-'))
         self.log = []
         self.requests = []
@@ -266,7 +272,6 @@
         self.revoked_keys = {}
         self.ended_at = 0.0
         self.unready_at_end = []
-        self.disturbances = []
         self.keys = {world_lib.KEY: None}
         self.config = world_lib.make_config()
         self.store_port = ports.find_free(1)[0]
@@ -322,33 +327,6 @@
         await client.close()
         return answer.is_ok()
 
-    def add_log(self, text):
-        self.log.append(f'{trio.current_time():8.3f} {text}')
-
-    @contextlib.contextmanager
-    def disturbance(self, text):
-        """Marks the time of a fault during which hosts may lack store changes.
-
-        Checks that need undisturbed hosts and store skip it.
-        """
-        self.add_log(text)
-        window = [
-            trio.current_time() - fleet_lib.DISTURBANCE_MARGIN_S,
-            float('inf'),
-        ]
-        self.disturbances.append(window)
-        try:
-            yield
-        finally:
-            window[1] = trio.current_time() + fleet_lib.DISTURBANCE_MARGIN_S
-            self.add_log(f'ended: {text}')
-
-    def was_undisturbed(self, start, end):
-        return not any(
-            started < end and ended > start
-            for started, ended in self.disturbances
-        )
-
     def was_running(self, host, start, end):
         return not any(
             started < end and ended > start for started, ended in host.pauses
@@ -370,6 +348,13 @@
             path = self.folder / f'{name}.book'
             for line in path.read_text().splitlines():
                 self._add_record(json.loads(line), open_runs)
+        for run in self.runs:
+            # A run without an end was cut off by the end of its process.
+            run.is_sound = run.is_sound and run.ended_at is not None
+        for crash in self.fatal_runs:
+            window = [crash.at, crash.at + CRASH_KNOWN_S]
+            service = self.workers[crash.server].service
+            self.server_failures.append((service, window))
 
     def _add_record(self, data, open_runs):
         kind = data.pop('kind')
--- a/tests/soak/process_soak.py
+++ b/tests/soak/process_soak.py
@@ -8,7 +8,8 @@
 from tests.soak import process_fleet
 from tests.soak import soak
 
-SETTLE_S = 9.0
+# A host whose stop began last has ended and is ready again by then.
+SETTLE_S = 12.0
 
 
 def run(seed, duration_s=30.0, hosts=3, engines=8, is_timed=True):
@@ -26,6 +27,7 @@
                 async with trio.open_nursery() as load:
                     load.start_soon(callers.run, fleet)
                     load.start_soon(process_faults.run, fleet)
+            fleet.is_ending = True
             await trio.sleep(SETTLE_S)
             soak.record_end(fleet)
         finally:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -21,7 +21,7 @@
 IDLE_S: typing.Final = 0.002
 DURATION_S: typing.Final = 30.0
 # After the last request, all faults end and callers time out within this time.
-SETTLE_S: typing.Final = 9.0
+SETTLE_S: typing.Final = 10.0
 
 
 class Result(typing.NamedTuple):
@@ -74,6 +74,7 @@
             async with trio.open_nursery() as load:
                 load.start_soon(callers.run, fleet)
                 load.start_soon(faults.run, fleet)
+        fleet.is_ending = True
         await trio.sleep(SETTLE_S)
         record_end(fleet)
         result = Result(
