Count a host as ready only once it knows the servers

Callers that were sent to a host which had just started were refused (503): it was ready with its configuration, some tens of milliseconds before it had read which servers there are. Seen while odd entries were tried over real processes.

A host is ready once it has read both tables.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -194,6 +194,8 @@
         state = self.state
         if state.is_stopping or state.catalog is None:
             return False
+        if not self._endpoints.follower.has_rows:
+            return False
         if not self.supervisor.is_healthy():
             return False
         return state.catalog_age_s() < state.cfg.revoke_s
