Answer requests that a host reads as its limit for idle connections passes

Callers would see a request on a kept connection read by the host and its connection closed without an answer, and nothing in the log, if the host was held up while the request came: the time limit for idle connections then passes before the host reads what is there. Callers use connections again after up to four fifths of the limit of 2 s, so 0.4 s of delay are enough, as around a signal that is handled 0.5 s late.

Cause: bytes were received in a nursery, whose other task waited for the end of the server. The limit cancelled that task, its nursery raised Cancelled although the bytes had been received, and they were dropped.

Connections that wait for a request now have a cancel scope each, of which the closing server sets the deadline. A scope doesn't drop what was received.

Failed before, with status 0 in place of 200: test_a_request_that_came_before_ a_host_was_held_up_is_answered.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -285,7 +285,8 @@
         self.limits = limits
         self._connection_count = 0
         self._connection_ended = trio.Event()
-        self._closing = trio.Event()
+        self._is_closing = False
+        self._idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
         # Both are the listening socket. Only the first can be read without
@@ -335,7 +336,9 @@
         bring one request.
         """
         self.begin_stop()
-        self._closing.set()
+        self._is_closing = True
+        for scope in self._idle_scopes:
+            scope.deadline = trio.current_time() + LAST_REQUEST_WAIT_S
         self._accept_scope.cancel()
         if self._socket is None or self._listener is None:
             return
@@ -355,18 +358,18 @@
         Returns:
             The bytes; empty if the server closes.
         """
-        data = b''
-        async with trio.open_nursery() as nursery:
-
-            async def watch() -> None:
-                await self._closing.wait()
-                await trio.sleep(LAST_REQUEST_WAIT_S)
-                nursery.cancel_scope.cancel()
-
-            nursery.start_soon(watch)
-            data = await receive()
-            nursery.cancel_scope.cancel()
-        return data
+        # No nursery, whose end can be cancelled: bytes that have been received
+        # would be lost if the caller's time limit passed meanwhile.
+        scope = trio.CancelScope()
+        if self._is_closing:
+            scope.deadline = trio.current_time() + LAST_REQUEST_WAIT_S
+        self._idle_scopes.add(scope)
+        try:
+            with scope:
+                return await receive()
+            return b''
+        finally:
+            self._idle_scopes.remove(scope)
 
     async def _accept(self, listener: trio.socket.SocketType) -> None:
         with self._accept_scope:
--- a/tests/cover/test_gateway_closing.py
+++ b/tests/cover/test_gateway_closing.py
@@ -94,6 +94,23 @@
     assert len(app.requests) == 2
 
 
+# Guards against a request that is read and then dropped with its connection,
+# since the time limit for idle connections passed while the host was held up.
+async def test_a_request_that_came_before_a_host_was_held_up_is_answered(
+    clock,
+):
+    app = world_lib.Server('app-1', 'app')
+    async with world_lib.running(app) as world:
+        async with await world.connect() as stream:
+            await stream.send_all(world_lib.make_request(request_id='first'))
+            assert (await world_lib.read_answer(stream))[0] == 200
+            # Callers use connections again after up to 0.8 of the limit of 2 s.
+            await trio.sleep(1.6)
+            await stream.send_all(world_lib.make_request(request_id='second'))
+            clock.jump(0.5)
+            assert (await world_lib.read_answer(stream))[0] == 200
+
+
 # Guards against a host that refuses requests until its grace period ends and
 # so starts again later than it could.
 async def test_refused_requests_do_not_prolong_a_planned_stop(clock):
