Begin nothing once a drain ends what still runs

Callers of the product's own interface would see calls and drafts begin after the wait of a planned stop was over, and their connections closed without an answer 5 s later, while the service or the engine was at work: bookings as well, which may be sent only once.

Cause: the end of the wait ended the requests that were listed as in flight. Calls that waited for a slot aren't listed, and got the slots that this freed; a request whose body was complete only then was admitted as well.

Both gates are now closed first: what waits there, and what comes later, is refused as not run, with the reason host-draining.

Failed before: 2 cases of test_a_queued_call_is_refused_once_a_drain_ends_ what_runs (the second call had begun), 3 of test_a_body_that_comes_after_the_ wait_of_a_drain_begins_nothing (the calls had begun, the draft had no answer).

--- a/packages/sardinebend-router/src/sardinebend_router/gate.py
+++ b/packages/sardinebend-router/src/sardinebend_router/gate.py
@@ -2,12 +2,15 @@
 
 import collections.abc
 import contextlib
+import typing
 
 import trio
 
 from sardinebend_policy import admission
 from sardinebend_policy import outcomes
 
+DRAINING_RETRY_AFTER_S: typing.Final = 1.0
+
 
 class Gate:
     """Applies the admission policy to the tasks that serve requests."""
@@ -15,6 +18,7 @@
     def __init__(self, max_running: int) -> None:
         self._admission = admission.Admission(max_running)
         self._admitted_events: dict[str, trio.Event] = {}
+        self._is_closed = False
 
     @property
     def running(self) -> int:
@@ -32,6 +36,12 @@
         if self._admission.waiting:
             self._wake_tasks(self._admission.fill(trio.current_time()))
 
+    def close(self) -> None:
+        """Refuses all further requests, and those that wait."""
+        self._is_closed = True
+        for admitted in self._admitted_events.values():
+            admitted.set()
+
     @contextlib.asynccontextmanager
     async def enter(
         self, ticket: admission.Ticket, disconnected: trio.Event
@@ -46,6 +56,9 @@
         Yields:
             `None` if the request may run, else the refusal.
         """
+        if self._is_closed:
+            yield _make_draining_refusal()
+            return
         verdict = self._admission.offer(ticket, trio.current_time())
         refusal: outcomes.NotRun | None = None
         if isinstance(verdict, outcomes.NotRun):
@@ -78,6 +91,8 @@
             nursery.cancel_scope.deadline = ticket.deadline
             await admitted.wait()
             nursery.cancel_scope.cancel()
+        if self._is_closed:
+            return _make_draining_refusal()
         if admitted.is_set():
             return None
         if disconnected.is_set():
@@ -89,3 +104,7 @@
             admitted = self._admitted_events.get(ticket.request_id)
             if admitted is not None:
                 admitted.set()
+
+
+def _make_draining_refusal() -> outcomes.NotRun:
+    return outcomes.NotRun(outcomes.Reason.DRAINING, DRAINING_RETRY_AFTER_S)
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -259,6 +259,8 @@
         await trio.sleep(DRAIN_ANNOUNCE_S)
         limit_s = state.get_number('hosts.drain_wait_s')
         if not await self._wait_idle(limit_s):
+            state.gate.close()
+            state.service_gate.close()
             for entry in list(state.in_flight.values()):
                 entry.force_end()
             await self._wait_idle(RECORD_WAIT_S)
--- a/packages/sardinebend-router/tests/cover/test_http.py
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -305,6 +305,75 @@
     assert b'"completion_tokens":5' in answer
 
 
+SERVICE_CALLS = {
+    'lookup': {'path': LOOKUP, 'body': b'{}'},
+    'booking': {'path': CONFIRM, 'body': b'{}', 'idempotency_key': 'other'},
+}
+
+
+def begin_and_hang(monkeypatch):
+    """Lets services hang; returns the calls that they begin."""
+    begun = []
+
+    async def hang(self, call):
+        begun.append(call.operation)
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(embedded.EmbeddedService, 'send', hang)
+    return begun
+
+
+# Guards against a queued call that begins when the drain has ended the one
+# before it, and is then cut by the end of the host.
+@pytest.mark.parametrize('kind', SERVICE_CALLS)
+async def test_a_queued_call_is_refused_once_a_drain_ends_what_runs(
+    kind, monkeypatch
+):
+    begun = begin_and_hang(monkeypatch)
+    values = {'admission.max_running': 1, 'hosts.drain_wait_s': 0.2}
+    host = embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host.run)
+        running = eh.make_request(CONFIRM, b'{}', idempotency_key='k')
+        first = await eh.send_raw(host, running)
+        await eh.wait_until(lambda: begun)
+        queued = eh.make_request(**SERVICE_CALLS[kind])
+        second = await eh.send_raw(host, queued)
+        await eh.wait_until(lambda: host.state.service_gate.waiting)
+        host.begin_drain()
+        answers = [await eh.read_all(stream) for stream in (second, first)]
+    assert begun == ['confirm']
+    assert b'503' in answers[0].split(b'\r\n')[0]
+    assert b'host-draining' in answers[0]
+    assert b'"not_run"' in answers[0]
+    assert b'host-draining' in answers[1]
+
+
+# Guards against a request whose body is complete only when the drain has ended
+# what ran, and which then begins and is cut.
+@pytest.mark.parametrize('kind', ['draft', *SERVICE_CALLS])
+async def test_a_body_that_comes_after_the_wait_of_a_drain_begins_nothing(
+    kind, monkeypatch
+):
+    begun = begin_and_hang(monkeypatch)
+    values = {'hosts.drain_wait_s': 0.2}
+    host = embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    requests = {'draft': {'body': eh.draft(max_tokens=1000)}, **SERVICE_CALLS}
+    data = eh.make_request(**requests[kind])
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host.run)
+        stream = await eh.send_raw(host, data[:-1])
+        await eh.wait_until(lambda: host.state.open_exchanges)
+        host.begin_drain()
+        await trio.sleep(1.0)
+        await stream.send_all(data[-1:])
+        answer = await eh.read_all(stream)
+    assert begun == []
+    assert b'503' in answer.split(b'\r\n')[0]
+    assert b'host-draining' in answer
+    assert b'"not_run"' in answer
+
+
 def hash_key(key):
     return eh.embedded.auth.hash_key(key)
 
