Answer the requests that a second stop request ends

Callers of the product's own interface would see their connections closed without an answer when an operator asked a draining host a second time to stop.

Cause: the second stop request ends the wait for requests, which are then told to end. The time for their answers and records was a wait that the same request had already ended, so the host ended at once.

A lookup that a stop ends names the host's draining as the reason; it named a caller that left.

--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -249,7 +249,8 @@
     async def _drain(self, peering: peering_lib.Peering) -> None:
         """Waits for the open requests, then ends those that are left.
 
-        The wait ends at the time limit or at a second stop request.
+        The wait ends at the time limit or at a second stop request. What ends
+        then still gets its answer and its record, and nothing begins any more.
         """
         state = self.state
         state.is_draining = True
@@ -258,25 +259,30 @@
         await peering.send_heartbeats()
         await trio.sleep(DRAIN_ANNOUNCE_S)
         limit_s = state.get_number('hosts.drain_wait_s')
-        if not await self._wait_idle(limit_s):
-            state.gate.close()
-            state.service_gate.close()
-            for entry in list(state.in_flight.values()):
-                entry.force_end()
-            await self._wait_idle(RECORD_WAIT_S)
-
-    async def _wait_idle(self, limit_s: float) -> bool:
+        if await self._wait_idle(limit_s, self._stop_waiting):
+            return
+        state.gate.close()
+        state.service_gate.close()
+        for entry in list(state.in_flight.values()):
+            entry.force_end()
+        await self._wait_idle(RECORD_WAIT_S, trio.Event())
+
+    async def _wait_idle(self, limit_s: float, interrupted: trio.Event) -> bool:
         """Waits until no HTTP request is open and all outcomes are recorded.
 
         An HTTP request counts as open once its headers have arrived: one whose
         body is still being received is not in flight yet, and must not be cut
-        off either. A second stop request ends the wait.
+        off either.
+
+        Args:
+            limit_s: Longest wait.
+            interrupted: Ends the wait when it is set.
 
         Returns:
             Whether that was reached within the time limit.
         """
         deadline = trio.current_time() + limit_s
-        while self._is_busy() and not self._stop_waiting.is_set():
+        while self._is_busy() and not interrupted.is_set():
             if trio.current_time() >= deadline:
                 break
             await trio.sleep(DRAIN_POLL_S)
--- a/packages/sardinebend-router/src/sardinebend_router/operations.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operations.py
@@ -21,6 +21,7 @@
 from sardinebend_router import booking
 from sardinebend_router import calls
 from sardinebend_router import errors
+from sardinebend_router import gate
 from sardinebend_router import logs
 from sardinebend_router import lookup
 from sardinebend_router import service_crashes
@@ -174,7 +175,11 @@
         call.caller.on_disconnect(scope.cancel)
         with self._track_in_flight(call, req, scope.cancel), scope:
             return await session_runner.run(req.deadline)
-        return session.give_up(outcomes.Reason.CALLER_LEFT)
+        if call.caller.disconnected.is_set():
+            return session.give_up(outcomes.Reason.CALLER_LEFT)
+        return session.give_up(
+            outcomes.Reason.DRAINING, gate.DRAINING_RETRY_AFTER_S
+        )
 
     async def _run_booking(
         self, call: calls.Call, req: _OperationRequest
--- a/packages/sardinebend-router/tests/cover/test_http.py
+++ b/packages/sardinebend-router/tests/cover/test_http.py
@@ -374,6 +374,29 @@
     assert b'"not_run"' in answer
 
 
+# Guards against a second stop request that ends the host before the requests
+# that it ends have been answered.
+@pytest.mark.parametrize('kind', ['draft', *SERVICE_CALLS])
+async def test_a_second_stop_request_ends_requests_with_an_answer(
+    kind, monkeypatch
+):
+    begin_and_hang(monkeypatch)
+    requests = {'draft': {'body': eh.draft(max_tokens=1000)}, **SERVICE_CALLS}
+    host = embedded.make_host(port=0)
+    async with trio.open_nursery() as nursery:
+        await nursery.start(host.run)
+        data = eh.make_request(**requests[kind])
+        stream = await eh.send_raw(host, data)
+        await eh.wait_until(lambda: host.state.in_flight)
+        await trio.sleep(0.1)
+        host.begin_drain()
+        await trio.sleep(0.5)
+        host.begin_drain()
+        answer = await eh.read_all(stream)
+    assert b'"outcome"' in answer
+    assert b'host-draining' in answer
+
+
 def hash_key(key):
     return eh.embedded.auth.hash_key(key)
 
