--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -76,6 +76,32 @@
         node_settings.parse(SETTINGS.replace(old, new))
 
 
+# Guards against a reload that ends the process, and so cuts every stream, since
+# a value of the settings file is of an unexpected kind.
+@pytest.mark.parametrize(
+    ('old', 'new'),
+    [
+        ('[bounds]', '[[bounds]]'),
+        ('[bounds]', '[bounds]\nbudget_extra_retries = inf'),
+        ('4000', '9' * 400),
+        ('4000', '9' * 5000),
+        ('"10.1.0.4:8227"', '3'),
+        ('"10.2.0.4:8229"', '3'),
+        ('[7340, 7355]', '[inf, 7355]'),
+        ('[7340, 7355]', '[' * 5000 + ']' * 5000),
+    ],
+)
+def test_a_settings_file_of_odd_values_is_rejected(old, new, monkeypatch):
+    gateway = LoggingGateway(node_settings.parse(SETTINGS).host)
+    assert SETTINGS.count(old) == 1
+    odd = SETTINGS.replace(old, new)
+    monkeypatch.setattr(
+        adapter_main, 'read_settings', lambda: node_settings.parse(odd)
+    )
+    adapter_main.reload_settings(gateway)
+    assert [name for name, _ in gateway.lines] == ['settings_rejected']
+
+
 def decode_config(**changes):
     config = world_lib.make_config(**changes)
     return state_codec.PlatformState().decode_catalog(
