Let the servers of the soak over processes take time, and find cut streams

The servers of the soak over processes replaced trio.current_time, which trio.sleep uses to compute its deadline, while trio's own clock starts at another time. So each sleep ended at once: streams took no time, heartbeats came without a pause, and a planned stop never met a stream. So this soak could not have shown a cut stream at all.

The servers now run on a clock of trio's that is the machine's monotonic one. Streams at a stop come more densely around the end of the time in which a host accepts, and outlast the stop then.

The short soaks were not run again before this commit.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,11 @@
 # until a while after the host refuses requests.
 COME_BACK_S = 0.1
 LONG_INTERVAL_S = 0.3
-LONG_STREAMS_S = 4.5
+# From here on after the signal, until LONG_STREAMS_S, they come more densely
+# and outlast the stop if they are accepted.
+DENSE_FROM_S = 2.4
+DENSE_INTERVAL_S = 0.1
+LONG_STREAMS_S = 4.0
 # The first part of the prompt of every draft.
 SHARED_PART = '50bec7'
 # Four fifths of the hosts' idle time-out for connections.
@@ -75,12 +79,18 @@
 
 async def send_long_streams(fleet, host, is_gone):
     """Sends streams that a planned stop meets."""
-    last_at = trio.current_time() + LONG_STREAMS_S
-    while not is_gone.is_set() and trio.current_time() < last_at:
+    began_at = trio.current_time()
+    while not is_gone.is_set():
+        after_s = trio.current_time() - began_at
+        if after_s > LONG_STREAMS_S:
+            return
+        is_dense = after_s >= DENSE_FROM_S
         record = _add_record(fleet, host, 'draft')
-        record.events = fleet.rng.randint(*fleet_lib.LONG_EVENTS)
+        record.events = fleet.rng.randint(
+            *(fleet_lib.LONGEST_EVENTS if is_dense else fleet_lib.LONG_EVENTS)
+        )
         fleet.nursery.start_soon(send_request, fleet, record)
-        await trio.sleep(LONG_INTERVAL_S)
+        await trio.sleep(DENSE_INTERVAL_S if is_dense else LONG_INTERVAL_S)
 
 
 def _add_record(fleet, host, kind):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -24,6 +24,7 @@
 EVENT_S: typing.Final = 0.08
 # Streams that a planned stop meets have a number of events in this range.
 LONG_EVENTS: typing.Final = (30, 70)
+LONGEST_EVENTS: typing.Final = (58, 70)
 # Time that a host has for a planned stop, by default.
 GRACE_S: typing.Final = 8.0
 # A planned stop may cut a stream that was sent no later than this after its
--- a/tests/soak/worker_process.py
+++ b/tests/soak/worker_process.py
@@ -46,6 +46,23 @@
         self._file.write(json.dumps({'kind': kind, **values}) + '\n')
 
 
+class MachineClock(trio.abc.Clock):
+    """The machine's monotonic clock, whose times the records hold.
+
+    Replacing `trio.current_time` alone would end each sleep at once, as trio's
+    own clock starts at another time.
+    """
+
+    def start_clock(self):
+        """Does nothing: the clock runs."""
+
+    def current_time(self):
+        return time.monotonic()
+
+    def deadline_to_sleep_time(self, deadline):
+        return deadline - time.monotonic()
+
+
 class FleetView:
     """The part of `fleet.Fleet` that a worker uses in its own process."""
 
@@ -111,8 +128,6 @@
 
 
 async def run(cfg):
-    # Records hold times of the machine's monotonic clock.
-    trio.current_time = time.monotonic
     async with trio.open_nursery() as nursery:
         fleet = FleetView(cfg, nursery)
         worker = Worker(fleet, cfg['name'], cfg['service'], cfg['zone'])
@@ -149,4 +164,4 @@
 
 
 if __name__ == '__main__':
-    trio.run(run, json.loads(sys.argv[1]))
+    trio.run(run, json.loads(sys.argv[1]), clock=MachineClock())
