End the work of a killed server of the soak with its process

Work without an end now ends when its process did: when it was killed or had left, or when the request that crashes it began. What a server that still runs hasn't ended counts as going on, as before.

test_the_work_of_a_killed_server_ends_with_its_process failed before.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -3,6 +3,8 @@
 `python -m tests.soak --processes` runs longer ones.
 """
 
+import json
+
 import pytest
 import trio
 
@@ -53,3 +55,35 @@
     monkeypatch.setattr(process_faults, 'KINDS', (process_faults.host_stopped,))
     result = process_soak.run(2, 6.0, hosts=3, engines=4, is_timed=False)
     assert any('(draft): closed without' in line for line in result.violations)
+
+
+# Guards against work that counts as going on for ever, since the server that
+# was killed wrote no end of it.
+async def test_the_work_of_a_killed_server_ends_with_its_process(
+    autojump_clock,
+):
+    fleet = process_fleet.ProcessFleet(None, 1, hosts=0, engines=2)
+    worker = fleet.workers['engine-0']
+    worker.born = 1
+    sent_at = trio.current_time() - fleet._clock_shift
+    run = {
+        'kind': 'run',
+        'request_id': 'q1',
+        'server': 'engine-0',
+        'born': 1,
+        'at': sent_at,
+        'customer': 'vanua',
+        'has_key': False,
+        'ended_at': None,
+        'events': [],
+    }
+    for name in fleet.workers:
+        lines = [json.dumps(run)] if name == 'engine-0' else []
+        (fleet.folder / f'{name}.book').write_text('\n'.join(lines))
+    await trio.sleep(2.0)
+    worker.record_process_end()
+    await trio.sleep(2.0)
+    fleet.read_records()
+    [read] = fleet.runs
+    assert read.ended_at - read.at == 2.0
+    assert not read.is_sound
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -153,7 +153,7 @@
         return
     fleet.add_log(f'{worker.name} killed')
     with fleet.server_failure(worker):
-        worker.process.kill()
+        worker.kill()
         await trio.sleep(fleet.rng.uniform(1, 5))
         worker.start()
 
@@ -184,6 +184,7 @@
     worker.process.send(signal.SIGTERM)
     while worker.process.is_up:
         await trio.sleep(0.1)
+    worker.record_process_end()
     worker.start()
 
 
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -150,6 +150,17 @@
         self.process = None
         self.is_leaving = False
         self.pauses = []
+        # By `born`.
+        self.process_ends = {}
+
+    def kill(self):
+        """Kills its process."""
+        self.process.kill()
+        self.record_process_end()
+
+    def record_process_end(self):
+        """Records that its process has ended."""
+        self.process_ends[self.born] = trio.current_time()
 
     def start(self):
         """Starts its process, unless another fault has done so already."""
@@ -349,13 +360,27 @@
             for line in path.read_text().splitlines():
                 self._add_record(json.loads(line), open_runs)
         for run in self.runs:
-            # A run without an end was cut off by the end of its process.
-            run.is_sound = run.is_sound and run.ended_at is not None
+            if run.ended_at is None:
+                # It was cut off by the end of its process.
+                run.is_sound = False
+                run.ended_at = self._find_process_end(run)
         for crash in self.fatal_runs:
             window = [crash.at, crash.at + CRASH_KNOWN_S]
             service = self.workers[crash.server].service
             self.server_failures.append((service, window))
 
+    def _find_process_end(self, run):
+        """Returns when the process of a run ended; `None` if it didn't."""
+        worker = self.workers[run.server]
+        ends = [
+            crash.at
+            for crash in self.fatal_runs
+            if crash.server == run.server and crash.at >= run.at
+        ]
+        if run.born in worker.process_ends:
+            ends.append(worker.process_ends[run.born])
+        return min(ends, default=None)
+
     def _add_record(self, data, open_runs):
         kind = data.pop('kind')
         data['at'] += self._clock_shift
