Admit nothing that the forced end of a late host would cut

Callers would see a request cut that was sent later than 3 s after the signal, at a host that handles the signal over 0.6 s late: the platform kills the process when the grace period is over, which counts from when the signal was sent, and so before the host's own cut.

Cause: in the last second in which a host admits requests, it allows for a signal that came up to 1 s before; but it compared their deadlines with its cut, which leaves only 0.6 s for that.

From 2 s after the beginning of a stop on, a deadline has to come before the forced end that follows from a signal 1 s earlier.

Failed before: test_a_host_that_is_late_admits_no_request_beyond_its_forced_end with delays of 0.7 and 1.0 s.

--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -63,8 +63,10 @@
         """
         if now >= self.refuses_at:
             return False
+        if now >= self.refuses_at - SIGNAL_DELAY_S:
+            # The grace period began with the signal, too.
+            forced_end_at = self.cut_at + EXIT_MARGIN_S - SIGNAL_DELAY_S
+            return deadline <= min(self.cut_at, forced_end_at)
         if deadline <= self.cut_at:
             return True
-        if predicted_s is None or now >= self.refuses_at - SIGNAL_DELAY_S:
-            return False
-        return now + predicted_s <= self.cut_at
+        return predicted_s is not None and now + predicted_s <= self.cut_at
--- a/packages/sardinebend-policy/tests/cover/test_planned_stop.py
+++ b/packages/sardinebend-policy/tests/cover/test_planned_stop.py
@@ -49,6 +49,18 @@
     assert not stop.may_admit(after, after + 20.0, 0.1)
 
 
+# Guards against a request that is sent after the late callers and that the
+# forced end of the process cuts before its deadline.
+@pytest.mark.parametrize('delay_s', [0.1, 0.5, 0.7, 1.0])
+def test_a_host_that_is_late_admits_no_request_beyond_its_forced_end(delay_s):
+    sent_at = 100.0
+    stop = make_stop(sent_at + delay_s)
+    after = sent_at + planned_stop.LATE_CALLERS_S
+    killed_at = sent_at + GRACE_S
+    assert not stop.may_admit(after, killed_at + 0.01, None)
+    assert stop.may_admit(after, killed_at - 1.1, None)
+
+
 @pytest.mark.parametrize('grace_s', [0.1, 0.6, 1.0, 2.0])
 def test_a_short_grace_period_leaves_the_times_in_order(grace_s):
     stop = make_stop(grace_s=grace_s)
