--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -7,13 +7,13 @@
 """
 
 import socket
-import struct
 import typing
 
 import h11
 import trio
 
 from sardinebend_gateway import audit
+from sardinebend_gateway import caller_sockets
 from sardinebend_gateway import errors
 from sardinebend_gateway import responder as responder_lib
 from sardinebend_policy import catalog
@@ -23,15 +23,10 @@
 # many bytes of it have arrived before the current one has ended.
 MAX_EARLY_BYTES: typing.Final = 65536
 BACKLOG: typing.Final = 1024
-# Idle time after which the kernel probes whether a caller is still connected.
-KEEPALIVE_IDLE_S: typing.Final = 2
-KEEPALIVE_PROBES: typing.Final = 2
-USER_TIMEOUT_MS: typing.Final = 4000
 ACCEPT_RETRY_S: typing.Final = 0.05
 # When a server closes, connections without a request in progress are kept for
 # this long: a caller may have sent one already.
 LAST_REQUEST_WAIT_S: typing.Final = 0.2
-LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 
 _AUDIT = audit.Audit()
 
@@ -84,7 +79,7 @@
     async def run(self) -> None:
         """Serves requests until either side closes."""
         try:
-            _set_options(self._stream.socket)
+            caller_sockets.detect_lost_callers(self._stream.socket)
             while await self._serve_one():
                 self._conn.start_next_cycle()
                 self._early_bytes = 0
@@ -92,12 +87,12 @@
         except errors.BadRequest as exc:
             await self._refuse(exc)
         except _CONNECTION_ERRORS:
-            self._reset()
+            caller_sockets.reset_on_close(self._stream.socket)
         except Exception:
             # A failure of one connection must not end the process, which also
             # serves the others.
             _AUDIT.log_error('a connection failed', **self._log_fields)
-            self._reset()
+            caller_sockets.reset_on_close(self._stream.socket)
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
@@ -228,7 +223,7 @@
 
     async def _refuse(self, exc: errors.BadRequest) -> None:
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
-            self._reset()
+            caller_sockets.reset_on_close(self._stream.socket)
             return
         responder = responder_lib.Responder(self._conn, self._stream)
         responder.closes_connection = True
@@ -241,13 +236,7 @@
                 while await self._receive():
                     pass
             except _CONNECTION_ERRORS:
-                self._reset()
-
-    def _reset(self) -> None:
-        """Sets the socket to reset the connection when it is closed."""
-        self._stream.socket.setsockopt(
-            socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET
-        )
+                caller_sockets.reset_on_close(self._stream.socket)
 
 
 def _check_head(req: h11.Request, max_bytes: int) -> None:
@@ -388,14 +377,3 @@
         self._connection_count += 1
         caller = _CallerConnection(self, trio.SocketStream(conn))
         self._nursery.start_soon(caller.run)
-
-
-def _set_options(conn: trio.socket.SocketType) -> None:
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
-    ):
-        conn.setsockopt(socket.IPPROTO_TCP, option, value)
