--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -171,7 +171,7 @@
         await trio.sleep(0.5)
         return await run_plain(worker, run, stream)
 
-    async def do_not_wait(gateway):
+    async def do_not_wait(gateway, stop):
         gateway.server.close()
 
     with (
@@ -184,7 +184,7 @@
 
 
 def test_a_soak_finds_streams_cut_at_a_planned_stop():
-    async def end_early(gateway):
+    async def end_early(gateway, stop):
         await trio.sleep(1.0)
         gateway.server.close()
 
