Test what a stopping host bases its expectations on

Two pieces of the admission during a stop could be taken out without a red test outside of the tests over processes: that a prediction is asked for at all, and that resumed streams are no samples. Each has a test on the virtual clock now. Both pass; each fails with its piece taken out.

--- a/tests/cover/test_gateway_planned_stop.py
+++ b/tests/cover/test_gateway_planned_stop.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from sardinebend_policy import service_times
 from tests.common import gateway_world as world_lib
 
 GRACE_S = 8.0
@@ -59,3 +60,54 @@
         is_whole = await ask(world, port, 'late')
     was_passed_on = 'late' in [r[2]['request-id'] for r in server.requests]
     assert is_whole or not was_passed_on
+
+
+async def send_short_stream(headers, stream):
+    first = int(headers.get('last-event-id', 0)) + 1
+    fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+    await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+    for number in range(first, 4):
+        await trio.sleep(EVENT_S)
+        await stream.send_all(world_lib.chunk(world_lib.event(number)))
+    return world_lib.Answer(b'0\r\n\r\n')
+
+
+async def ask_after_others(**headers):
+    """Returns the status of a stream during a stop, after served ones.
+
+    Its deadline comes after the end of the grace period.
+
+    Args:
+        **headers: Headers of the ones before.
+    """
+    server = world_lib.Server('llm-0', 'llm', send_short_stream)
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    async with world_lib.running(
+        server, config=config, grace_s=GRACE_S
+    ) as world:
+        for number in range(service_times.MIN_SAMPLES):
+            answer = await world.ask(
+                '/draft/x',
+                'POST',
+                b'p',
+                request_id=f'before-{number}',
+                deadline_ms='8000',
+                **headers,
+            )
+            assert answer[0] == 200
+        world.gateway.begin_stop()
+        answer = await world.ask(
+            '/draft/x', 'POST', b'p', request_id='new', deadline_ms='8000'
+        )
+    return answer[0]
+
+
+# Guards against a stopping host that refuses what it can expect to end.
+async def test_a_stream_that_is_expected_to_end_in_time_is_served(clock):
+    assert await ask_after_others() == 200
+
+
+# Guards against predictions from streams of which only the rest was served.
+async def test_resumed_streams_are_no_reason_to_expect_a_short_one(clock):
+    assert await ask_after_others(last_event_id='2') == 503
