Test that failures are no samples for a stopping host

No test noticed when the durations of failed requests, which end at once, were taken for those of whole answers. One does now: it fails with that piece taken out.

--- a/tests/cover/test_gateway_planned_stop.py
+++ b/tests/cover/test_gateway_planned_stop.py
@@ -65,6 +65,8 @@
 async def send_short_stream(headers, stream):
     first = int(headers.get('last-event-id', 0)) + 1
     fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+    if 'x-unknown' in headers:
+        return world_lib.Answer(world_lib.head(404, fixed))
     await stream.send_all(world_lib.head(200, fixed, 'chunked'))
     for number in range(first, 4):
         await trio.sleep(EVENT_S)
@@ -72,13 +74,14 @@
     return world_lib.Answer(b'0\r\n\r\n')
 
 
-async def ask_after_others(**headers):
+async def ask_after_others(status=200, **headers):
     """Returns the status of a stream during a stop, after served ones.
 
     Its deadline comes after the end of the grace period.
 
     Args:
-        **headers: Headers of the ones before.
+        status: Status of the ones before.
+        **headers: Their headers.
     """
     server = world_lib.Server('llm-0', 'llm', send_short_stream)
     config = world_lib.make_config()
@@ -95,7 +98,7 @@
                 deadline_ms='8000',
                 **headers,
             )
-            assert answer[0] == 200
+            assert answer[0] == status
         world.gateway.begin_stop()
         answer = await world.ask(
             '/draft/x', 'POST', b'p', request_id='new', deadline_ms='8000'
@@ -111,3 +114,8 @@
 # Guards against predictions from streams of which only the rest was served.
 async def test_resumed_streams_are_no_reason_to_expect_a_short_one(clock):
     assert await ask_after_others(last_event_id='2') == 503
+
+
+# Guards against predictions from requests that failed at once.
+async def test_failures_are_no_reason_to_expect_a_short_stream(clock):
+    assert await ask_after_others(404, x_unknown='1') == 503
