Take no port for a host whose datagrams another process receives

Ports were looked at for listeners only; a host of another suite on the machine had it for datagrams.

A port is free now if neither a listener nor a datagram socket has it. The soak says why a host isn't ready.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,4 +1,4 @@
-"""Allocates TCP ports for processes and tests on one machine."""
+"""Allocates ports for processes and tests on one machine."""
 
 import random
 import socket
@@ -16,7 +16,7 @@
 
 
 def find_free(count: int) -> list[int]:
-    """Returns ports on which nothing listens.
+    """Returns ports that no socket is bound to.
 
     A port is returned once, until all ports of the range have been.
     """
@@ -28,11 +28,19 @@
             and len(_allocated) < PORT_RANGE[1] - PORT_RANGE[0]
         ):
             continue
-        with socket.socket() as sock:
-            try:
-                sock.bind((IP, port))
-            except OSError:
-                continue
+        if not _is_free(port):
+            continue
         _allocated.add(port)
         ports.append(port)
     return ports
+
+
+def _is_free(port: int) -> bool:
+    """Returns whether neither a listener nor a datagram socket has a port."""
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(type=kind) as sock:
+            try:
+                sock.bind((IP, port))
+            except OSError:
+                return False
+    return True
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -90,6 +90,21 @@
 def record_end(fleet) -> None:
     """Records which running hosts callers aren't sent to."""
     fleet.ended_at = trio.current_time()
-    fleet.unready_at_end = [
-        host.name for host in fleet.hosts if host.is_up and not host.is_ready()
-    ]
+    for host in fleet.hosts:
+        if host.is_up and not host.is_ready():
+            fleet.unready_at_end.append(host.name)
+            fleet.add_log(f'{host.name} is not ready: {_explain_unready(host)}')
+
+
+def _explain_unready(host):
+    """Describes what readiness depends on, for a host in this process."""
+    gateway = getattr(host.world, 'gateway', None)
+    if gateway is None:
+        return 'see its log'
+    state = gateway.state
+    return (
+        f'stopping: {state.is_stopping}, configuration:'
+        f' {state.catalog is not None}, age {state.catalog_age_s():.2f} s,'
+        f' servers read: {gateway._endpoints.follower.has_rows},'
+        f' failed tasks: {gateway.supervisor._failures}'
+    )
