Let a host that starts on an older copy of the store ask its peers first

If the store has ever come back, a host that starts asks up to three peers at a time which version a host must have, and until it has that one its configuration is no evidence: not ready, 503 for keys, no 401 for unknown keys and no 404. 10 s at most; 1.5 s if no peer can tell. An optional field of the answer to a question for rows carries the version; without a return (era 0) nothing is asked, and readiness is as before. Heartbeats were weighed: they need the new row to spread first and reach a host by chance in large fleets.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -22,6 +22,7 @@
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
+from sardinebend_gateway import start_check
 from sardinebend_gateway import state as state_lib
 from sardinebend_gateway import stored_part_evidence
 from sardinebend_gateway import supervisor
@@ -125,9 +126,12 @@
         )
         async with trio.open_nursery() as nursery:
             await self.server.start(nursery, cfg.callers.ip, cfg.callers.port)
-            self._start_relay(nursery)
+            client = self._start_relay(nursery)
             jobs: dict[str, supervisor.Job] = {
                 'catalog': self._catalog.run,
+                'first catalog': start_check.StartCheck(
+                    self._catalog, client
+                ).run,
                 'endpoints': self._endpoints.run,
                 'shared rows': self._shared.run,
                 'life signs': self._heartbeats.run,
@@ -151,7 +155,7 @@
             await self._drain(self.state.planned_stop)
             nursery.cancel_scope.cancel()
 
-    def _start_relay(self, nursery: trio.Nursery) -> None:
+    def _start_relay(self, nursery: trio.Nursery) -> relay.RelayClient:
         own = self._addresses.relay
         seeds = [s for s in self._addresses.seeds if s != own]
         client = relay.RelayClient(
@@ -171,8 +175,9 @@
         }
         for follower in followers.values():
             follower.peers = client
-        server = relay.RelayServer(followers)
+        server = relay.RelayServer(followers, self._catalog)
         nursery.start_soon(server.run, self._addresses.relay)
+        return client
 
     def begin_stop(self) -> None:
         """Begins a planned stop; `run` returns when it is complete."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -16,6 +16,7 @@
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import state as state_lib
+from sardinebend_gateway import watch
 from sardinebend_peers import errors as peer_errors
 from sardinebend_peers import links
 from sardinebend_peers import messages
@@ -35,15 +36,22 @@
 READER_COOLDOWN_S: typing.Final = 3.0
 # Time after its start in which a host discovers the others.
 STARTUP_S: typing.Final = 3.0
+# Peers that a host which starts asks at a time, and how long it waits for the
+# others after the first of them has stated a version.
+ASKED_PEERS: typing.Final = 3
+OTHERS_S: typing.Final = 0.1
 
 
 class RelayServer:
     """Answers peers from the tables that this host follows."""
 
     def __init__(
-        self, followers: typing.Mapping[str, follower_lib.Follower]
+        self,
+        followers: typing.Mapping[str, follower_lib.Follower],
+        catalog: watch.CatalogUpdater,
     ) -> None:
         self._followers = followers
+        self._catalog = catalog
         self._server = links.PeerServer(self._answer, SECRET)
 
     async def run(self, address: settings_lib.Address) -> None:
@@ -80,6 +88,9 @@
             int((clocks.now() - asked_at) * 1000),
             -1 if since_outage_s is None else int(since_outage_s * 1000),
             era,
+            self._catalog.version_to_state()
+            if follower is self._catalog.follower
+            else None,
         )
 
 
@@ -156,6 +167,48 @@
             self._state.metrics.count('readers_unanswered')
         return answer
 
+    async def ask_catalog_version(
+        self, follower: follower_lib.Follower, asked: set[str]
+    ) -> int | None:
+        """Returns the newest configuration's version that some peers state.
+
+        It is `None` if none of them states one.
+
+        Args:
+            follower: Follower of the table of the configuration. Only rows that
+                are newer than its own are sent.
+            asked: Addresses of the peers that were asked before, to which those
+                that are asked now are added. Others are asked first.
+        """
+        peer_rows = self._members.live_peers().values()
+        known = {*(row['relay'] for row in peer_rows), *self._seeds}
+        if known <= asked:
+            asked.clear()
+        addresses = sorted(known - asked)
+        if len(addresses) > ASKED_PEERS:
+            addresses = self._state.rng.sample(addresses, ASKED_PEERS)
+        asked.update(addresses)
+        question = _make_question(follower.table, follower.version, 0.0)
+        stated: list[int] = []
+
+        async def ask(address: str, scope: trio.CancelScope) -> None:
+            try:
+                reply = await self._link(address).call(question, CALL_TIMEOUT_S)
+            except peer_errors.PeerUnreachable:
+                return
+            version = getattr(reply, 'catalog_version', None)
+            if version is not None:
+                stated.append(version)
+                scope.deadline = min(
+                    scope.deadline, trio.current_time() + OTHERS_S
+                )
+
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                for address in addresses:
+                    nursery.start_soon(ask, address, scope)
+        return max(stated, default=None)
+
     def _reader_address(self) -> str | None:
         """Returns the relay address of this host's reader, if any."""
         role = self._state.role
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -22,9 +22,19 @@
 
 
 class CatalogUpdater:
-    """Keeps the configuration up to date."""
+    """Keeps the configuration up to date.
+
+    Attributes:
+        follower: Follows the table of the configuration.
+        first_applied: Set once a configuration has been applied.
+        is_starting: Whether this host has just started and the store may lack
+            the newest configuration, as `start_check` finds out. Until it has,
+            this host has no evidence that its own one is in force.
+    """
 
     def __init__(self, state: state_lib.State) -> None:
+        self.first_applied = trio.Event()
+        self.is_starting = True
         self._state = state
         self._stored_version: int | None = None
         table = state.edges.state.catalog_table
@@ -58,11 +68,43 @@
                 # The configuration in force may be outdated, so this answer
                 # must not renew its evidence.
                 return
-        if self._state.catalog is not None and not self._may_lack_newest():
+        if self._state.catalog is None:
+            return
+        if feeds.era_of(self.follower.version) == 0:
+            # The store has never come back from an older copy.
+            self.is_starting = False
+        self.first_applied.set()
+        self._renew_evidence()
+
+    def _renew_evidence(self) -> None:
+        if not self.is_starting and not self._may_lack_newest():
             at = max(self._state.catalog_at, self.follower.evidence_at)
             self._state.catalog_at = at
             self._state.catalog_confirmed_at = self.follower.confirmed_at
 
+    def end_start(self) -> None:
+        """Takes what the store holds for the newest configuration."""
+        self.is_starting = False
+        # Otherwise the last answer had none that can be used.
+        if self._stored_version is not None:
+            self._renew_evidence()
+
+    def applied_version(self) -> int:
+        """Returns the version of the configuration in force; -1 if none."""
+        catalog = self._state.catalog
+        return -1 if catalog is None else catalog.version
+
+    def version_to_state(self) -> int | None:
+        """Returns the version that a host which starts now must have.
+
+        It is `None` if this host doesn't know that.
+        """
+        if self.is_starting or self._state.catalog is None:
+            return None
+        if self._stored_version is None or self._may_lack_newest():
+            return self.applied_version()
+        return self._stored_version
+
     def _may_lack_newest(self) -> bool:
         """Returns whether the store may lack the newest configuration.
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -193,6 +193,7 @@
         waited_ms=message.waited_ms,
         regained_ms=message.regained_ms,
         era=message.era,
+        catalog_version=message.catalog_version,
     )
 
 
@@ -268,7 +269,7 @@
             _check_type(question.table, str),
             _check_type(question.after, int),
             _check_type(question.wait_ms, int),
-            _check_era(question.era),
+            _check_optional_count(question.era),
         )
     if frame.feed_reply is not None:
         reply = frame.feed_reply
@@ -282,16 +283,17 @@
             _check_type(
                 -1 if reply.regained_ms is None else reply.regained_ms, int
             ),
-            _check_era(reply.era),
+            _check_optional_count(reply.era),
+            _check_optional_count(reply.catalog_version),
         )
     return messages.Ack()
 
 
-def _check_era(value: typing.Any) -> int | None:
+def _check_optional_count(value: typing.Any) -> int | None:
     if value is None:
         return None
     if _check_type(value, int) < 0:
-        raise errors.MalformedFrame('negative era')
+        raise errors.MalformedFrame(f'{value} is negative')
     return value
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -206,6 +206,9 @@
         regained_ms: Time since the end of a store outage; -1 if none ended
             recently.
         era: Era of all versions; `None` from hosts of the previous release.
+        catalog_version: Version of the configuration that a host which starts
+            must have; `None` from hosts that don't know it, from those of the
+            previous release, and for other tables.
     """
 
     version: int
@@ -215,6 +218,7 @@
     waited_ms: int = 0
     regained_ms: int = -1
     era: int | None = None
+    catalog_version: int | None = None
 
 
 class Ack(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -112,6 +112,7 @@
   5: i32 waited_ms,
   6: i32 regained_ms,
   7: optional i64 era,
+  8: optional i64 catalog_version,
 }
 
 struct Frame {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -185,3 +185,19 @@
         )
         with pytest.raises(errors.MalformedFrame):
             codec.decode(huge)
+
+
+def test_the_version_that_a_peer_states_is_optional_and_not_negative():
+    # Guards against a host that can't read the answers of another release.
+    reply = messages.FeedReply(7, 30, True, (), 5, -1, 2, 2**62)
+    data = codec.encode(codec.Envelope(1, True, reply))
+    assert codec.decode(data).message == reply
+    previous = reply._replace(era=None, catalog_version=None)
+    data = codec.encode(codec.Envelope(1, True, previous))
+    assert codec.decode(data).message == previous
+    for field in ('era', 'catalog_version'):
+        data = codec.encode(
+            codec.Envelope(1, True, reply._replace(**{field: -1}))
+        )
+        with pytest.raises(errors.MalformedFrame):
+            codec.decode(data)
