--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -9,7 +9,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
-from sardinebend_gateway import odd_rows
+from sardinebend_gateway import row_guard
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths
@@ -75,7 +75,7 @@
         try:
             return codec.decode_report(reply.body)
         except errors.Malformed as exc:
-            odd_rows.log_skipped(
+            row_guard.log_skipped(
                 self._state, 'report', endpoint.endpoint_id, str(exc)
             )
             return None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -15,9 +15,9 @@
 from sardinebend_gateway import heartbeats
 from sardinebend_gateway import http_server
 from sardinebend_gateway import members
-from sardinebend_gateway import odd_rows
 from sardinebend_gateway import placement_controller
 from sardinebend_gateway import relay
+from sardinebend_gateway import row_guard
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
@@ -228,7 +228,7 @@
 
     def _apply_shared_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         for row in rows:
-            odd_rows.apply_row(
+            row_guard.apply_row(
                 self.state, shared_table.TABLE, row, self._apply_shared_row
             )
         self.placement_controller.apply_missing_lease()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -16,7 +16,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
-from sardinebend_gateway import odd_rows
+from sardinebend_gateway import row_guard
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
@@ -101,7 +101,7 @@
             try:
                 value = shared_table.decode_lease(row.value)
             except errors.Malformed as exc:
-                odd_rows.log_skipped(
+                row_guard.log_skipped(
                     self._state, shared_table.TABLE, row.key, str(exc)
                 )
         self._version = row.version if row.value is not None else 0
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -9,7 +9,7 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import follower as follower_lib
-from sardinebend_gateway import odd_rows
+from sardinebend_gateway import row_guard
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_store import feeds
@@ -149,7 +149,7 @@
     def _apply_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         changed = False
         for row in rows:
-            changed |= odd_rows.apply_row(
+            changed |= row_guard.apply_row(
                 self._state, self.follower.table, row, self._apply_row
             )
         if changed:
--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -4,9 +4,9 @@
 
 # Callers cache the address of a host for a few seconds and still connect to it.
 LATE_CALLERS_S: typing.Final = 3.0
-# A busy host handles the signal to stop late by up to this time. Nobody is
-# promised an answer to requests that are sent later than LATE_CALLERS_S after
-# the signal, so a host that may be late must not let an engine begin them.
+# A busy host handles the signal to stop late by up to this time. A request that
+# was sent later than LATE_CALLERS_S after the signal must not be cut off, so a
+# host that may be late begins none that may outlast it.
 SIGNAL_DELAY_S: typing.Final = 1.0
 # Time left at the end of the grace period to end the process.
 EXIT_MARGIN_S: typing.Final = 0.6
--- a/packages/sardinebend-router/src/sardinebend_router/settings_store.py
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_store.py
@@ -351,7 +351,7 @@
     try:
         return result.Ok(documents.convert(value, shape))
     except platform_errors.MalformedDocument as exc:
-        return result.Err(platform_errors.Unavailable(f'odd row: {exc}'))
+        return result.Err(platform_errors.Unavailable(f'malformed row: {exc}'))
 
 
 def _choose_error(
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -16,15 +16,13 @@
 import trio
 
 from sardinebend_store import errors
+from sardinebend_store import interim_limits
 
 MAX_IDLE_CONNECTIONS: typing.Final = 8
 MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
 MAX_QUOTED_CHARS: typing.Final = 80
 IDLE_TIMEOUT_S: typing.Final = 20.0
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
-# A server usually sends at most one, while a request takes long.
-MAX_INTERIM_RESPONSES: typing.Final = 8
-INTERIM_PREFIX: typing.Final = b'HTTP/1.1 1'
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 
@@ -47,59 +45,6 @@
     body: bytes
 
 
-class _InterimLimitStream(httpcore.AsyncNetworkStream):
-    """A network stream that fails if a request gets many interim responses.
-
-    More than `MAX_INTERIM_RESPONSES` responses with status 1xx are an error.
-    `httpcore` reads them without a limit, and thousands of them without
-    letting another task run.
-    """
-
-    def __init__(self, stream: httpcore.AsyncNetworkStream) -> None:
-        self._stream = stream
-        self._interim_count: int | None = None
-
-    def start_count(self) -> None:
-        """Starts to count interim responses."""
-        self._interim_count = 0
-
-    def stop_count(self) -> None:
-        """Stops counting interim responses."""
-        self._interim_count = None
-
-    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:
-        """Reads bytes."""
-        data = await self._stream.read(max_bytes, timeout)
-        if self._interim_count is not None:
-            self._interim_count += data.count(INTERIM_PREFIX)
-            if self._interim_count > MAX_INTERIM_RESPONSES:
-                raise httpcore.RemoteProtocolError('too many interim responses')
-        return data
-
-    async def write(self, buffer: bytes, timeout: float | None = None) -> None:
-        """Writes bytes."""
-        await self._stream.write(buffer, timeout)
-
-    async def aclose(self) -> None:
-        """Closes the stream."""
-        await self._stream.aclose()
-
-    async def start_tls(
-        self,
-        ssl_context: ssl.SSLContext,
-        server_hostname: str | None = None,
-        timeout: float | None = None,
-    ) -> httpcore.AsyncNetworkStream:
-        """Starts TLS on the stream."""
-        return await self._stream.start_tls(
-            ssl_context, server_hostname, timeout
-        )
-
-    def get_extra_info(self, info: str) -> typing.Any:
-        """Returns extra information on the connection."""
-        return self._stream.get_extra_info(info)
-
-
 class Connection:
     """One open HTTP/1.1 connection to one origin."""
 
@@ -107,7 +52,7 @@
         self,
         origin: 'Origin',
         conn: httpcore.AsyncHTTP11Connection,
-        stream: _InterimLimitStream,
+        stream: interim_limits.InterimLimitStream,
     ) -> None:
         self._origin = origin
         self._conn = conn
@@ -306,7 +251,7 @@
         origin = httpcore.Origin(
             scheme.encode(), self._host.encode(), self._port
         )
-        limited_stream = _InterimLimitStream(stream)
+        limited_stream = interim_limits.InterimLimitStream(stream)
         conn = httpcore.AsyncHTTP11Connection(origin, limited_stream)
         return Connection(self, conn, limited_stream)
 
--- a/tests/cover/test_odd_row_guard.py
+++ b/tests/cover/test_odd_row_guard.py
@@ -3,7 +3,7 @@
 import trio
 
 from sardinebend_adapter import state_codec
-from sardinebend_gateway import odd_rows
+from sardinebend_gateway import row_guard
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
 from tests.common import odd_world
@@ -36,5 +36,5 @@
         await odd_world.check_goes_on(world, trap, caplog)
         reason = odd_world.skipped(caplog)[0]['reason']
         assert 'ZeroDivisionError' in reason
-        assert len(reason) <= odd_rows.MAX_REASON_CHARS
+        assert len(reason) <= row_guard.MAX_REASON_CHARS
         nursery.cancel_scope.cancel()
