Log the host's own delays, late signals and connections that it resets

New lines: host_delayed, when the process was held up, with a histogram on the metrics page; signal_late_s in host_stopping, how long before it was handled the signal may have been sent; connection_reset, when the close of a connection discards what a caller hasn't received, with the unread and unacknowledged bytes. explain names both as causes. No decision changes.

--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -9,8 +9,8 @@
 from sardinebend_admin import errors
 
 # Context of a request: lines about its endpoints, its content, the parts of its
-# prompt or the store, logged from CONTEXT_S before the request's first line up
-# to its last line.
+# prompt, the store or its host, logged from CONTEXT_S before the request's
+# first line up to its last line.
 CONTEXT_S: typing.Final = 5.0
 # Hosts may lack evidence for this long after the store has come back from an
 # older copy.
@@ -18,12 +18,14 @@
 FAILURES: typing.Final = ('request_failed', 'request_refused')
 CAUSES: typing.Final = (
     'attempt_failed',
+    'connection_reset',
     'content_quarantined',
     'endpoint_backoff',
     'endpoint_crashed',
     'endpoint_doubted',
     'endpoint_gone',
     'endpoint_leaving',
+    'host_delayed',
     'prompt_part_quarantined',
     'store_era_changed',
     'store_lost',
@@ -37,7 +39,8 @@
 CUT: typing.Final = 'request_cut'
 CALLER_LEFT: typing.Final = 'request_cancelled'
 LAST_EVENTS: typing.Final = (*FAILURES, CUT, CALLER_LEFT, 'request_ended')
-STORE_CAUSES: typing.Final = ('store_era_changed', 'store_lost')
+# Lines on a host itself, whichever endpoint a request was sent to.
+HOST_CAUSES: typing.Final = ('host_delayed', 'store_era_changed', 'store_lost')
 
 
 class Line(typing.NamedTuple):
@@ -118,7 +121,7 @@
             and line.host in hosts
             and line.fields.get('request') is None
             and (
-                line.event in STORE_CAUSES
+                line.event in HOST_CAUSES
                 or line.fields.get('endpoint') in endpoint_ids
                 or line.fields.get('content') in contents
                 or line.fields.get('prompt_part') in prompt_parts
--- a/packages/sardinebend-admin/tests/cover/test_explain.py
+++ b/packages/sardinebend-admin/tests/cover/test_explain.py
@@ -259,3 +259,22 @@
         'request_sent',
         'attempt_failed',
     ]
+
+
+def test_a_delay_of_the_host_is_a_cause_on_that_host_only():
+    log = '\n'.join(
+        (
+            '{"time":1.0,"host":"h","event":"host_delayed","delay_s":1.2}',
+            '{"time":1.0,"host":"i","event":"host_delayed","delay_s":0.7}',
+            '{"time":1.1,"host":"h","event":"request_failed","request":"q1",'
+            '"end":"broken off","reason":"stalled without a known cause"}',
+            '{"time":1.1,"host":"h","event":"connection_reset","request":"q1",'
+            '"reason":"aborted","is_answered":false}',
+        )
+    )
+    selected = explain.select_lines(explain.parse(log), 'q1')
+    output = explain.format_report(selected, 'q1')
+    causes = [line for line in output if 'cause: ' in line]
+    assert len(causes) == 2
+    assert causes[0].startswith('  cause: host_delayed delay_s=1.2')
+    assert causes[1].startswith('  cause: connection_reset')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -22,7 +22,8 @@
 
 
 STARTED = Event('host_started', 'incarnation, domain, version of the program')
-STOPPING = Event('host_stopping', 'in_flight, grace_s')
+STOPPING = Event('host_stopping', 'in_flight, grace_s, signal_late_s')
+HOST_DELAYED = Event('host_delayed', 'delay_s', True)
 STOPPED = Event('host_stopped', 'in_flight, cut, unread_or_refused, after_s')
 FAILED = Event('host_failed', 'error that ended the process', True)
 SETTINGS_RELOADED = Event('settings_reloaded', 'changed fields')
@@ -86,6 +87,11 @@
     ' has_begun, answered, sent_bytes, unsent_bytes, since_event_s',
     True,
 )
+CONNECTION_RESET = Event(
+    'connection_reset',
+    'request, reason, is_answered, unread_bytes, unacknowledged_bytes',
+    True,
+)
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed, is_leaving', True)
 ROLE_CHANGED = Event('role_changed', 'reader, is_shared, live')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -125,6 +125,7 @@
             events.STARTED, incarnation=self.incarnation, domain=cfg.domain
         )
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.state.host_clock.run)
             await self.server.start(nursery, cfg.callers.ip, cfg.callers.port)
             client = self._start_relay(nursery)
             jobs: dict[str, supervisor.Job] = {
@@ -191,6 +192,7 @@
             events.STOPPING,
             in_flight=self.server.in_flight,
             grace_s=self.state.cfg.grace_s,
+            signal_late_s=round(self.state.host_clock.signal_late_s(), 3),
         )
         self._stop_requested.set()
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -15,6 +15,7 @@
 from sardinebend_gateway import audit
 from sardinebend_gateway import caller_sockets
 from sardinebend_gateway import errors
+from sardinebend_gateway import events
 from sardinebend_gateway import responder as responder_lib
 from sardinebend_policy import catalog
 
@@ -75,6 +76,7 @@
         self._early_bytes = 0
         self._is_eof = False
         self._log_fields: dict[str, str] = {}
+        self._responder: responder_lib.Responder | None = None
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
@@ -86,18 +88,44 @@
                 self._log_fields = {}
         except errors.BadRequest as exc:
             await self._refuse(exc)
-        except _CONNECTION_ERRORS:
-            caller_sockets.reset_on_close(self._stream.socket)
+        except _CONNECTION_ERRORS as exc:
+            self._reset(str(exc))
         except Exception:
             # A failure of one connection must not end the process, which also
             # serves the others.
             _AUDIT.log_error('a connection failed', **self._log_fields)
-            caller_sockets.reset_on_close(self._stream.socket)
+            self._reset('unexpected error')
+        else:
+            if caller_sockets.count_unread_bytes(self._stream.socket):
+                self._log_reset('closed with unread bytes')
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
             self._server.record_connection_end()
 
+    def _reset(self, reason: str) -> None:
+        if self._responder is not None and not self._responder.is_caller_gone:
+            self._log_reset(reason)
+        caller_sockets.reset_on_close(self._stream.socket)
+
+    def _log_reset(self, reason: str) -> None:
+        """Logs that the close of the connection is going to reset it.
+
+        A reset discards what the caller hasn't received of an answer.
+        """
+        sock = self._stream.socket
+        responder = self._responder
+        _AUDIT.log(
+            events.CONNECTION_RESET,
+            **self._log_fields,
+            reason=reason,
+            is_answered=responder is not None and responder.is_finished,
+            unread_bytes=caller_sockets.count_unread_bytes(sock),
+            unacknowledged_bytes=(
+                caller_sockets.count_unacknowledged_bytes(sock)
+            ),
+        )
+
     async def _serve_one(self) -> bool:
         head = await self._read_head()
         if head is None:
@@ -111,6 +139,7 @@
             responder = responder_lib.Responder(self._conn, self._stream)
             responder.closes_connection = self._server.is_stopping
             self._log_fields = responder.log_fields
+            self._responder = responder
             await self._handle(req, responder)
         finally:
             self._server.in_flight -= 1
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import gossip
+from sardinebend_gateway import host_clock
 from sardinebend_gateway import metrics as metrics_lib
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import balancing
@@ -61,6 +62,7 @@
     Attributes:
         cfg: The host's settings.
         edges: The external systems that the host uses.
+        host_clock: Stands still while the host is held up.
         catalog: The configuration in force, if any is known.
         catalog_at: Latest time at which the store is known to have held this
             catalog, by `clocks.now` (see `Follower.evidence_at`).
@@ -100,6 +102,7 @@
         self.rng = rng
         self.audit = audit_lib.Audit()
         self.metrics = metrics_lib.Metrics()
+        self.host_clock = host_clock.HostClock(self.audit, self.metrics)
         self.catalog: catalog_lib.Catalog | None = None
         self.catalog_at = NEVER
         self.catalog_confirmed_at = NEVER
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
@@ -0,0 +1,57 @@
+"""Measures how much a host itself was held up.
+
+A host that is suspended, or that shares its processor with others, reads
+messages late. The time that it measures then says nothing about their senders.
+"""
+
+import typing
+
+# Interval at which a host records that it runs.
+TICK_S: typing.Final = 0.1
+# Longest time between two records that counts as on time.
+MAX_STEP_S: typing.Final = 0.15
+# A signal that was sent while the host was held up is handled this long after
+# the end of the delay, at the latest.
+SIGNAL_HANDLING_S: typing.Final = 0.1
+
+
+class HostDelays:
+    """Time during which a host was on time, and its last delay.
+
+    Times are those of one clock that the caller uses, in seconds.
+    """
+
+    def __init__(self, now: float) -> None:
+        self._ticked_at = now
+        self._on_time_at_tick = now
+        self._delay_began_at = now
+        self._delay_ended_at = float('-inf')
+
+    def record_tick(self, now: float) -> float:
+        """Records that the host runs.
+
+        Returns:
+            The delay since the last record; 0 if the host was on time.
+        """
+        step_s = now - self._ticked_at
+        if step_s > MAX_STEP_S:
+            self._delay_began_at = self._ticked_at
+            self._delay_ended_at = now
+        self._on_time_at_tick = self.on_time(now)
+        self._ticked_at = now
+        return step_s - TICK_S if step_s > MAX_STEP_S else 0.0
+
+    def on_time(self, now: float) -> float:
+        """Returns the time of a clock that stands still during delays."""
+        return self._on_time_at_tick + min(now - self._ticked_at, MAX_STEP_S)
+
+    def earliest_signal_at(self, now: float) -> float:
+        """Returns when a signal that is handled now was sent, at the earliest.
+
+        That is the beginning of the delay that has just ended, if there is one.
+        """
+        if now - self._ticked_at > MAX_STEP_S:
+            return self._ticked_at
+        if now - self._delay_ended_at <= SIGNAL_HANDLING_S:
+            return self._delay_began_at
+        return now
--- /dev/null
+++ b/packages/sardinebend-policy/tests/cover/test_host_delays.py
@@ -0,0 +1,53 @@
+import pytest
+
+from sardinebend_policy import host_delays
+
+START = 100.0
+PAUSE_S = 1.3
+
+
+def make_delays(until=START + 1.0):
+    delays = host_delays.HostDelays(START)
+    now = START
+    while now < until - host_delays.TICK_S / 2:
+        now += host_delays.TICK_S
+        assert not delays.record_tick(now)
+    return delays, now
+
+
+def test_a_host_on_time_keeps_the_time_of_its_clock():
+    delays, now = make_delays()
+    assert delays.on_time(now) == pytest.approx(now)
+    assert delays.on_time(now + 0.02) == pytest.approx(now + 0.02)
+    assert delays.earliest_signal_at(now + 0.02) == now + 0.02
+
+
+@pytest.mark.parametrize('is_recorded', [True, False])
+def test_a_pause_is_not_counted_whoever_runs_first_after_it(is_recorded):
+    delays, now = make_delays()
+    if is_recorded:
+        assert delays.record_tick(now + PAUSE_S) > PAUSE_S - 0.2
+    on_time = delays.on_time(now + PAUSE_S)
+    assert on_time == pytest.approx(now + host_delays.MAX_STEP_S)
+    assert delays.earliest_signal_at(now + PAUSE_S) == pytest.approx(now)
+
+
+def test_a_signal_long_after_a_pause_was_not_sent_in_it():
+    delays, now = make_delays()
+    delays.record_tick(now + PAUSE_S)
+    later = now + PAUSE_S + host_delays.TICK_S
+    delays.record_tick(later)
+    later += host_delays.TICK_S
+    delays.record_tick(later)
+    assert delays.earliest_signal_at(later) == later
+
+
+def test_time_never_goes_back():
+    delays, now = make_delays()
+    times = [delays.on_time(now)]
+    for step in (0.05, 0.14, 0.16, 0.9):
+        times.append(delays.on_time(now + step))
+    delays.record_tick(now + 0.9)
+    times.append(delays.on_time(now + 0.9))
+    times.append(delays.on_time(now + 0.95))
+    assert times == sorted(times)
