--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -55,7 +55,13 @@
 
 
 class Server:
-    """A server that answers from a script and records its requests."""
+    """A server that answers from a script and records its requests.
+
+    Attributes:
+        backlog: Connections that may wait until they are accepted.
+    """
+
+    backlog = 16
 
     def __init__(self, name, service, script=None, zone='east'):
         self.name = name
@@ -104,7 +110,7 @@
         self._socket = trio.socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         await self._socket.bind((IP, port))
-        self._socket.listen(16)
+        self._socket.listen(self.backlog)
         self.port = self._socket.getsockname()[1]
         nursery.start_soon(self._accept, nursery)
 
--- a/tests/common/stopping_host.py
+++ b/tests/common/stopping_host.py
@@ -33,6 +33,7 @@
 # The rule holds until this long after the grace period.
 AFTER_GRACE_S: typing.Final = 1.0
 EVENT_S: typing.Final = 0.25
+NOT_PASSED_ON: typing.Final = 'neither passed on nor answered'
 STREAM_LIMIT_S: typing.Final = 20.0
 PLAIN_LIMIT_S: typing.Final = 2.0
 # Under the hosts' idle time-out for connections.
@@ -134,7 +135,7 @@
             return ''
         if request.ended_at - request.sent_by <= READ_WITHIN_S:
             return ''
-        return 'neither passed on nor answered'
+        return NOT_PASSED_ON
     if any(run.broke_off for run in runs):
         return ''
     if request.ended_at >= request.began_at + request.limit_s:
@@ -173,7 +174,13 @@
 
 
 class TimedServer(world_lib.Server):
-    """Works on each request as long as the request says, and records it."""
+    """Works on each request as long as the request says, and records it.
+
+    Attributes:
+        event_s: Time between two events of a stream.
+    """
+
+    event_s = EVENT_S
 
     def __init__(self, name, service):
         super().__init__(name, service, self._run)
@@ -214,8 +221,8 @@
         fixed.append(('Content-Type', 'text/event-stream'))
         await stream.send_all(world_lib.head(200, fixed, 'chunked'))
         first = int(headers.get('last-event-id', 0)) + 1
-        for number in range(first, max(1, int(duration_s / EVENT_S)) + 1):
-            await trio.sleep(EVENT_S)
+        for number in range(first, max(1, int(duration_s / self.event_s)) + 1):
+            await trio.sleep(self.event_s)
             await stream.send_all(world_lib.chunk(world_lib.event(number)))
         await stream.send_all(b'0\r\n\r\n')
 
@@ -320,17 +327,26 @@
         self.stops = []
         self.store_port = ports.find_free(1)[0]
         self.store = None
-        self.servers = [
-            TimedServer(f'{service}-{number}', service)
-            for service in ('app', 'llm')
-            for number in range(3)
-        ]
+        self.servers = self._make_servers()
         self.hosts = []
         self.hosts += [Host(self, number) for number in range(host_count)]
         self._idle = []
         self._logs = contextlib.ExitStack()
         self._processes = []
 
+    def _make_servers(self):
+        return [
+            TimedServer(f'{service}-{number}', service)
+            for service in ('app', 'llm')
+            for number in range(3)
+        ]
+
+    def _make_config(self):
+        config = make_config()
+        # The service of streams is a plain one.
+        config['services'][1].pop('engine')
+        return config
+
     @property
     def runs(self):
         return [run for server in self.servers for run in server.runs]
@@ -351,7 +367,7 @@
         client = store_client.StoreClient(
             f'http://{world_lib.IP}:{self.store_port}'
         )
-        value = json.dumps(_make_config()).encode()
+        value = json.dumps(self._make_config()).encode()
         with trio.fail_after(START_LIMIT_S):
             while True:
                 answer = await client.write('op', 'config', None, value)
@@ -398,11 +414,14 @@
         if late_s:
             await trio.sleep(late_s)
             host.send(signal.SIGCONT)
+        await self._wait_end(host, at)
+        code = host.process._child.returncode
+        self.stops.append(Stop(host, at, trio.current_time(), code))
+
+    async def _wait_end(self, host, stopped_at):
         with trio.fail_after(END_LIMIT_S):
             while host.is_up:
                 await trio.sleep(0.01)
-        code = host.process._child.returncode
-        self.stops.append(Stop(host, at, trio.current_time(), code))
 
     async def _send_long_streams(self, host, stopped_at):
         await trio.sleep_until(stopped_at + LONG_STREAMS_FROM_S)
@@ -431,7 +450,9 @@
         stream = None
         oldest = trio.current_time() - REUSE_LIMIT_S
         for item in list(self._idle):
-            if item[0] is host and self.rng.random() < 0.7:
+            # Another request may have taken it while one was being closed.
+            is_usable = item[0] is host and item in self._idle
+            if is_usable and self.rng.random() < 0.7:
                 self._idle.remove(item)
                 if item[2] >= oldest:
                     stream = item[1]
@@ -526,15 +547,14 @@
         return find_unread(self.requests, self.runs, self.stops)
 
 
-def _make_config():
+def make_config():
+    """Returns a configuration whose streams may last longer than a stop."""
     config = world_lib.make_config()
     for route in config['routes']:
         if route['name'] == 'draft':
             route['timeout_ms'] = int(STREAM_LIMIT_S * 1000)
             quick = {**route, 'name': 'quick', 'prefix': '/quick/'}
     config['routes'].append(quick)
-    # The service of streams is a plain one.
-    config['services'][1].pop('engine')
     return config
 
 
@@ -570,3 +590,36 @@
         request.sent_at = trio.current_time()
         await stream.send_all(data)
         request.sent_by = trio.current_time()
+
+
+async def play_scenes(scene_class, batch, folder):
+    """Returns scenes that were played beside each other, by their function.
+
+    Args:
+        scene_class: The class of the scenes.
+        batch: For each scene its function and its number of hosts.
+        folder: Where the scenes keep their files.
+    """
+    scenes = {}
+    async with trio.open_nursery() as nursery:
+        for act, host_count in batch:
+            nursery.start_soon(
+                _play, scene_class, act, host_count, folder, scenes
+            )
+    return scenes
+
+
+async def _play(scene_class, act, host_count, folder, scenes):
+    async with trio.open_nursery() as background:
+        scene = scene_class(background, folder / act.__name__, host_count)
+        scenes[act] = scene
+        try:
+            await scene.start()
+            async with trio.open_nursery() as scene.nursery:
+                await act(scene)
+        except Exception as exc:
+            # The other scenes of the batch go on.
+            scene.error = exc
+        finally:
+            scene.close()
+        background.cancel_scope.cancel()
--- a/tests/processes/test_planned_stop.py
+++ b/tests/processes/test_planned_stop.py
@@ -201,33 +201,12 @@
 def play_batch(number):
     """Returns the scenes of a batch, by their function, after their end."""
     with tempfile.TemporaryDirectory(prefix='stop-') as folder:
-        return trio.run(_play_batch, BATCHES[number], pathlib.Path(folder))
-
-
-async def _play_batch(batch, folder):
-    scenes = {}
-    async with trio.open_nursery() as nursery:
-        for act, host_count in batch:
-            nursery.start_soon(_play, act, host_count, folder, scenes)
-    return scenes
-
-
-async def _play(act, host_count, folder, scenes):
-    async with trio.open_nursery() as background:
-        scene = stopping_host.Scene(
-            background, folder / act.__name__, host_count
+        return trio.run(
+            stopping_host.play_scenes,
+            stopping_host.Scene,
+            BATCHES[number],
+            pathlib.Path(folder),
         )
-        scenes[act] = scene
-        try:
-            await scene.start()
-            async with trio.open_nursery() as scene.nursery:
-                await act(scene)
-        except Exception as exc:
-            # The other scenes of the batch go on.
-            scene.error = exc
-        finally:
-            scene.close()
-        background.cancel_scope.cancel()
 
 
 def play(act):
