Give the host's clock time and deadlines without the host's own delays

Verdicts about others need a clock that stands still while the host is held up. No caller uses them yet, and the tests come with the callers.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -4,6 +4,8 @@
 store are promised is measured by `trio.current_time` and `clocks.now`.
 """
 
+import collections.abc
+import contextlib
 import typing
 
 import trio
@@ -16,6 +18,8 @@
 
 # Shorter delays aren't logged.
 MIN_LOGGED_DELAY_S: typing.Final = 0.2
+# Shortest time between two ticks, however soon a deadline is.
+MIN_TICK_S: typing.Final = 0.01
 
 
 class HostClock:
@@ -33,6 +37,7 @@
         # By `clocks.now`, which also counts the time for which the machine was
         # suspended: the platform counts it, too.
         self._real_delays: host_delays.HostDelays | None = None
+        self._deadlines: dict[trio.CancelScope, float] = {}
 
     async def run(self) -> None:
         """Keeps the clock; runs until cancelled."""
@@ -40,7 +45,7 @@
         self._real_delays = host_delays.HostDelays(clocks.now())
         try:
             while True:
-                await trio.sleep(host_delays.TICK_S)
+                await trio.sleep(self._tick_s())
                 self._delays.record_tick(trio.current_time())
                 delay_s = self._real_delays.record_tick(clocks.now())
                 if delay_s:
@@ -49,6 +54,7 @@
                     self._audit.log(
                         events.HOST_DELAYED, delay_s=round(delay_s, 3)
                     )
+                self._cancel_due()
         finally:
             self._delays = None
 
@@ -64,3 +70,45 @@
             return 0.0
         now = clocks.now()
         return now - self._real_delays.earliest_signal_at(now)
+
+    @contextlib.contextmanager
+    def move_on_after(
+        self, seconds: float
+    ) -> collections.abc.Iterator[trio.CancelScope]:
+        """Limits the time to wait for others, without delays of the host."""
+        scope = trio.CancelScope()
+        if self._delays is None:
+            scope.deadline = trio.current_time() + seconds
+        else:
+            self._deadlines[scope] = self.now() + seconds
+        try:
+            with scope:
+                yield scope
+        finally:
+            self._deadlines.pop(scope, None)
+
+    @contextlib.contextmanager
+    def fail_after(
+        self, seconds: float
+    ) -> collections.abc.Iterator[trio.CancelScope]:
+        """Like `move_on_after`, but raises if the time has passed.
+
+        Raises:
+            trio.TooSlowError: The time has passed.
+        """
+        with self.move_on_after(seconds) as scope:
+            yield scope
+        if scope.cancelled_caught:
+            raise trio.TooSlowError
+
+    def _tick_s(self) -> float:
+        if not self._deadlines:
+            return host_delays.TICK_S
+        left_s = min(self._deadlines.values()) - self.now()
+        return max(MIN_TICK_S, min(host_delays.TICK_S, left_s))
+
+    def _cancel_due(self) -> None:
+        now = self.now()
+        for scope, deadline in list(self._deadlines.items()):
+            if deadline <= now:
+                scope.cancel()
