Measure the silence of peers without the host's own delays

What was seen: after a pause of 1.2 s or more, a host took all its peers for lost until it had read their waiting heartbeats. Its answers to /-/resolve then named only itself, it logged `peer_lost` for each of them and changed its role.

Cause: `Members.live_peers` compared `clocks.now`, which counts the pause, with the time of the last heartbeat, which couldn't be read during it.

Change: `Liveness.is_live` gets times of the host's clock, which stands still while the host is held up. Relayed ages stay in real time, because an age that is too low lets other hosts take a failed host for live: `Liveness` keeps the earliest time at which each heartbeat may have been sent, and one that is read just after a delay may have been sent when the delay began. Relayed ages may thus be too high for one heartbeat, but never too low. The price is that a host that is held up again and again takes longer to notice a failed peer.

Tests that failed before: `test_no_peer_is_lost_by_a_pause_of_the_host_itself` (both pauses: no live peer) and `test_relayed_ages_include_the_pause_of_the_host` (an age of 0.1 s after a pause of 2 s). `test_a_peer_that_stays_silent_after_a_pause_is_lost` passed before as well and guards against the opposite fault.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -148,10 +148,7 @@
         now = clocks.now()
         if heartbeat.host == self._state.cfg.name:
             return
-        self._members.record_heartbeat(
-            heartbeat.host, heartbeat.incarnation, now
-        )
-        self._members.liveness.apply_digest(heartbeat.heard, now)
+        self._members.record_heartbeat(heartbeat)
         if heartbeat.is_leaving:
             self._members.mark_leaving(heartbeat.host, heartbeat.incarnation)
         for start in heartbeat.leaving:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import shared_table
 from sardinebend_gateway import state as state_lib
+from sardinebend_peers import messages
 from sardinebend_policy import liveness as liveness_lib
 from sardinebend_policy import readers
 from sardinebend_store import feeds
@@ -38,10 +39,16 @@
         self._own_row_lost = trio.Event()
         self.liveness = liveness_lib.Liveness(state.rng)
 
-    def record_heartbeat(self, name: str, incarnation: str, now: float) -> None:
+    def record_heartbeat(self, heartbeat: messages.LoadHeartbeat) -> None:
         """Records a heartbeat, which may show a restart before the row does."""
+        name, incarnation = heartbeat.host, heartbeat.incarnation
         incarnation_hash = liveness_lib.hash_incarnation(name, incarnation)
-        self.liveness.record_heartbeat(incarnation_hash, now)
+        host_clock = self._state.host_clock
+        now = host_clock.now()
+        # It may have waited in the socket while this host was held up.
+        sent_at = clocks.now() - host_clock.signal_late_s()
+        self.liveness.record_heartbeat(incarnation_hash, now, sent_at)
+        self.liveness.apply_digest(heartbeat.heard, now, sent_at)
         row = self._rows.get(name)
         if row is not None and row['incarnation'] != incarnation:
             row['incarnation'] = incarnation
@@ -56,7 +63,7 @@
     def live_peers(self) -> dict[str, shared_table.HostRow]:
         """Returns the rows of the other hosts that are considered live."""
         peers = self.peers()
-        now = clocks.now()
+        now = self._state.host_clock.now()
         return {
             name: row
             for name, row in peers.items()
--- a/packages/sardinebend-policy/src/sardinebend_policy/liveness.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/liveness.py
@@ -4,6 +4,10 @@
 received them, so that clocks of different hosts are never compared. Relayed
 heartbeats let a host of a large fleet monitor all others while it receives
 heartbeats directly from only a few of them.
+
+A host uses two clocks. It measures the silence of others by one that stands
+still while it is held up itself. The ages that it relays are of real time: too
+low an age would make other hosts take a failed one for live.
 """
 
 import random
@@ -51,6 +55,8 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._heartbeat_at: dict[int, float] = {}
+        # The latest times at which they were sent, by real time.
+        self._sent_at: dict[int, float] = {}
         self._first_checked_at: dict[int, float] = {}
 
     def is_large(self, peers: int) -> bool:
@@ -79,17 +85,33 @@
             return list(names)
         return self._rng.sample(names, LARGE_HEARTBEAT_PEERS)
 
-    def record_heartbeat(self, incarnation_hash: int, at: float) -> None:
-        """Records a heartbeat of an incarnation at a time."""
-        if at > self._heartbeat_at.get(incarnation_hash, float('-inf')):
-            self._heartbeat_at[incarnation_hash] = at
+    def record_heartbeat(
+        self, incarnation_hash: int, at: float, sent_at: float | None = None
+    ) -> None:
+        """Records a heartbeat of an incarnation.
+
+        Args:
+            incarnation_hash: Hash of the incarnation.
+            at: When it was received, by the clock of `is_live`.
+            sent_at: When it was sent, at the earliest, by the clock of
+                `digest`; `None` if it equals `at`.
+        """
+        _advance(self._heartbeat_at, incarnation_hash, at)
+        _advance(
+            self._sent_at, incarnation_hash, at if sent_at is None else sent_at
+        )
 
     def digest(self, now: float, peers: int) -> bytes:
-        """Returns an encoded selection of recent heartbeats to relay."""
+        """Returns an encoded selection of recent heartbeats to relay.
+
+        Args:
+            now: The real time, in seconds.
+            peers: Number of other hosts in the fleet.
+        """
         if not self.is_large(peers):
             return b''
         limit = now - self.failure_timeout_s(peers)
-        live = [item for item in self._heartbeat_at.items() if item[1] > limit]
+        live = [item for item in self._sent_at.items() if item[1] > limit]
         if len(live) > DIGEST_ITEMS:
             # The most recent ones, then a random choice of the others, so that
             # each of them is relayed at some time.
@@ -106,11 +128,24 @@
             for incarnation_hash, at in live
         )
 
-    def apply_digest(self, digest: bytes, now: float) -> None:
-        """Records relayed heartbeats; a truncated last item is ignored."""
+    def apply_digest(
+        self, digest: bytes, now: float, sent_at: float | None = None
+    ) -> None:
+        """Records relayed heartbeats; a truncated last item is ignored.
+
+        Args:
+            digest: The encoded heartbeats.
+            now: The time, by the clock of `is_live`.
+            sent_at: When the digest was sent, at the earliest, by the clock of
+                `digest`; `None` if it equals `now`.
+        """
+        sent_at = now if sent_at is None else sent_at
         complete = len(digest) - len(digest) % _ITEM.size
         for incarnation_hash, age in _ITEM.iter_unpack(digest[:complete]):
-            self.record_heartbeat(incarnation_hash, now - age * _AGE_UNIT_S)
+            age_s = age * _AGE_UNIT_S
+            self.record_heartbeat(
+                incarnation_hash, now - age_s, sent_at - age_s
+            )
 
     def is_live(
         self, name: str, incarnation: str, now: float, peers: int
@@ -126,12 +161,23 @@
         return now - last < self.failure_timeout_s(peers)
 
     def forget(self, listed: typing.Collection[int], now: float) -> None:
-        """Drops unlisted incarnations; their heartbeats only once outdated."""
+        """Drops unlisted incarnations; their heartbeats only once outdated.
+
+        Args:
+            listed: Hashes of the listed incarnations.
+            now: The time, by the clock of `digest`.
+        """
         for incarnation_hash in set(self._first_checked_at) - set(listed):
             del self._first_checked_at[incarnation_hash]
-        for incarnation_hash, at in list(self._heartbeat_at.items()):
+        for incarnation_hash, at in list(self._sent_at.items()):
             if (
                 incarnation_hash not in listed
                 and now - at > _MAX_AGE_UNITS * _AGE_UNIT_S
             ):
+                del self._sent_at[incarnation_hash]
                 del self._heartbeat_at[incarnation_hash]
+
+
+def _advance(times: dict[int, float], incarnation_hash: int, at: float) -> None:
+    if at > times.get(incarnation_hash, float('-inf')):
+        times[incarnation_hash] = at
--- a/tests/cover/test_gateway_peers.py
+++ b/tests/cover/test_gateway_peers.py
@@ -5,6 +5,10 @@
 import pytest
 import trio
 
+from sardinebend_gateway import clocks
+from sardinebend_gateway import shared_table
+from sardinebend_peers import messages
+from sardinebend_policy import liveness as liveness_lib
 from sardinebend_store import feeds
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
@@ -122,3 +126,79 @@
     assert lost_lines(lines) == [
         {'peer': 'host-2', 'is_listed': True, 'is_leaving': is_leaving}
     ]
+
+
+@contextlib.asynccontextmanager
+async def host_with_silent_peer():
+    """Yields a host; its peer sends no heartbeat until the test does."""
+    async with world_lib.running() as first:
+        second = world_lib.World(
+            first.nursery, (), store=first.store, name='host-2'
+        )
+        row = second.gateway.members._own_row
+        first.gateway.members.apply_row(
+            feeds.FeedRow('host/host-2', 1, shared_table.encode(row))
+        )
+        yield first, row
+
+
+def beat(first, row):
+    heartbeat = messages.LoadHeartbeat(
+        'host-2', row['incarnation'], False, (), b''
+    )
+    first.gateway._heartbeats._apply(heartbeat)
+
+
+# Guards against callers that are told of one host only, and roles that change,
+# because a host took its own pause for the silence of all others.
+@pytest.mark.parametrize('pause_s', [1.5, 30.0])
+async def test_no_peer_is_lost_by_a_pause_of_the_host_itself(clock, pause_s):
+    with decision_log.collecting() as lines:
+        async with host_with_silent_peer() as (first, row):
+            await trio.sleep(1.0)
+            beat(first, row)
+            clock.jump(pause_s)
+            members = first.gateway.members
+            assert set(members.live_peers()) == {'host-2'}
+            assert len(members.addresses('east')) == 2
+            members.refresh_live_peers()
+            await trio.sleep(0.3)
+            beat(first, row)
+            await trio.sleep(0.3)
+            assert set(members.live_peers()) == {'host-2'}
+    assert not lost_lines(lines)
+
+
+# Guards against a clock for the silence of others that never ends it.
+async def test_a_peer_that_stays_silent_after_a_pause_is_lost(clock):
+    with decision_log.collecting() as lines:
+        async with host_with_silent_peer() as (first, row):
+            await trio.sleep(1.0)
+            beat(first, row)
+            clock.jump(5.0)
+            await trio.sleep(1.6)
+            assert not first.gateway.members.live_peers()
+    assert len(lost_lines(lines)) == 1
+
+
+# Guards against a failed host that others take for live because a host that
+# was held up relays heartbeats as if they were new.
+async def test_relayed_ages_include_the_pause_of_the_host(clock):
+    async with host_with_silent_peer() as (first, row):
+        await trio.sleep(1.0)
+        liveness = first.gateway.members.liveness
+        beat(first, row)
+        clock.jump(2.0)
+        large = liveness_lib.HEARTBEAT_PEERS + 1
+        assert digest_age_s(liveness.digest(clocks.now(), large)) >= 2.0
+        # It may have waited in the socket for the whole pause.
+        beat(first, row)
+        assert digest_age_s(liveness.digest(clocks.now(), large)) >= 2.0
+        await trio.sleep(0.5)
+        beat(first, row)
+        assert digest_age_s(liveness.digest(clocks.now(), large)) <= 0.3
+
+
+def digest_age_s(digest):
+    assert len(digest) == 5
+    return digest[4] / 10
