--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -18,6 +18,8 @@
 
 # Shorter delays aren't logged.
 MIN_LOGGED_DELAY_S: typing.Final = 0.2
+# A host that was held up is busy with what has waited for this long.
+RECOVERY_S: typing.Final = 1.0
 # Shortest time between two ticks, however soon a deadline is.
 MIN_TICK_S: typing.Final = 0.01
 
@@ -71,6 +73,19 @@
         now = clocks.now()
         return now - self._real_delays.earliest_signal_at(now)
 
+    def was_on_time_since(self, at: float) -> bool:
+        """Returns whether what the host measured says something of others.
+
+        That isn't so if the host was held up meanwhile or shortly before.
+
+        Args:
+            at: When the measurement began, by `trio.current_time`.
+        """
+        if self._real_delays is None:
+            return True
+        duration_s = trio.current_time() - at + RECOVERY_S
+        return self._real_delays.was_on_time_for(duration_s, clocks.now())
+
     @contextlib.contextmanager
     def move_on_after(
         self, seconds: float
--- a/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
@@ -45,6 +45,13 @@
         """Returns the time of a clock that stands still during delays."""
         return self._on_time_at_tick + min(now - self._ticked_at, MAX_STEP_S)
 
+    def was_on_time_for(self, duration_s: float, now: float) -> bool:
+        """Returns whether the host wasn't held up for some time until now."""
+        return (
+            now - self._ticked_at <= MAX_STEP_S
+            and now - self._delay_ended_at > duration_s
+        )
+
     def earliest_signal_at(self, now: float) -> float:
         """Returns when a signal that is handled now was sent, at the earliest.
 
--- a/packages/sardinebend-policy/tests/cover/test_host_delays.py
+++ b/packages/sardinebend-policy/tests/cover/test_host_delays.py
@@ -51,3 +51,18 @@
     times.append(delays.on_time(now + 0.9))
     times.append(delays.on_time(now + 0.95))
     assert times == sorted(times)
+
+
+def test_a_host_is_on_time_only_some_time_after_a_pause():
+    delays, now = make_delays()
+    assert delays.was_on_time_for(1.0, now)
+    # Nothing has recorded the pause yet.
+    assert not delays.was_on_time_for(0.0, now + PAUSE_S)
+    now += PAUSE_S
+    delays.record_tick(now)
+    for _ in range(11):
+        assert not delays.was_on_time_for(1.0, now)
+        now += host_delays.TICK_S
+        delays.record_tick(now)
+    assert delays.was_on_time_for(1.0, now)
+    assert not delays.was_on_time_for(1.2, now)
--- a/tests/cover/test_gateway_unreachable.py
+++ b/tests/cover/test_gateway_unreachable.py
@@ -1,7 +1,9 @@
 """Engines that peers can't reach get no new work, but keep their requests."""
 
+import pytest
 import trio
 
+from sardinebend_gateway import clocks
 from sardinebend_peers import messages
 from tests.common import gateway_world as world_lib
 
@@ -80,3 +82,71 @@
     assert answers[0][3]
     assert not spare.requests
     assert not servers[0].orders
+
+
+def take_time_out(world, server, since):
+    """Records a time-out; returns what is told to peers, and the cooldown."""
+    state = world.gateway.state
+    endpoint = state.endpoints.get(server.name)
+    state.record_unreachable(endpoint, since)
+    told = state.unreachable.recent(clocks.now())
+    left_s = 0.0
+    while state.endpoints.is_unhealthy(endpoint, clocks.now() + left_s):
+        left_s += 0.1
+    return told, left_s
+
+
+# Guards against a host that was held up, takes its own delay for a time-out of
+# sound engines, and makes all other hosts avoid them.
+@pytest.mark.parametrize('is_recorded', [True, False])
+async def test_a_host_that_was_held_up_reports_no_time_out_to_peers(
+    clock, is_recorded
+):
+    servers = world_lib.engines((0, 4))
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.5)
+        since = trio.current_time()
+        clock.jump(0.6)
+        if is_recorded:
+            await trio.sleep(0.2)
+        told, cooldown_s = take_time_out(world, servers[0], since)
+        assert not told
+        # The engine may be down nonetheless.
+        assert 0 < cooldown_s < 1.0
+
+
+# Guards against time-outs that fall into the backlog after a delay.
+async def test_a_time_out_just_after_a_delay_is_not_reported(clock):
+    servers = world_lib.engines((0, 4))
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.5)
+        clock.jump(0.6)
+        await trio.sleep(0.5)
+        since = trio.current_time()
+        await trio.sleep(0.3)
+        assert not take_time_out(world, servers[0], since)[0]
+
+
+# Guards against a rule that silences a host which is on time.
+@pytest.mark.parametrize('has_paused', [True, False])
+async def test_a_host_on_time_reports_a_time_out_to_peers(clock, has_paused):
+    servers = world_lib.engines((0, 4))
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.5)
+        if has_paused:
+            clock.jump(0.6)
+            await trio.sleep(1.5)
+        since = trio.current_time()
+        await trio.sleep(0.3)
+        told, cooldown_s = take_time_out(world, servers[0], since)
+        assert told == [(servers[0].name, 1)]
+        assert cooldown_s > 3.9
+
+
+# Guards against taking an answer, which a delay doesn't change, for a time-out.
+async def test_a_refused_connection_is_reported_even_after_a_delay(clock):
+    servers = world_lib.engines((0, 4))
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.5)
+        clock.jump(0.6)
+        assert take_time_out(world, servers[0], None)[0]
