Believe an engine's own answers rather than the word of peers

What was seen: four hosts that were well took 87 sound servers for bad because two slow hosts reported them as unreachable; requests then found no path.

Cause: two reports were enough to mark an endpoint unhealthy for 4 s, even if it was answering the host that marked it.

Change: `EndpointTable` keeps when an endpoint last answered this host. For 2 s after that, reports of peers don't mark it; a doubt of the host's own ends this at once. The time is real time, and an answer that may have waited during a delay of the host counts from its beginning: a host that was held up has seen nothing since.

Only the heads of answers count so far, not the events of a running stream.

Test that failed before: `test_an_engine_that_answers_this_host_is_used_whatever_peers_say` (the engine was unhealthy). The other new tests guard the limits of the rule.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -306,14 +306,23 @@
                 cooldown_s=endpoints_lib.UNREACHABLE_COOLDOWN_S,
             )
 
+    def record_contact(self, endpoint: endpoints_lib.Endpoint) -> None:
+        """Records that an endpoint has answered this host."""
+        # The answer may have waited while this host was held up.
+        at = clocks.now() - self.host_clock.signal_late_s()
+        self.endpoints.record_contact(endpoint, at)
+
     def _may_apply_peer_report(self, endpoint: endpoints_lib.Endpoint) -> bool:
         """Returns whether peer reports may mark an endpoint unhealthy.
 
         A host that was suspended finds every endpoint unreachable for a moment
         after it resumes, so the reports of such hosts must not make most of a
-        service unavailable.
+        service unavailable. What this host itself sees answering outweighs
+        what others say.
         """
         now = clocks.now()
+        if self.endpoints.has_recent_contact(endpoint, now):
+            return False
         listed = self.endpoints.list_all(endpoint.service)
         unhealthy = sum(self.endpoints.is_unhealthy(e, now) for e in listed)
         return not self.endpoints.is_unhealthy(
@@ -327,6 +336,7 @@
         if facts.answered_by not in (None, endpoint.endpoint_id):
             # The address now belongs to another endpoint.
             return
+        self.record_contact(endpoint)
         if facts.is_leaving:
             self.mark_leaving(endpoint.incarnation, 'own answer')
         if facts.malformed_header:
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -19,6 +19,10 @@
 # Cooldown of an unreachable endpoint. Endpoints renew their listing every
 # 1.2 s; it expires after three missed renewals, 3.6 s.
 UNREACHABLE_COOLDOWN_S: typing.Final = 4.0
+# Time for which an endpoint that has answered this host isn't avoided on the
+# word of others. If it has failed since, this host finds out by a connection
+# that times out, which costs less than to lose sound endpoints.
+CONTACT_TTL_S: typing.Final = 2.0
 # Leaving incarnations that are remembered; some 120 a day leave.
 MAX_LEAVING: typing.Final = 10_000
 
@@ -84,6 +88,13 @@
     reason: str
 
 
+class _Contact(typing.NamedTuple):
+    """The last answer of one incarnation of an endpoint."""
+
+    born: int
+    at: float
+
+
 class EndpointTable:
     """All known endpoints by name, with their health and requested pauses.
 
@@ -96,6 +107,7 @@
         self._leaving: dict[tuple[str, int], bool] = {}
         self._cooldowns: dict[tuple[str, int], _Cooldown] = {}
         self._backoffs: dict[tuple[str, int], float] = {}
+        self._contacts: dict[str, _Contact] = {}
         self.revision = 0
 
     def put(self, endpoint: Endpoint) -> bool:
@@ -113,6 +125,7 @@
     def remove(self, endpoint_id: str) -> Endpoint | None:
         """Removes an endpoint; returns its last listing, if it had one."""
         endpoint = self._endpoints.pop(endpoint_id, None)
+        self._contacts.pop(endpoint_id, None)
         if endpoint is not None:
             self.revision += 1
         return endpoint
@@ -180,6 +193,7 @@
         Returns:
             The cooldown that is left, in seconds.
         """
+        self._contacts.pop(endpoint.endpoint_id, None)
         last = self._cooldowns.get(endpoint.incarnation)
         if last is not None and last.until > now:
             if now + first_cooldown_s > last.until:
@@ -205,6 +219,29 @@
         if self._cooldowns.pop(endpoint.incarnation, None) is not None:
             self.revision += 1
 
+    def record_contact(self, endpoint: Endpoint, at: float) -> None:
+        """Records that an endpoint has answered this host.
+
+        Args:
+            endpoint: The endpoint; ignored if this incarnation isn't listed.
+            at: When the answer was sent, at the earliest.
+        """
+        known = self._endpoints.get(endpoint.endpoint_id)
+        if known is None or known.incarnation != endpoint.incarnation:
+            return
+        last = self._contacts.get(endpoint.endpoint_id)
+        if last is None or last.born != endpoint.born or last.at < at:
+            self._contacts[endpoint.endpoint_id] = _Contact(endpoint.born, at)
+
+    def has_recent_contact(self, endpoint: Endpoint, now: float) -> bool:
+        """Returns whether an endpoint has just answered, undoubted since."""
+        last = self._contacts.get(endpoint.endpoint_id)
+        return (
+            last is not None
+            and last.born == endpoint.born
+            and now - last.at < CONTACT_TTL_S
+        )
+
     def back_off(self, endpoint: Endpoint, now: float, for_s: float) -> None:
         """Withholds new work from an endpoint that has asked for a pause."""
         self._backoffs = {
--- a/packages/sardinebend-policy/tests/cover/test_peer_reports.py
+++ b/packages/sardinebend-policy/tests/cover/test_peer_reports.py
@@ -48,3 +48,46 @@
         endpoint, 0.2 + endpoints.UNREACHABLE_COOLDOWN_S
     )
     assert table.mark_unhealthy(endpoint, 1.0, 'named in a refusal', 0.5) > 3.0
+
+
+def make_table():
+    endpoint = endpoints.Endpoint(
+        'engine-1', 's', '10.0.0.1:1', 'east', 8, False, 7
+    )
+    table = endpoints.EndpointTable()
+    table.put(endpoint)
+    return table, endpoint
+
+
+def test_a_contact_counts_for_a_short_time():
+    table, endpoint = make_table()
+    assert not table.has_recent_contact(endpoint, 10.0)
+    table.record_contact(endpoint, 10.0)
+    table.record_contact(endpoint, 9.0)
+    assert table.has_recent_contact(endpoint, 10.9)
+    assert not table.has_recent_contact(
+        endpoint, 10.0 + endpoints.CONTACT_TTL_S
+    )
+
+
+# Guards against an answer that outweighs what the host saw after it.
+def test_a_contact_no_longer_counts_once_the_host_doubts_the_endpoint():
+    table, endpoint = make_table()
+    table.record_contact(endpoint, 10.0)
+    table.mark_unhealthy(endpoint, 10.1, 'unreachable')
+    assert not table.has_recent_contact(endpoint, 10.2)
+
+
+# Guards against answers of an earlier process, and a table that only grows.
+def test_a_contact_counts_for_the_listed_incarnation_only():
+    table, endpoint = make_table()
+    restarted = endpoint._replace(born=8)
+    table.record_contact(restarted, 10.0)
+    assert not table.has_recent_contact(endpoint, 10.1)
+    table.record_contact(endpoint, 10.0)
+    table.put(restarted)
+    assert not table.has_recent_contact(restarted, 10.1)
+    table.record_contact(restarted, 10.1)
+    table.remove('engine-1')
+    table.put(restarted)
+    assert not table.has_recent_contact(restarted, 10.2)
--- a/tests/cover/test_gateway_unreachable.py
+++ b/tests/cover/test_gateway_unreachable.py
@@ -5,6 +5,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_peers import messages
+from sardinebend_policy import endpoints as endpoints_lib
 from tests.common import gateway_world as world_lib
 
 EVENTS = 5
@@ -150,3 +151,53 @@
         await trio.sleep(1.5)
         clock.jump(0.6)
         assert take_time_out(world, servers[0], None)[0]
+
+
+def is_avoided(world, server):
+    state = world.gateway.state
+    endpoint = state.endpoints.get(server.name)
+    return state.endpoints.is_unhealthy(endpoint, clocks.now())
+
+
+# Guards against hosts that are well and stop using sound engines, which answer
+# them, on the word of hosts that are late themselves.
+async def test_an_engine_that_answers_this_host_is_used_whatever_peers_say(
+    clock,
+):
+    servers = world_lib.engines((0, 4), script=answer_slowly)
+    async with world_lib.running(*servers) as world:
+        assert (await ask(world, 1))[3]
+        report_unreachable(world, 'a', servers[0])
+        report_unreachable(world, 'b', servers[0])
+        assert not is_avoided(world, servers[0])
+
+
+# Guards against engines that are used long after they have failed because they
+# once answered.
+@pytest.mark.parametrize('is_host_paused', [True, False])
+async def test_peers_are_believed_when_the_last_answer_is_old(
+    clock, is_host_paused
+):
+    servers = world_lib.engines((0, 4), script=answer_slowly)
+    async with world_lib.running(*servers) as world:
+        assert (await ask(world, 1))[3]
+        if is_host_paused:
+            clock.jump(endpoints_lib.CONTACT_TTL_S + 0.1)
+        else:
+            await trio.sleep(endpoints_lib.CONTACT_TTL_S + 0.1)
+        report_unreachable(world, 'a', servers[0])
+        report_unreachable(world, 'b', servers[0])
+        assert is_avoided(world, servers[0])
+
+
+# Guards against answers that count as new because the host read them late.
+async def test_an_answer_that_waited_during_a_pause_is_no_recent_one(clock):
+    servers = world_lib.engines((0, 4), script=answer_slowly)
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.0)
+        state = world.gateway.state
+        clock.jump(endpoints_lib.CONTACT_TTL_S + 0.1)
+        state.record_contact(state.endpoints.get(servers[0].name))
+        report_unreachable(world, 'a', servers[0])
+        report_unreachable(world, 'b', servers[0])
+        assert is_avoided(world, servers[0])
