Time a planned stop from when its signal may have been sent

What callers saw: streams sent more than 3 s after a SIGTERM were accepted, passed on to an engine and ended without a whole answer when the platform killed the process 8 s after the signal. Cause: a stop was timed from when the signal was handled, with one second to spare. A process that is suspended, or that gets no processor, handles it later than that, and the kill comes before its own cut, so that it writes neither request_cut nor host_stopped. A stop begins at the start of the delay in which its signal may have come, but leaves half of the grace period: a process that still runs wasn't signalled long before. The second to spare stays for what the host doesn't know of. It works because the host can't have handled earlier what was sent before the delay, so no later time is safe.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -184,15 +184,16 @@
         """Begins a planned stop; `run` returns when it is complete."""
         if self.state.is_stopping:
             return
+        signal_late_s = self.state.host_clock.signal_late_s()
         self.state.planned_stop = planned_stop.PlannedStop.begin(
-            trio.current_time(), self.state.cfg.grace_s
+            trio.current_time(), self.state.cfg.grace_s, signal_late_s
         )
         self.server.begin_stop()
         self.state.audit.log(
             events.STOPPING,
             in_flight=self.server.in_flight,
             grace_s=self.state.cfg.grace_s,
-            signal_late_s=round(self.state.host_clock.signal_late_s(), 3),
+            signal_late_s=round(signal_late_s, 3),
         )
         self._stop_requested.set()
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -38,13 +38,13 @@
         self._delays: host_delays.HostDelays | None = None
         # By `clocks.now`, which also counts the time for which the machine was
         # suspended: the platform counts it, too.
-        self._real_delays: host_delays.HostDelays | None = None
+        # From the beginning, as a signal may wait for the host to start.
+        self._real_delays = host_delays.HostDelays(clocks.now())
         self._deadlines: dict[trio.CancelScope, float] = {}
 
     async def run(self) -> None:
         """Keeps the clock; runs until cancelled."""
         self._delays = host_delays.HostDelays(trio.current_time())
-        self._real_delays = host_delays.HostDelays(clocks.now())
         try:
             while True:
                 await trio.sleep(self._tick_s())
@@ -68,8 +68,6 @@
 
     def signal_late_s(self) -> float:
         """Returns how late a signal may be that is being handled, at most."""
-        if self._real_delays is None:
-            return 0.0
         now = clocks.now()
         return now - self._real_delays.earliest_signal_at(now)
 
@@ -81,7 +79,7 @@
         Args:
             at: When the measurement began, by `trio.current_time`.
         """
-        if self._real_delays is None:
+        if self._delays is None:
             return True
         duration_s = trio.current_time() - at + RECOVERY_S
         return self._real_delays.was_on_time_for(duration_s, clocks.now())
--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -8,6 +8,9 @@
 # was sent later than LATE_CALLERS_S after the signal must not be cut off, so a
 # host that may be late begins none that may outlast it.
 SIGNAL_DELAY_S: typing.Final = 1.0
+# Largest share of the grace period that is taken to have passed before the
+# signal is handled.
+MAX_LATE_SHARE: typing.Final = 0.5
 # Time left at the end of the grace period to end the process.
 EXIT_MARGIN_S: typing.Final = 0.6
 # For this long before requests in flight are cut off, no connection is
@@ -21,7 +24,7 @@
     Times are those of the clock that the caller uses, in seconds.
 
     Attributes:
-        started_at: When the host began to stop.
+        started_at: When the signal may have been sent, at the earliest.
         cut_at: When requests that are still in flight are cut off.
     """
 
@@ -29,14 +32,20 @@
     cut_at: float
 
     @classmethod
-    def begin(cls, now: float, grace_s: float) -> 'PlannedStop':
-        """Returns a stop that begins now.
+    def begin(
+        cls, now: float, grace_s: float, signal_late_s: float = 0.0
+    ) -> 'PlannedStop':
+        """Returns a stop whose signal is handled now.
 
         Args:
             now: The time.
             grace_s: Time from the signal to the forced end of the process.
+            signal_late_s: How long ago the signal may have been sent.
         """
-        return cls(now, now + max(0.0, grace_s - EXIT_MARGIN_S))
+        # The process would have ended by now if the signal were much older.
+        late_s = min(max(0.0, signal_late_s), grace_s * MAX_LATE_SHARE)
+        started_at = now - late_s
+        return cls(started_at, started_at + max(0.0, grace_s - EXIT_MARGIN_S))
 
     @property
     def closes_at(self) -> float:
--- a/packages/sardinebend-policy/tests/cover/test_planned_stop.py
+++ b/packages/sardinebend-policy/tests/cover/test_planned_stop.py
@@ -111,3 +111,18 @@
     key = times.begin(service, size, began_at)
     times.record_served(key, began_at + took_s)
     times.end(key)
+
+
+# Guards against requests that are begun too late after a signal that the host
+# was too busy to handle.
+def test_a_stop_begins_when_its_signal_may_have_been_sent():
+    stop = planned_stop.PlannedStop.begin(101.5, GRACE_S, 1.5)
+    assert stop == make_stop(100.0)
+    assert not stop.may_admit(103.0, 103.1, 0.1)
+
+
+def test_a_long_delay_before_a_stop_leaves_half_of_the_grace_period():
+    stop = planned_stop.PlannedStop.begin(160.0, GRACE_S, 60.0)
+    assert stop.started_at == 160.0 - GRACE_S / 2
+    assert not stop.may_admit(160.0, 160.1, 0.1)
+    assert stop.closes_at > 160.0
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -1,13 +1,54 @@
-"""Tests of what a host records of its own delays, on the virtual clock."""
+"""Tests of hosts that are held up themselves, on the virtual clock."""
 
 import contextlib
 
+
+import pytest
 import trio
 
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
 PAUSE_S = 1.2
+EVENT_S = 0.1
+STREAM_S = 3.0
+GRACE_S = 8.0
+# Requests that were sent later than this after the signal may not be cut.
+EXCUSED_S = 3.0
+
+
+async def send_stream(headers, stream):
+    fixed = [
+        ('Request-Id', headers['request-id']),
+        ('Content-Type', 'text/event-stream'),
+        world_lib.SEAL,
+    ]
+    await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+    first = int(headers.get('last-event-id', 0)) + 1
+    duration_s = float(headers.get('x-duration', STREAM_S))
+    for number in range(first, int(duration_s / EVENT_S) + 1):
+        await trio.sleep(EVENT_S)
+        await stream.send_all(world_lib.chunk(world_lib.event(number)))
+    return world_lib.Answer(b'0\r\n\r\n')
+
+
+async def ask(world, request_id, duration_s=STREAM_S, limit_s=20.0):
+    """Returns whether a stream was answered completely."""
+    data = world_lib.make_request(
+        '/draft/x',
+        'POST',
+        b'p',
+        request_id=request_id,
+        deadline_ms=str(int(limit_s * 1000)),
+        x_duration=str(duration_s),
+    )
+    port = world.gateway.server.port
+    try:
+        async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
+            await stream.send_all(data)
+            return (await world_lib.read_answer(stream))[3]
+    except OSError:
+        return False
 
 
 # Guards against a log that doesn't tell a delay of the host itself from the
@@ -51,3 +92,44 @@
     assert fields['request'] == 'r1'
     assert fields['is_answered']
     assert fields['unread_bytes']
+
+
+# Guards against streams that are begun later than 3 s after the signal and cut
+# at the end of the grace period, because the host was suspended when it came.
+@pytest.mark.parametrize('late_s', [1.3, 1.8, 2.5])
+async def test_a_stop_is_timed_from_when_the_signal_may_have_been_sent(
+    late_s, clock
+):
+    server = world_lib.Server('llm-0', 'llm', send_stream)
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    ends = {}
+
+    async def ask_at(world, at, number):
+        await trio.sleep_until(at)
+        is_whole = await ask(world, f'late{number}', 5.0)
+        ends[number] = trio.current_time() if is_whole else float('inf')
+
+    async with world_lib.running(
+        server, config=config, grace_s=GRACE_S
+    ) as world:
+        async with trio.open_nursery() as nursery:
+            # Streams of 5 s are usual, and the host is busy until its end.
+            for number in range(12):
+                nursery.start_soon(ask, world, f'usual{number}', 5.0)
+            await trio.sleep(6.0)
+            nursery.start_soon(ask, world, 'first', 7.0)
+            await trio.sleep(0.5)
+            signal_at = trio.current_time()
+            clock.jump(late_s)
+            await trio.lowlevel.checkpoint()
+            world.gateway.begin_stop()
+            for number in range(20):
+                at = signal_at + EXCUSED_S + 0.02 + 0.05 * number
+                nursery.start_soon(ask_at, world, at, number)
+    passed_on = {request[2]['request-id'] for request in server.requests}
+    # The platform ends the process then.
+    killed_at = signal_at + GRACE_S
+    cut = [n for n in ends if ends[n] > killed_at and f'late{n}' in passed_on]
+    assert len(ends) == 20
+    assert not cut
