Take the host's own delay for nobody's silence

What callers saw: after a pause of its process, or on a processor that it shares, a host took streams away from sound engines (stalled without a known cause), broke some off with a reset, and answered 502 to requests that found no engine; other hosts avoided the same engines on its word. Cause: the time since the last event, and the limits for connects, probes, reports and attempts, ran on while the host itself stood still, and were judged before what waited in its sockets. Change: silence and such limits are measured by a clock that stands still while the host does. A time-out in or shortly after a delay isn't evidence: it marks nothing and is told to nobody. Limits that callers were promised (deadline, route) and the age of evidence stay on real time. Evidence: test_gateway_host_delays (pauses of 1.2, 2 and 3.5 s, failed before with plain servers; a late connect, failed before), test_gateway_unreachable.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -125,7 +125,11 @@
     ) -> connections.Reply | None:
         if self._state.endpoints.is_backing_off(endpoint, clocks.now()):
             return None
-        origin = connections.Origin(f'http://{endpoint.address}')
+        clock = self._state.host_clock
+        started_at = trio.current_time()
+        origin = connections.Origin(
+            f'http://{endpoint.address}', fail_after=clock.fail_after
+        )
         headers = []
         if call.body:
             headers.append((b'content-type', b'application/json'))
@@ -140,8 +144,8 @@
                 max_bytes=MAX_REPLY_BYTES,
             )
         except store_errors.ConnectFailed as exc:
-            self._crash_detector.record_probe(
-                endpoint, crashes.ProbeResult.from_failure(exc)
+            self._crash_detector.record_failure_to_connect(
+                endpoint, exc, started_at
             )
             self._state.metrics.count('endpoint_calls_unconnected')
             return None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -34,16 +34,18 @@
         LISTENS: Its process runs, whatever it does with requests.
         REFUSED: Its machine refuses the connection: no process listens.
         UNREACHABLE: No answer; the machine or the network path to it is down.
+        UNKNOWN: No answer, but this host was held up meanwhile.
     """
 
     LISTENS = 'listens'
     REFUSED = 'refused'
     UNREACHABLE = 'unreachable'
+    UNKNOWN = 'unknown'
 
-    @classmethod
-    def from_failure(cls, exc: store_errors.ConnectFailed) -> 'ProbeResult':
-        """Returns the result that corresponds to a failure to connect."""
-        return cls.REFUSED if exc.refused else cls.UNREACHABLE
+    @property
+    def shows_failure(self) -> bool:
+        """Whether the endpoint or the path to it has failed."""
+        return self in (ProbeResult.REFUSED, ProbeResult.UNREACHABLE)
 
 
 class Exposure:
@@ -141,16 +143,35 @@
                     endpoint, 'nothing listens', has_failed=True
                 )
             self.record_crash(endpoint, 'nothing listens')
-        if outcome is not ProbeResult.LISTENS:
+        if outcome.shows_failure:
             self._state.record_unreachable(endpoint)
         return outcome
 
+    def record_failure_to_connect(
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        exc: store_errors.ConnectFailed,
+        since: float,
+    ) -> ProbeResult:
+        """Records what another call shows that couldn't connect.
+
+        Args:
+            endpoint: The endpoint.
+            exc: The failure.
+            since: When the attempt to connect began, by `trio.current_time`.
+        """
+        outcome = self._classify(exc, since)
+        self.record_probe(endpoint, outcome)
+        return outcome
+
     def record_probe(
         self, endpoint: endpoints_lib.Endpoint, outcome: ProbeResult
     ) -> None:
         """Records what another call to an endpoint has shown."""
+        if outcome is ProbeResult.UNKNOWN:
+            return
         self._probes[endpoint.address] = (clocks.now(), outcome)
-        if outcome is not ProbeResult.LISTENS:
+        if outcome.shows_failure:
             self._state.record_unreachable(endpoint)
 
     def record_crash(
@@ -214,22 +235,35 @@
             return outcome
         self._in_progress[address] = trio.Event()
         try:
-            outcome = await _probe(address)
+            outcome = await self._probe_new(address)
             self._probes[address] = (clocks.now(), outcome)
         finally:
             self._in_progress.pop(address).set()
         return outcome
 
-
-async def _probe(address: str) -> ProbeResult:
-    """Returns the result of a new connection to an address."""
-    origin = connections.Origin(f'http://{address}')
-    try:
-        conn = await origin.connect(PROBE_TIMEOUT_S)
-    except store_errors.ConnectFailed as exc:
-        return ProbeResult.from_failure(exc)
-    await conn.close()
-    return ProbeResult.LISTENS
+    async def _probe_new(self, address: str) -> ProbeResult:
+        """Returns the result of a new connection to an address."""
+        clock = self._state.host_clock
+        origin = connections.Origin(
+            f'http://{address}', fail_after=clock.fail_after
+        )
+        started_at = trio.current_time()
+        try:
+            conn = await origin.connect(PROBE_TIMEOUT_S)
+        except store_errors.ConnectFailed as exc:
+            return self._classify(exc, started_at)
+        await conn.close()
+        return ProbeResult.LISTENS
+
+    def _classify(
+        self, exc: store_errors.ConnectFailed, since: float
+    ) -> ProbeResult:
+        """Returns what a failure to connect shows."""
+        if exc.refused:
+            return ProbeResult.REFUSED
+        if self._state.host_clock.was_on_time_since(since):
+            return ProbeResult.UNREACHABLE
+        return ProbeResult.UNKNOWN
 
 
 def _shorten(names: typing.Iterable[str]) -> list[str]:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -130,18 +130,23 @@
         can't be mistaken for this one's, and a request that may not be repeated
         isn't lost on a connection that the endpoint has already closed.
         """
-        origin = connections.Origin(f'http://{endpoint.address}')
+        clock = self.state.host_clock
+        origin = connections.Origin(
+            f'http://{endpoint.address}', fail_after=clock.fail_after
+        )
+        started_at = trio.current_time()
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.01, self.time_left_s()))
         try:
             return await origin.connect(timeout_s)
         except store_errors.ConnectFailed as exc:
             self.log_attempt(endpoint, f'connect: {exc}', 'other endpoint')
-            self.crash_detector.record_probe(
-                endpoint, crashes.ProbeResult.from_failure(exc)
-            )
-            self.state.mark_unhealthy(
-                endpoint, 'connect failed', has_failed=True
+            outcome = self.crash_detector.record_failure_to_connect(
+                endpoint, exc, started_at
             )
+            if outcome.shows_failure:
+                self.state.mark_unhealthy(
+                    endpoint, 'connect failed', has_failed=True
+                )
             return None
 
     def is_answered_by(self, facts: edges_lib.AnswerFacts) -> bool:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -106,7 +106,8 @@
         exposure = exchange.begin_exposure((endpoint,))
         balancer = self._state.balancer
         balancer.begin(endpoint.endpoint_id)
-        start = trio.current_time()
+        clock = self._state.host_clock
+        start = clock.now()
         try:
             end, reason, reply = await self._send(conn, endpoint)
             if end in forwarding.ENDS_SHOWING_LIVENESS:
@@ -117,7 +118,7 @@
             exposure.close()
             balancer.end(endpoint.endpoint_id)
             await conn.close()
-        took_s = trio.current_time() - start
+        took_s = clock.now() - start
         balancer.record(
             endpoint.endpoint_id,
             took_s,
@@ -152,7 +153,10 @@
         codec = self._state.edges.requests
         headers = codec.make_request_headers(exchange.req.headers, dispatch)
         req = exchange.req
-        with trio.move_on_after(max(0.0, min(wait_s, left_s))):
+        with (
+            trio.move_on_after(max(0.0, left_s)),
+            self._state.host_clock.move_on_after(wait_s),
+        ):
             try:
                 async with conn.stream(
                     req.method, req.target, headers, req.body
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -254,33 +254,15 @@
         if has_failed:
             self.notify_failure(endpoint.endpoint_id)
 
-    def record_unreachable(
-        self, endpoint: endpoints_lib.Endpoint, since: float | None = None
-    ) -> None:
+    def record_unreachable(self, endpoint: endpoints_lib.Endpoint) -> None:
         """Marks an endpoint unhealthy that this host can't connect to.
 
         This alone doesn't call the failure listeners, so requests that already
         run there continue: the network rather than the endpoint may be the
         cause. Some callers also call `mark_unhealthy` with `has_failed` set,
         which does call them.
-
-        Args:
-            endpoint: The endpoint.
-            since: When the attempt to connect began that has timed out, by
-                `trio.current_time`; `None` if the connection was refused.
         """
-        now = clocks.now()
-        if since is not None and not self.host_clock.was_on_time_since(since):
-            # The delay of this host may be the cause, so peers aren't told, and
-            # it avoids the endpoint only for a short time.
-            if not self.endpoints.is_unhealthy(endpoint, now):
-                self.mark_unhealthy(
-                    endpoint,
-                    'unreachable while this host was held up',
-                    has_failed=False,
-                )
-            return
-        if self.unreachable.add(endpoint.incarnation, now):
+        if self.unreachable.add(endpoint.incarnation, clocks.now()):
             self.mark_unhealthy(
                 endpoint,
                 'unreachable',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -9,6 +9,9 @@
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
 
+# Shortest time between two records that the engines of a path answer.
+CONTACT_INTERVAL_S: typing.Final = 0.5
+
 
 class StreamProgress:
     """The current path of a stream and the time of its last progress.
@@ -18,11 +21,11 @@
         path: The path that the request currently runs along.
         tokens: Expected total of prompt and answer tokens.
         last_progress_at: When an event was last received or forwarded, by
-            trio's clock.
+            the host clock.
         longest_wait_s: The longest wait for an event so far.
         has_received_event: Whether any event has been received.
         partial_event_since: When the first bytes of an incomplete event were
-            received; `None` if there is none.
+            received, by the host clock; `None` if there is none.
         is_waiting_for_caller: Whether a write to the caller is in progress.
         failed_ids: Ids of engines that were found to have failed meanwhile.
         reason: Why the attempt failed; empty if it hasn't.
@@ -37,7 +40,9 @@
         self.exchange = exchange
         self.path = path
         self.tokens = tokens
-        self.last_progress_at = trio.current_time()
+        self._clock = exchange.state.host_clock
+        self.last_progress_at = self._clock.now()
+        self._contact_at = float('-inf')
         self.longest_wait_s = 0.0
         self.has_received_event = False
         self.partial_event_since: float | None = None
@@ -49,25 +54,25 @@
         ]
 
     def idle_s(self) -> float:
-        """Returns the time since the last progress."""
-        return trio.current_time() - self.last_progress_at
+        """Returns the time since the last progress, without own delays."""
+        return self._clock.now() - self.last_progress_at
 
     def record_progress(self) -> None:
         """Records that an event was received or forwarded."""
-        self.last_progress_at = trio.current_time()
+        self.last_progress_at = self._clock.now()
 
     def record_partial_event(self, partial_event_bytes: int) -> None:
         """Records how many bytes of an incomplete event are buffered."""
         if not partial_event_bytes:
             self.partial_event_since = None
         elif self.partial_event_since is None:
-            self.partial_event_since = trio.current_time()
+            self.partial_event_since = self._clock.now()
 
     def partial_event_s(self) -> float:
         """Returns the age of the incomplete event; 0 if there is none."""
         if self.partial_event_since is None:
             return 0.0
-        return trio.current_time() - self.partial_event_since
+        return self._clock.now() - self.partial_event_since
 
     def record_event(self) -> None:
         """Records a received event.
@@ -82,14 +87,22 @@
             self.exchange.state.stream_gaps.record(
                 first, waited_s, clocks.now()
             )
+        self._record_contact()
         self.record_progress()
-        self.exchange.ending.last_event_at = self.last_progress_at
+        self.exchange.ending.last_event_at = trio.current_time()
         if not self.has_received_event:
             self.exchange.clear_suspicion()
         self.has_received_event = True
         self.partial_event_since = None
         self.clear_exposures()
 
+    def _record_contact(self) -> None:
+        now = self._clock.now()
+        if now - self._contact_at >= CONTACT_INTERVAL_S:
+            self._contact_at = now
+            for part in self.path:
+                self.exchange.state.record_contact(part.endpoint)
+
     def record_exposure(self, path: paths_lib.Path) -> None:
         """Records that the request is about to reach the engines of a path.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -134,8 +134,11 @@
             if self._state.endpoints.is_unhealthy(p.endpoint, clocks.now())
         }
         if not failed_ids:
+            asked_at = trio.current_time()
             report = await self._calls.report(self._progress.path[0].endpoint)
             if report is None:
+                if not self._state.host_clock.was_on_time_since(asked_at):
+                    return StallAction.WAIT
                 self._state.mark_unhealthy(
                     self._progress.path[0].endpoint,
                     'report request unanswered',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -291,11 +291,14 @@
             self._reason = progress.reason
         elif end is forwarding.End.BROKEN:
             outcome = await exchange.crash_detector.probe(first_endpoint)
-            if outcome is not crashes.ProbeResult.LISTENS:
+            if outcome.shows_failure:
                 exchange.ledger.exclude_from_attempts(
                     first_endpoint.endpoint_id
                 )
-            elif not progress.has_received_event:
+            elif (
+                outcome is crashes.ProbeResult.LISTENS
+                and not progress.has_received_event
+            ):
                 self._state.mark_unhealthy(
                     first_endpoint,
                     'connection failed before the first event',
--- a/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
@@ -9,7 +9,7 @@
 # Interval at which a host records that it runs.
 TICK_S: typing.Final = 0.1
 # Longest time between two records that counts as on time.
-MAX_STEP_S: typing.Final = 0.15
+MAX_STEP_S: typing.Final = 0.12
 # A signal that was sent while the host was held up is handled this long after
 # the end of the delay, at the latest.
 SIGNAL_HANDLING_S: typing.Final = 0.1
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -25,6 +25,10 @@
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
+# Raises `trio.TooSlowError` if its block takes longer than a number of seconds.
+WaitLimit = typing.Callable[
+    [float], contextlib.AbstractContextManager[typing.Any]
+]
 
 _CONNECTION_ERRORS = (
     httpcore.NetworkError,
@@ -182,8 +186,21 @@
         host_header: Value of the `Host` header.
     """
 
-    def __init__(self, url: str, tls: ssl.SSLContext | None = None) -> None:
+    def __init__(
+        self,
+        url: str,
+        tls: ssl.SSLContext | None = None,
+        fail_after: WaitLimit = trio.fail_after,
+    ) -> None:
+        """Creates a client without a connection.
+
+        Args:
+            url: The origin, as text.
+            tls: How to verify a server whose URL is of `https`.
+            fail_after: Limits how long an exchange waits.
+        """
         self.url = url
+        self._fail_after = fail_after
         self.host_header = b''
         self._secure = False
         self._host = ''
@@ -236,7 +253,7 @@
             )
         backend = httpcore.TrioBackend()
         try:
-            with trio.fail_after(timeout_s):
+            with self._fail_after(timeout_s):
                 stream = await backend.connect_tcp(self._host, self._port)
                 if self._secure:
                     context = self._tls or ssl.create_default_context()
@@ -306,7 +323,7 @@
         remaining_s = max(0.001, timeout_s - (trio.current_time() - start))
         done = False
         try:
-            with trio.fail_after(remaining_s):
+            with self._fail_after(remaining_s):
                 reply = await conn.exchange(
                     method, path, headers, body, max_bytes
                 )
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -1,7 +1,7 @@
 """Tests of hosts that are held up themselves, on the virtual clock."""
 
 import contextlib
-
+import unittest.mock
 
 import pytest
 import trio
@@ -94,6 +94,42 @@
     assert fields['unread_bytes']
 
 
+# Guards against streams that are taken away from sound engines, or broken off,
+# because the host was suspended.
+@pytest.mark.parametrize('has_layers', [True, False])
+@pytest.mark.parametrize('pause_s', [1.2, 2.0, 3.5])
+async def test_a_pause_of_the_host_is_no_silence_of_engines(
+    has_layers, pause_s, clock
+):
+    config = world_lib.make_config()
+    if has_layers:
+        spans = [(0, 2), (2, 4)] * 2
+        servers = world_lib.engines(*spans, script=send_stream)
+    else:
+        config['services'][1].pop('engine')
+        servers = [
+            world_lib.Server(f'llm-{number}', 'llm', send_stream)
+            for number in range(3)
+        ]
+    is_whole = []
+
+    async def ask_one(world, number):
+        is_whole.append(await ask(world, f'r{number}', limit_s=19.0))
+
+    with decision_log.collecting() as lines:
+        async with world_lib.running(*servers, config=config) as world:
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(ask_one, world, number)
+                await trio.sleep(1.0)
+                clock.jump(pause_s)
+    names = [name for name, _ in lines]
+    assert 'attempt_failed' not in names
+    assert 'endpoint_doubted' not in names
+    assert is_whole == [True] * 8
+    assert sum(len(server.requests) for server in servers) == 8
+
+
 # Guards against streams that are begun later than 3 s after the signal and cut
 # at the end of the grace period, because the host was suspended when it came.
 @pytest.mark.parametrize('late_s', [1.3, 1.8, 2.5])
@@ -133,3 +169,23 @@
     cut = [n for n in ends if ends[n] > killed_at and f'late{n}' in passed_on]
     assert len(ends) == 20
     assert not cut
+
+
+# Guards against engines that are taken for unreachable, here and at other
+# hosts, because this host was late to see their answers.
+async def test_a_connection_that_the_host_saw_late_is_no_evidence(clock):
+    app = world_lib.Server('app-0', 'app')
+    async with world_lib.running(app) as world:
+        state = world.gateway.state
+        endpoint = state.endpoints.get('app-0')
+        original = trio.open_tcp_stream
+
+        async def connect_late(*args, **kwargs):
+            clock.jump(PAUSE_S)
+            await trio.sleep(0.01)
+            return await original(*args, **kwargs)
+
+        with unittest.mock.patch.object(trio, 'open_tcp_stream', connect_late):
+            await world.gateway._crashes.probe(endpoint)
+        assert not state.endpoints.is_unhealthy(endpoint, trio.current_time())
+        assert not state.unreachable.recent(trio.current_time())
