Ask the store again at once after a delay of the host's own

It logged `store_lost` though the store was well.

Cause: the request that was open during the pause times out when the host runs again. The follower took that for an outage: it waited before the next request, which then waited for news, though the evidence was overdue already.

Change: the first failure of a request during which the host was held up isn't taken for an outage; the next request follows at once, and only its failure counts. If the evidence is older than two waits, the store is asked without a wait. Ages of evidence and leases stay in real time, as callers and the store count it. Listings still get time to be renewed after such a pause, at this host and at those that read through it: the store may have been held up as well.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
@@ -191,6 +191,8 @@
         self._on_rows = on_rows
         self._poll_times = poll_times
         self._must_read_all = True
+        # Whether the last request failed while this host was held up.
+        self._failed_late = False
         self._retry_delay_s = RETRY_S
         self._rows: dict[str, feeds.FeedRow] = {}
         self._changed = trio.Event()
@@ -283,10 +285,11 @@
     async def _follow_store(self) -> int:
         """Applies changes from the store; returns the number of rows."""
         sent_at = clocks.now()
+        began_at = trio.current_time()
         wait_s = self._wait_s()
         answer = await self._ask_store(wait_s)
         if isinstance(answer, result.Err):
-            await self._handle_store_failure(answer.err_value)
+            await self._handle_store_failure(answer.err_value, began_at)
             return 0
         changes = answer.ok_value
         if changes.version < self.version:
@@ -309,11 +312,13 @@
     def _wait_s(self) -> float:
         """Returns how long the store may delay an answer."""
         serves_others = self.peers is not None and self.peers.serves_others
-        return (
+        wait_s = (
             self._poll_times.reader_store_wait_s
             if serves_others
             else self._poll_times.store_wait_s
         )
+        # The evidence is overdue, so it is renewed before any wait for news.
+        return 0.0 if self.evidence_age_s() > 2 * wait_s else wait_s
 
     async def _ask_store(
         self, wait_s: float
@@ -323,11 +328,25 @@
             return await store.read_all(self.table)
         return await store.follow(self.table, self.version, wait_s)
 
-    async def _handle_store_failure(self, exc: Exception) -> None:
+    async def _handle_store_failure(
+        self, exc: Exception, began_at: float
+    ) -> None:
+        """Handles a failed request.
+
+        Args:
+            exc: Why it failed.
+            began_at: When it began, by `trio.current_time`.
+        """
         self._state.metrics.count('store_failures', table=self.table)
         if isinstance(exc, store_errors.HistoryLost):
             self._must_read_all = True
             return
+        host_clock = self._state.host_clock
+        may_be_sound = not (self.is_store_lost or self._failed_late)
+        if may_be_sound and not host_clock.was_on_time_since(began_at):
+            # The delay of this host may be the cause; the next request tells.
+            self._failed_late = True
+            return
         if not self.is_store_lost:
             self.is_store_lost = True
             self._state.audit.log(
@@ -361,13 +380,19 @@
                 answer, the time of its evidence.
         """
         self._retry_delay_s = RETRY_S
-        if not self.is_store_lost:
+        if not (self.is_store_lost or self._failed_late):
             return
         outage_s = contact_at - self.evidence_at
-        self._state.audit.log(
-            events.STORE_REGAINED, table=self.table, after_s=round(outage_s, 3)
-        )
+        if self.is_store_lost:
+            self._state.audit.log(
+                events.STORE_REGAINED,
+                table=self.table,
+                after_s=round(outage_s, 3),
+            )
         self.is_store_lost = False
+        # If this host was held up, the store and the endpoints may have been as
+        # well: listings get time to be renewed as after an outage.
+        self._failed_late = False
         if outage_s > MIN_OUTAGE_S:
             self.regained_at = clocks.now()
 
