Count reports of peers from when they were sent, not from when they are read

What can happen: a host that was held up for longer than a report counts (4 s) reads the heartbeats that waited in its socket all at once. Reports of two peers that were minutes old made it avoid a sound endpoint for 4 s. No caller reported this; it was found by reading, and the test shows it.

Cause: `State.record_peer_report` took the time of reading for that of the report.

Change: a report that is read just after a delay counts as sent when the delay began, at the earliest. If the endpoint is still unreachable, the peers send their reports again with the next heartbeats, within 0.25 s in a small fleet.

Test that failed before: `test_reports_that_waited_during_a_long_pause_do_not_count` (the engine was avoided); it also shows that reports sent after the delay count.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -296,7 +296,9 @@
         known = self.endpoints.get(incarnation[0])
         if known is None or known.incarnation != incarnation:
             return
-        if not self.peer_reports.record(incarnation, host, now):
+        # It may have waited in the socket while this host was held up.
+        late_s = self.host_clock.signal_late_s()
+        if not self.peer_reports.record(incarnation, host, now, late_s):
             return
         if self._may_apply_peer_report(known):
             self.mark_unhealthy(
--- a/packages/sardinebend-policy/src/sardinebend_policy/peer_reports.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/peer_reports.py
@@ -21,10 +21,23 @@
     def __init__(self) -> None:
         self._reports: dict[Incarnation, dict[str, float]] = {}
 
-    def record(self, incarnation: Incarnation, host: str, now: float) -> bool:
-        """Records a report; returns whether enough hosts now agree."""
+    def record(
+        self,
+        incarnation: Incarnation,
+        host: str,
+        now: float,
+        age_s: float = 0.0,
+    ) -> bool:
+        """Records a report; returns whether enough hosts now agree.
+
+        Args:
+            incarnation: The endpoint.
+            host: The host that reports it.
+            now: The time.
+            age_s: Time since the report was sent, at most.
+        """
         by_host = self._reports.setdefault(incarnation, {})
-        by_host[host] = now
+        by_host[host] = max(now - age_s, by_host.get(host, float('-inf')))
         fresh = sum(now - at < REPORT_TTL_S for at in by_host.values())
         return fresh >= MIN_REPORTERS
 
--- a/packages/sardinebend-policy/tests/cover/test_peer_reports.py
+++ b/packages/sardinebend-policy/tests/cover/test_peer_reports.py
@@ -91,3 +91,14 @@
     table.remove('engine-1')
     table.put(restarted)
     assert not table.has_recent_contact(restarted, 10.2)
+
+
+def test_a_report_counts_by_the_time_at_which_it_was_sent():
+    reports = peer_reports.PeerReports()
+    reports.record(INCARNATION, 'a', 10.0)
+    # An old one doesn't replace a newer one.
+    reports.record(INCARNATION, 'a', 10.0, age_s=peer_reports.REPORT_TTL_S)
+    assert not reports.record(
+        INCARNATION, 'b', 10.0, age_s=peer_reports.REPORT_TTL_S
+    )
+    assert reports.record(INCARNATION, 'b', 10.0, age_s=1.0)
--- a/tests/cover/test_gateway_unreachable.py
+++ b/tests/cover/test_gateway_unreachable.py
@@ -6,6 +6,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_peers import messages
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import peer_reports
 from tests.common import gateway_world as world_lib
 
 EVENTS = 5
@@ -201,3 +202,19 @@
         report_unreachable(world, 'a', servers[0])
         report_unreachable(world, 'b', servers[0])
         assert is_avoided(world, servers[0])
+
+
+# Guards against engines that are avoided on reports which are long outdated,
+# because they waited while this host was held up.
+async def test_reports_that_waited_during_a_long_pause_do_not_count(clock):
+    servers = world_lib.engines((0, 4))
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.0)
+        clock.jump(peer_reports.REPORT_TTL_S + 0.1)
+        for host in ('a', 'b'):
+            report_unreachable(world, host, servers[0])
+        assert not is_avoided(world, servers[0])
+        await trio.sleep(0.5)
+        for host in ('a', 'b'):
+            report_unreachable(world, host, servers[0])
+        assert is_avoided(world, servers[0])
