Let callers receive the end of their answer before a connection is closed

Callers that had sent more than the host reads meanwhile, or that sent their next request before they had read that the connection closes, lost the end of an answer that was sent whole. Cause: after a served request, at the idle time limit and at a stop the socket was closed at once; closing it with unread bytes, and bytes that arrive after the close, reset the connection, which discards what is still to be sent. Change: the host half-closes, reads on and discards until the caller's end, for LINGER_S (1 s) at most; a refusal ends the same way. It works since nothing is unread at the close, and a late request meets an open socket. Idle connections with nothing unread or unacknowledged are still closed at once, so that they don't prolong a stop.

The test of the line connection_reset had 4 MB that were unread at the close; these are read now. It sets the wait to 0 and checks the same of what is still reset.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -28,6 +28,9 @@
 # When a server closes, connections without a request in progress are kept for
 # this long: a caller may have sent one already.
 LAST_REQUEST_WAIT_S: typing.Final = 0.2
+# After the last answer on a connection, the caller has this long to receive it
+# and to close.
+LINGER_S: typing.Final = 1.0
 
 _AUDIT = audit.Audit()
 
@@ -75,6 +78,7 @@
         )
         self._early_bytes = 0
         self._is_eof = False
+        self._is_idle = False
         self._log_fields: dict[str, str] = {}
         self._responder: responder_lib.Responder | None = None
 
@@ -86,6 +90,7 @@
                 self._conn.start_next_cycle()
                 self._early_bytes = 0
                 self._log_fields = {}
+            await self._linger()
         except errors.BadRequest as exc:
             await self._refuse(exc)
         except _CONNECTION_ERRORS as exc:
@@ -128,6 +133,7 @@
 
     async def _serve_one(self) -> bool:
         head = await self._read_head()
+        self._is_idle = head is None
         if head is None:
             return False
         arrived_at = trio.current_time()
@@ -256,16 +262,29 @@
             return
         responder = responder_lib.Responder(self._conn, self._stream)
         responder.closes_connection = True
-        with trio.move_on_after(1.0):
-            try:
+        try:
+            with trio.move_on_after(LINGER_S):
                 await responder.answer(exc.status, [], b'')
-                await self._stream.send_eof()
-                # Closing a socket with unread bytes resets the connection,
-                # which could discard the answer in transit.
-                while await self._receive():
-                    pass
-            except _CONNECTION_ERRORS:
-                caller_sockets.reset_on_close(self._stream.socket)
+                await self._linger()
+        except _CONNECTION_ERRORS:
+            caller_sockets.reset_on_close(self._stream.socket)
+
+    async def _linger(self) -> None:
+        """Lets the caller receive its answer before the connection is closed.
+
+        Closing a socket with unread bytes, and bytes that arrive after the
+        close, reset the connection, which discards the answer in transit.
+        """
+        sock = self._stream.socket
+        if self._is_idle and not (
+            caller_sockets.count_unread_bytes(sock)
+            or caller_sockets.count_unacknowledged_bytes(sock)
+        ):
+            return
+        with trio.move_on_after(LINGER_S):
+            await self._stream.send_eof()
+            while await self._receive():
+                pass
 
 
 def _check_head(req: h11.Request, max_bytes: int) -> None:
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from sardinebend_gateway import http_server
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
@@ -36,7 +37,11 @@
 
 
 # Guards against an answer whose end is lost by a reset that leaves no line.
-async def test_a_close_that_discards_bytes_of_the_caller_is_logged(clock):
+async def test_a_close_that_discards_bytes_of_the_caller_is_logged(
+    clock, monkeypatch
+):
+    # A caller that has sent more than was read when the wait for it is over.
+    monkeypatch.setattr(http_server, 'LINGER_S', 0.0)
     with decision_log.collecting() as lines:
         async with world_lib.running() as world:
             port = world.gateway.server.port
