Check that callers which never close don't prolong a planned stop

Since the host waits for its callers' end after their last answer, callers that keep their connections open could have held a planned stop. The test keeps seven open, idle ones and such that were told to close, one of them answered 0.2 s before the host may close: the stop ends within 1 s (LINGER_S) of that time.

--- a/tests/cover/test_gateway_closing.py
+++ b/tests/cover/test_gateway_closing.py
@@ -142,6 +142,45 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against callers that hold a stop by keeping their connections open.
+async def test_callers_that_never_close_do_not_prolong_a_planned_stop(clock):
+    config = world_lib.make_config()
+    config['limits']['idle_timeout_ms'] = 60000
+    streams = []
+    async with trio.open_nursery() as nursery:
+        server = world_lib.Server('app-1', 'app')
+        world = world_lib.World(nursery, [server])
+        await world.start(config)
+
+        async def ask_and_stay():
+            stream = await world.connect()
+            streams.append(stream)
+            await stream.send_all(world_lib.make_request())
+            return await world_lib.read_answer(stream)
+
+        ended = trio.Event()
+
+        async def wait_until_closed():
+            await world.gateway.server.wait_closed()
+            ended.set()
+
+        for _ in range(3):
+            assert 'connection' not in (await ask_and_stay())[1]
+        began_at = trio.current_time()
+        world.gateway.begin_stop()
+        for _ in range(3):
+            assert (await ask_and_stay())[1]['connection'] == 'close'
+        nursery.start_soon(wait_until_closed)
+        await trio.sleep_until(began_at + REFUSING_S - 0.2)
+        assert (await ask_and_stay())[1]['connection'] == 'close'
+        await ended.wait()
+        took_s = trio.current_time() - began_at
+        for stream in streams:
+            await stream.aclose()
+        nursery.cancel_scope.cancel()
+    assert took_s < REFUSING_S + http_server.LINGER_S
+
+
 # Guards against connections that are reset because they weren't accepted yet
 # when the host stopped accepting.
 async def test_connections_that_wait_to_be_accepted_are_still_served(nursery):
