Log no reset of a connection that its caller has closed

After an answer whose connection is closed, the host half-closes it and waits for the caller. If the caller has reset it by then, the half-close fails, which was logged as a reset by the host. It is the caller's end, so nothing is logged. Seen by reading; test_gateway_answer_tails stays green.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -281,10 +281,14 @@
             or caller_sockets.count_unacknowledged_bytes(sock)
         ):
             return
-        with trio.move_on_after(LINGER_S):
-            await self._stream.send_eof()
-            while await self._receive():
-                pass
+        try:
+            with trio.move_on_after(LINGER_S):
+                await self._stream.send_eof()
+                while await self._receive():
+                    pass
+        except _CONNECTION_ERRORS:
+            # The caller has closed the connection.
+            return
 
 
 def _check_head(req: h11.Request, max_bytes: int) -> None:
--- a/tests/cover/test_gateway_unreachable.py
+++ b/tests/cover/test_gateway_unreachable.py
@@ -6,8 +6,8 @@
 from sardinebend_gateway import clocks
 from sardinebend_peers import messages
 from sardinebend_policy import endpoints as endpoints_lib
-from sardinebend_store import errors as store_errors
 from sardinebend_policy import peer_reports
+from sardinebend_store import errors as store_errors
 from tests.common import gateway_world as world_lib
 
 EVENTS = 5
