Take the host's own delay for no idleness of its callers

What callers saw: a request on a kept connection was closed unread when its host went on after a pause. Cause: the limits for idle connections, headers and bodies ran on in the pause, and ended before the sockets were polled: a poll that is interrupted by the end of the pause, and whose time is over, returns no events. Change: the callers' server measures these limits by the host clock. Evidence: test_a_pause_of_the_host_is_no_idleness_of_its_callers failed before, both cases, and passes now. It works because a pause no longer counts and the sockets are read before the next tick.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -85,7 +85,9 @@
             self.state, self._calls, self._crashes
         )
         self.server = http_server.Server(
-            self._forwarder.serve, self.state.limits
+            self._forwarder.serve,
+            self.state.limits,
+            self.state.host_clock.move_on_after,
         )
         row: shared_table.HostRow = {
             'callers': str(cfg.callers),
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -6,6 +6,7 @@
 connection is detected while the request is being served.
 """
 
+import contextlib
 import socket
 import typing
 
@@ -59,6 +60,10 @@
 ]
 
 
+WaitLimit = typing.Callable[
+    [float], contextlib.AbstractContextManager[trio.CancelScope]
+]
+
 _CONNECTION_ERRORS: typing.Final = (
     errors.ConnectionAborted,
     trio.BrokenResourceError,
@@ -197,7 +202,8 @@
         limits = self._server.limits()
         idle_wait_s = limits.idle_timeout_s
         is_idle = self._conn.trailing_data[0] == b''
-        with trio.move_on_after(idle_wait_s if is_idle else 0) as scope:
+        wait_limit = self._server.wait_limit
+        with wait_limit(idle_wait_s if is_idle else 0) as scope:
             if is_idle:
                 data = await self._server.receive_unless_closing(self._receive)
                 if not data:
@@ -205,7 +211,7 @@
                 self._conn.receive_data(data)
         if scope.cancelled_caught and is_idle:
             return None
-        with trio.move_on_after(limits.header_timeout_s):
+        with wait_limit(limits.header_timeout_s):
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 _check_head(event, limits.max_header_bytes)
@@ -220,7 +226,7 @@
         if self._conn.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._conn.send(interim) or b'')
-        with trio.move_on_after(limits.idle_timeout_s):
+        with self._server.wait_limit(limits.idle_timeout_s):
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.EndOfMessage):
@@ -313,17 +319,21 @@
         is_stopping: Whether answers tell callers to close the connection.
         handler: Serves one request.
         limits: Returns the current limits for requests.
+        wait_limit: Cancels a wait for a caller that takes longer than a number
+            of seconds.
     """
 
     def __init__(
         self,
         handler: Handler,
         limits: typing.Callable[[], catalog.Limits] = catalog.Limits,
+        wait_limit: WaitLimit = trio.move_on_after,
     ) -> None:
         self.in_flight = 0
         self.is_stopping = False
         self.handler = handler
         self.limits = limits
+        self.wait_limit = wait_limit
         self._connection_count = 0
         self._connection_ended = trio.Event()
         self._is_closing = False
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -12,6 +12,7 @@
 
 PAUSE_S = 1.2
 EVENT_S = 0.1
+IDLE_LIMIT_S = 2.0
 STREAM_S = 3.0
 GRACE_S = 8.0
 # Requests that were sent later than this after the signal may not be cut.
@@ -194,3 +195,24 @@
             await world.gateway._crashes.probe(endpoint)
         assert not state.endpoints.is_unhealthy(endpoint, trio.current_time())
         assert not state.unreachable.recent(trio.current_time())
+
+
+# Guards against requests that are closed unread because the limit for idle
+# connections, or for reading headers, passed while the host was suspended.
+@pytest.mark.parametrize('sent_before', [0, 20])
+async def test_a_pause_of_the_host_is_no_idleness_of_its_callers(
+    sent_before, clock
+):
+    app = world_lib.Server('app-0', 'app')
+    async with world_lib.running(app) as world:
+        port = world.gateway.server.port
+        data = world_lib.make_request('/look/x', request_id='r1')
+        async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
+            if sent_before:
+                await stream.send_all(data[:sent_before])
+            await trio.sleep(0.1)
+            clock.jump(IDLE_LIMIT_S + 0.5)
+            await trio.sleep(0.05)
+            await stream.send_all(data[sent_before:])
+            status, _, _, is_whole = await world_lib.read_answer(stream)
+    assert (status, is_whole) == (200, True)
