Judge work after a disconnect from when a suspended server wakes

The engine was suspended from before the disconnect on (the host wrote request_cancelled 0.31 s after the request came; engine-0 was paused then and ended the run when it woke), so it couldn't have read the close. The check looked at pauses up to the beginning of the run only.

Now a server that is suspended when its caller leaves has its 0.5 s from when it wakes; all others as before. That is as strict for every server that could know. The new test has a run that ends 0.4 s and 0.6 s after the server wakes.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -51,7 +51,10 @@
 @pytest.mark.parametrize('was_running', [True, False])
 def test_work_after_a_disconnect_counts_if_the_server_was_running(was_running):
     # A server that was suspended read the request when it woke.
-    fleet = types.SimpleNamespace(was_server_running=lambda *_: was_running)
+    fleet = types.SimpleNamespace(
+        was_server_running=lambda *_: was_running,
+        running_from=lambda name, at: at,
+    )
     record = fleet_lib.CallerRecord('q1', 'look', 1.0, None, 'key')
     record.disconnected_at = 1.3
     run = fleet_lib.Run('q1', 'app-0', 1, 2.5, 'vanua', False)
@@ -59,6 +62,23 @@
     assert bool(violation) == was_running
 
 
+@pytest.mark.parametrize(
+    ('ended_at', 'is_counted'), [(4.4, False), (4.6, True), (2.0, False)]
+)
+def test_work_of_a_suspended_server_counts_from_when_it_wakes(
+    ended_at, is_counted
+):
+    fleet = types.SimpleNamespace(
+        was_server_running=lambda *_: True,
+        running_from=lambda name, at: 4.0 if 1.4 <= at < 4.0 else at,
+    )
+    record = fleet_lib.CallerRecord('q1', 'draft', 1.0, None, 'key')
+    record.disconnected_at = 1.5
+    run = fleet_lib.Run('q1', 'engine-0', 1, 1.1, 'vanua', False, ended_at)
+    violation = checks.find_work_after_disconnect(fleet, record, [run])
+    assert bool(violation) == is_counted
+
+
 # Guards against a check that looked away from streams, whenever the store was
 # disturbed, and after the end of the stopped process. Each case: its kind, when
 # it was sent and cut, when its server ended, and whether it counts.
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -144,10 +144,8 @@
         # A suspended server reads requests and disconnects only when it wakes.
         if not fleet.was_server_running(run.server, record.at, run.at):
             continue
-        if (
-            end > record.disconnected_at + fleet_lib.CANCEL_S
-            and record.kind == 'draft'
-        ):
+        known_at = fleet.running_from(run.server, record.disconnected_at)
+        if end > known_at + fleet_lib.CANCEL_S and record.kind == 'draft':
             return (
                 f'{run.server} ran until {end - record.disconnected_at:.2f} s'
                 ' after its caller left'
