Mark when the callers of the soak over processes stand still

The soak now logs when it stood still for over 0.5 s, and no host's answer of that time is judged as late; nothing else is excused by it.

Four tests of tests/processes/test_soak.py (real processes, outlast, killed server) passed.

--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -27,6 +27,9 @@
 IP = '127.0.0.1'
 READY_S = 20.0
 POLL_INTERVAL_S = 0.2
+# From such a delay of the soak itself on, its callers judge no answer as late.
+OWN_INTERVAL_S = 0.1
+OWN_DELAY_S = 0.5
 # A server that a request has crashed runs again, and is known, by then.
 CRASH_KNOWN_S = 8.0
 # Not used: `Host` takes each port from `ports.find_free`.
@@ -314,7 +317,21 @@
         self._processes.append(process)
         return process
 
+    async def watch_own_delays(self):
+        """Marks times in which the callers stood still, which see all late."""
+        while True:
+            before = trio.current_time()
+            await trio.sleep(OWN_INTERVAL_S)
+            now = trio.current_time()
+            if now - before > OWN_INTERVAL_S + OWN_DELAY_S:
+                self.add_log(
+                    f'the soak itself stood still {now - before:.1f} s'
+                )
+                for host in self.hosts:
+                    host.pauses.append([before, now])
+
     async def start(self):
+        self.nursery.start_soon(self.watch_own_delays)
         self.store = self.spawn(
             'store', ['-m', 'tests.common.store_process', str(self.store_port)]
         )
