--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -6,6 +6,7 @@
 connection is detected while the request is being served.
 """
 
+import contextlib
 import socket
 import typing
 
@@ -28,6 +29,9 @@
 # When a server closes, connections without a request in progress are kept for
 # this long: a caller may have sent one already.
 LAST_REQUEST_WAIT_S: typing.Final = 0.2
+# After the last answer on a connection, the caller has this long to receive it
+# and to close.
+LINGER_S: typing.Final = 1.0
 
 _AUDIT = audit.Audit()
 
@@ -56,6 +60,10 @@
 ]
 
 
+WaitLimit = typing.Callable[
+    [float], contextlib.AbstractContextManager[trio.CancelScope]
+]
+
 _CONNECTION_ERRORS: typing.Final = (
     errors.ConnectionAborted,
     trio.BrokenResourceError,
@@ -75,6 +83,7 @@
         )
         self._early_bytes = 0
         self._is_eof = False
+        self._is_idle = False
         self._log_fields: dict[str, str] = {}
         self._responder: responder_lib.Responder | None = None
 
@@ -86,6 +95,7 @@
                 self._conn.start_next_cycle()
                 self._early_bytes = 0
                 self._log_fields = {}
+            await self._linger()
         except errors.BadRequest as exc:
             await self._refuse(exc)
         except _CONNECTION_ERRORS as exc:
@@ -128,6 +138,7 @@
 
     async def _serve_one(self) -> bool:
         head = await self._read_head()
+        self._is_idle = head is None
         if head is None:
             return False
         arrived_at = trio.current_time()
@@ -191,7 +202,8 @@
         limits = self._server.limits()
         idle_wait_s = limits.idle_timeout_s
         is_idle = self._conn.trailing_data[0] == b''
-        with trio.move_on_after(idle_wait_s if is_idle else 0) as scope:
+        wait_limit = self._server.wait_limit
+        with wait_limit(idle_wait_s if is_idle else 0) as scope:
             if is_idle:
                 data = await self._server.receive_unless_closing(self._receive)
                 if not data:
@@ -199,7 +211,7 @@
                 self._conn.receive_data(data)
         if scope.cancelled_caught and is_idle:
             return None
-        with trio.move_on_after(limits.header_timeout_s):
+        with wait_limit(limits.header_timeout_s):
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 _check_head(event, limits.max_header_bytes)
@@ -214,7 +226,7 @@
         if self._conn.they_are_waiting_for_100_continue:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._conn.send(interim) or b'')
-        with trio.move_on_after(limits.idle_timeout_s):
+        with self._server.wait_limit(limits.idle_timeout_s):
             while True:
                 event = await self._next_event()
                 if isinstance(event, h11.EndOfMessage):
@@ -256,16 +268,33 @@
             return
         responder = responder_lib.Responder(self._conn, self._stream)
         responder.closes_connection = True
-        with trio.move_on_after(1.0):
-            try:
+        try:
+            with trio.move_on_after(LINGER_S):
                 await responder.answer(exc.status, [], b'')
+                await self._linger()
+        except _CONNECTION_ERRORS:
+            caller_sockets.reset_on_close(self._stream.socket)
+
+    async def _linger(self) -> None:
+        """Lets the caller receive its answer before the connection is closed.
+
+        Closing a socket with unread bytes, and bytes that arrive after the
+        close, reset the connection, which discards the answer in transit.
+        """
+        sock = self._stream.socket
+        if self._is_idle and not (
+            caller_sockets.count_unread_bytes(sock)
+            or caller_sockets.count_unacknowledged_bytes(sock)
+        ):
+            return
+        try:
+            with trio.move_on_after(LINGER_S):
                 await self._stream.send_eof()
-                # Closing a socket with unread bytes resets the connection,
-                # which could discard the answer in transit.
                 while await self._receive():
                     pass
-            except _CONNECTION_ERRORS:
-                caller_sockets.reset_on_close(self._stream.socket)
+        except _CONNECTION_ERRORS:
+            # The caller has closed the connection.
+            return
 
 
 def _check_head(req: h11.Request, max_bytes: int) -> None:
@@ -290,17 +319,21 @@
         is_stopping: Whether answers tell callers to close the connection.
         handler: Serves one request.
         limits: Returns the current limits for requests.
+        wait_limit: Cancels a wait for a caller that takes longer than a number
+            of seconds.
     """
 
     def __init__(
         self,
         handler: Handler,
         limits: typing.Callable[[], catalog.Limits] = catalog.Limits,
+        wait_limit: WaitLimit = trio.move_on_after,
     ) -> None:
         self.in_flight = 0
         self.is_stopping = False
         self.handler = handler
         self.limits = limits
+        self.wait_limit = wait_limit
         self._connection_count = 0
         self._connection_ended = trio.Event()
         self._is_closing = False
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -1,13 +1,56 @@
-"""Tests of what a host records of its own delays, on the virtual clock."""
+"""Tests of hosts that are held up themselves, on the virtual clock."""
 
 import contextlib
+import unittest.mock
 
+import pytest
 import trio
 
+from sardinebend_gateway import http_server
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
 PAUSE_S = 1.2
+EVENT_S = 0.1
+IDLE_LIMIT_S = 2.0
+STREAM_S = 3.0
+GRACE_S = 8.0
+# Requests that were sent later than this after the signal may not be cut.
+EXCUSED_S = 3.0
+
+
+async def send_stream(headers, stream):
+    fixed = [
+        ('Request-Id', headers['request-id']),
+        ('Content-Type', 'text/event-stream'),
+        world_lib.SEAL,
+    ]
+    await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+    first = int(headers.get('last-event-id', 0)) + 1
+    duration_s = float(headers.get('x-duration', STREAM_S))
+    for number in range(first, int(duration_s / EVENT_S) + 1):
+        await trio.sleep(EVENT_S)
+        await stream.send_all(world_lib.chunk(world_lib.event(number)))
+    return world_lib.Answer(b'0\r\n\r\n')
+
+
+async def ask(world, request_id, duration_s=STREAM_S, limit_s=20.0):
+    """Returns whether a stream was answered completely."""
+    data = world_lib.make_request(
+        '/draft/x',
+        'POST',
+        b'p',
+        request_id=request_id,
+        deadline_ms=str(int(limit_s * 1000)),
+        x_duration=str(duration_s),
+    )
+    port = world.gateway.server.port
+    try:
+        async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
+            await stream.send_all(data)
+            return (await world_lib.read_answer(stream))[3]
+    except OSError:
+        return False
 
 
 # Guards against a log that doesn't tell a delay of the host itself from the
@@ -36,7 +79,11 @@
 
 
 # Guards against an answer whose end is lost by a reset that leaves no line.
-async def test_a_close_that_discards_bytes_of_the_caller_is_logged(clock):
+async def test_a_close_that_discards_bytes_of_the_caller_is_logged(
+    clock, monkeypatch
+):
+    # A caller that has sent more than was read when the wait for it is over.
+    monkeypatch.setattr(http_server, 'LINGER_S', 0.0)
     with decision_log.collecting() as lines:
         async with world_lib.running() as world:
             port = world.gateway.server.port
@@ -51,3 +98,121 @@
     assert fields['request'] == 'r1'
     assert fields['is_answered']
     assert fields['unread_bytes']
+
+
+# Guards against streams that are taken away from sound engines, or broken off,
+# because the host was suspended.
+@pytest.mark.parametrize('has_layers', [True, False])
+@pytest.mark.parametrize('pause_s', [1.2, 2.0, 3.5])
+async def test_a_pause_of_the_host_is_no_silence_of_engines(
+    has_layers, pause_s, clock
+):
+    config = world_lib.make_config()
+    if has_layers:
+        spans = [(0, 2), (2, 4)] * 2
+        servers = world_lib.engines(*spans, script=send_stream)
+    else:
+        config['services'][1].pop('engine')
+        servers = [
+            world_lib.Server(f'llm-{number}', 'llm', send_stream)
+            for number in range(3)
+        ]
+    is_whole = []
+
+    async def ask_one(world, number):
+        is_whole.append(await ask(world, f'r{number}', limit_s=19.0))
+
+    with decision_log.collecting() as lines:
+        async with world_lib.running(*servers, config=config) as world:
+            async with trio.open_nursery() as nursery:
+                for number in range(8):
+                    nursery.start_soon(ask_one, world, number)
+                await trio.sleep(1.0)
+                clock.jump(pause_s)
+    names = [name for name, _ in lines]
+    assert 'attempt_failed' not in names
+    assert 'endpoint_doubted' not in names
+    assert is_whole == [True] * 8
+    assert sum(len(server.requests) for server in servers) == 8
+
+
+# Guards against streams that are begun later than 3 s after the signal and cut
+# at the end of the grace period, because the host was suspended when it came.
+@pytest.mark.parametrize('late_s', [1.3, 1.8, 2.5])
+async def test_a_stop_is_timed_from_when_the_signal_may_have_been_sent(
+    late_s, clock
+):
+    server = world_lib.Server('llm-0', 'llm', send_stream)
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    ends = {}
+
+    async def ask_at(world, at, number):
+        await trio.sleep_until(at)
+        is_whole = await ask(world, f'late{number}', 5.0)
+        ends[number] = trio.current_time() if is_whole else float('inf')
+
+    async with world_lib.running(
+        server, config=config, grace_s=GRACE_S
+    ) as world:
+        async with trio.open_nursery() as nursery:
+            # Streams of 5 s are usual, and the host is busy until its end.
+            for number in range(12):
+                nursery.start_soon(ask, world, f'usual{number}', 5.0)
+            await trio.sleep(6.0)
+            nursery.start_soon(ask, world, 'first', 7.0)
+            await trio.sleep(0.5)
+            signal_at = trio.current_time()
+            clock.jump(late_s)
+            await trio.lowlevel.checkpoint()
+            world.gateway.begin_stop()
+            for number in range(20):
+                at = signal_at + EXCUSED_S + 0.02 + 0.05 * number
+                nursery.start_soon(ask_at, world, at, number)
+    passed_on = {request[2]['request-id'] for request in server.requests}
+    # The platform ends the process then.
+    killed_at = signal_at + GRACE_S
+    cut = [n for n in ends if ends[n] > killed_at and f'late{n}' in passed_on]
+    assert len(ends) == 20
+    assert not cut
+
+
+# Guards against engines that are taken for unreachable, here and at other
+# hosts, because this host was late to see their answers.
+async def test_a_connection_that_the_host_saw_late_is_no_evidence(clock):
+    app = world_lib.Server('app-0', 'app')
+    async with world_lib.running(app) as world:
+        state = world.gateway.state
+        endpoint = state.endpoints.get('app-0')
+        original = trio.open_tcp_stream
+
+        async def connect_late(*args, **kwargs):
+            clock.jump(PAUSE_S)
+            await trio.sleep(0.01)
+            return await original(*args, **kwargs)
+
+        with unittest.mock.patch.object(trio, 'open_tcp_stream', connect_late):
+            await world.gateway._crashes.probe(endpoint)
+        assert not state.endpoints.is_unhealthy(endpoint, trio.current_time())
+        assert not state.unreachable.recent(trio.current_time())
+
+
+# Guards against requests that are closed unread because the limit for idle
+# connections, or for reading headers, passed while the host was suspended.
+@pytest.mark.parametrize('sent_before', [0, 20])
+async def test_a_pause_of_the_host_is_no_idleness_of_its_callers(
+    sent_before, clock
+):
+    app = world_lib.Server('app-0', 'app')
+    async with world_lib.running(app) as world:
+        port = world.gateway.server.port
+        data = world_lib.make_request('/look/x', request_id='r1')
+        async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
+            if sent_before:
+                await stream.send_all(data[:sent_before])
+            await trio.sleep(0.1)
+            clock.jump(IDLE_LIMIT_S + 0.5)
+            await trio.sleep(0.05)
+            await stream.send_all(data[sent_before:])
+            status, _, _, is_whole = await world_lib.read_answer(stream)
+    assert (status, is_whole) == (200, True)
