Log the limits that endpoints name, once for each change

Callers' requests went to servers over the limit that these had named, and no line of the log showed that a server had named one. `endpoint_limit` is logged when a limit is first named, changes or ends, and `endpoint_limits_changed` counts these. Nothing acts on a limit yet.

Only answers to requests end a limit, since reports need not name one.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -70,6 +70,8 @@
         is_leaving: Whether the endpoint announces that it is shutting down.
         backoff_s: How long this host must not send to the endpoint, if
             stated.
+        limit_per_s: Requests per second that the endpoint takes from all hosts
+            together, if stated.
         malformed_header: Headers with invalid values, as text for the log.
     """
 
@@ -80,6 +82,7 @@
     faulty_address: str | None
     is_leaving: bool = False
     backoff_s: float | None = None
+    limit_per_s: float | None = None
     malformed_header: str = ''
 
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -43,6 +43,9 @@
 PROMPT_PART_CLEARED = Event('prompt_part_cleared', 'prompt_part, crashes')
 PROMPT_PART_RESTORED = Event('prompt_part_restored', 'prompt_part, crashes')
 ENDPOINT_BACKOFF = Event('endpoint_backoff', 'endpoint, for_s', True)
+ENDPOINT_LIMIT = Event(
+    'endpoint_limit', 'endpoint, limit_per_s, previous_per_s, source', True
+)
 ENDPOINT_CRASHED = Event(
     'endpoint_crashed',
     'endpoint, born, evidence, requests, contents, prompt_parts',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -16,6 +16,7 @@
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import balancing
 from sardinebend_policy import catalog as catalog_lib
+from sardinebend_policy import endpoint_limits as limits_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import part_evidence
@@ -38,6 +39,8 @@
 BUDGET_FLOOR_SHARE: typing.Final = 0.85
 
 NEVER: typing.Final = float('-inf')
+# Source of evidence that this host received itself, for the log.
+OWN: typing.Final = 'own answer'
 # Time for which a request that crashes endpoints is refused; the same as the
 # default of sardinebend-router's setting `quarantine.hold_s`.
 QUARANTINE_HOLD_S: typing.Final = 600.0
@@ -69,6 +72,7 @@
         catalog_confirmed_at: When that was last confirmed (see
             `Follower.confirmed_at`).
         endpoints: All known endpoints.
+        endpoint_limits: Limits that endpoints state on what they take.
         stream_gaps: History of the gaps between events of streams, by engine.
         answer_buffers: The buffered parts of incomplete answers.
         leaving: Incarnations of endpoints that announced that they leave, to
@@ -107,6 +111,7 @@
         self.catalog_at = NEVER
         self.catalog_confirmed_at = NEVER
         self.endpoints = endpoints_lib.EndpointTable()
+        self.endpoint_limits = limits_lib.EndpointLimits(rng)
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
         self.stream_gaps = stream_gaps.StreamGapHistory()
@@ -310,7 +315,7 @@
             # The address now belongs to another endpoint.
             return
         if facts.is_leaving:
-            self.mark_leaving(endpoint.incarnation, 'own answer')
+            self.mark_leaving(endpoint.incarnation, OWN)
         if facts.malformed_header:
             self.audit.log(
                 events.ENTRY_SKIPPED,
@@ -326,6 +331,45 @@
                 endpoint=endpoint.endpoint_id,
                 for_s=facts.backoff_s,
             )
+        if facts.limit_per_s is not None:
+            self.record_limit(
+                endpoint.incarnation, facts.limit_per_s, clocks.now(), OWN
+            )
+        elif (facts.is_genuine or facts.was_not_run) and (
+            not facts.malformed_header
+        ):
+            # Other answers, such as reports, need not state a limit.
+            self.record_limit(endpoint.incarnation, None, clocks.now(), OWN)
+
+    def record_limit(
+        self,
+        incarnation: tuple[str, int],
+        limit_per_s: float | None,
+        stated_at: float,
+        source: str,
+    ) -> None:
+        """Records the limit that an endpoint stated on what it takes.
+
+        Args:
+            incarnation: The incarnation of the endpoint.
+            limit_per_s: Requests per second from all hosts together; `None` if
+                it stated none.
+            stated_at: When it stated that.
+            source: Who received that, for the log.
+        """
+        now = clocks.now()
+        previous_per_s = self.endpoint_limits.rate_per_s(incarnation, now)
+        statement = limits_lib.Statement(incarnation, limit_per_s, stated_at)
+        if not self.endpoint_limits.record(statement):
+            return
+        self.metrics.count('endpoint_limits_changed')
+        self.audit.log(
+            events.ENDPOINT_LIMIT,
+            endpoint=incarnation[0],
+            limit_per_s=limit_per_s,
+            previous_per_s=previous_per_s,
+            source=source,
+        )
 
     def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
         """Permanently stops new work for one incarnation of an endpoint."""
