Keep to the limits that servers name, in equal shares over the hosts

Each live host now takes an equal share, as tokens that become valid at an interval, with a phase of its own, and expire unused; so hosts have no bursts of their own. A server without a token is no candidate, as first engine of a path either. A request that no limit allows in time is refused at once, with the time of the next token. Hosts tell each other limits and their ends in a new optional heartbeat field. A limit ends when an answer names none, after 30 s without word, or with a restart; zero leaves 0.1 a second, so that its end is heard. Malformed values end nothing.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -175,16 +175,36 @@
     def retry_after_s(self, default_s: float) -> float:
         """Returns the `Retry-After` time for a request that found no endpoint.
 
-        This is when the earliest backoff of an endpoint ends. A random factor
-        spreads the callers, so that they don't all return at once.
+        This is when the earliest backoff of an endpoint ends, or when the limit
+        of an endpoint allows a request again. A random factor spreads the
+        callers, so that they don't all return at once.
 
         Args:
-            default_s: The time if no endpoint backs off.
+            default_s: The time if no endpoint backs off or has a limit.
         """
-        backoff_s = self.backoff_left_s()
-        if backoff_s is None:
+        waits = (self.backoff_left_s(), self.limit_wait_s())
+        wait_s = min((w for w in waits if w is not None), default=None)
+        if wait_s is None:
             return default_s
-        return backoff_s * self.state.rng.uniform(1.0, BACKOFF_SPREAD)
+        return wait_s * self.state.rng.uniform(1.0, BACKOFF_SPREAD)
+
+    def limit_wait_s(self) -> float | None:
+        """Returns the time until the first endpoint's limit allows a request.
+
+        Returns:
+            Seconds; `None` if some endpoint that could receive the request has
+            no limit or takes it now, or if none could receive it.
+        """
+        service = self.admitted.service
+        waits = [
+            self.state.limit_wait_s(e)
+            for e in self.state.endpoints.list_usable(
+                service.name, clocks.now()
+            )
+            # Only engines with the first layer receive requests from a host.
+            if not service.has_layers or (e.span and e.span.start == 0)
+        ]
+        return min(waits, default=0.0) or None
 
     def backoff_left_s(self) -> float | None:
         """Returns the time until the earliest backoff of an endpoint ends."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -1,5 +1,6 @@
 """Heartbeats between hosts, sent as datagrams."""
 
+import math
 import socket
 import typing
 
@@ -23,6 +24,8 @@
 MAX_REPORTED_LOADS: typing.Final = 40
 # The field has 32 bits.
 MAX_CROSSING_TOKENS: typing.Final = 2**31 - 1
+# More limits would also make it too long; others are sent next time.
+MAX_REPORTED_LIMITS: typing.Final = 12
 # Shortest time between heartbeats, however much there is to report.
 MIN_INTERVAL_S: typing.Final = 0.05
 
@@ -62,6 +65,7 @@
             self._quarantine.take_news()
             data = self._encode()
             now = clocks.now()
+            self._state.drop_expired_limits()
             self._state.leaving.drop_expired(now)
             self._state.unreachable.drop_expired(now)
             self._state.peer_reports.drop_expired(now)
@@ -86,6 +90,9 @@
         largest = sorted(
             inflight.token_layers, key=inflight.token_layers.__getitem__
         )[-MAX_REPORTED_LOADS:]
+        statements = self._state.endpoint_limits.statements_to_send(now)
+        if len(statements) > MAX_REPORTED_LIMITS:
+            statements = self._state.rng.sample(statements, MAX_REPORTED_LIMITS)
         heartbeat = messages.LoadHeartbeat(
             self._state.cfg.name,
             self._incarnation,
@@ -118,6 +125,15 @@
                 messages.Verdict(fingerprint, int(left_s * 1000))
                 for fingerprint, left_s in self._quarantine.verdicts_to_send()
             ),
+            tuple(
+                messages.EndpointLimit(
+                    *s.incarnation,
+                    s.rate_per_s,
+                    # Rounded up, so that no statement seems newer than it is.
+                    math.ceil((now - s.stated_at) * 1000),
+                )
+                for s in statements
+            ),
         )
         return codec.encode(codec.Envelope(0, False, heartbeat))
 
@@ -167,6 +183,11 @@
             self._quarantine.apply_verdict(
                 verdict.fingerprint, verdict.left_ms / 1000
             )
+        for limit in heartbeat.limits:
+            incarnation = (limit.endpoint_id, limit.born)
+            self._state.record_peer_limit(
+                incarnation, limit.rate_per_s, limit.age_ms
+            )
         self._state.inflight.record_peer_counts(
             heartbeat.host,
             inflight_lib.PeerCounts(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -72,11 +72,15 @@
         service = self._exchange.admitted.service.name
         table = self._state.endpoints
         now = clocks.now()
-        tried_ids = self._exchange.ledger.sent_to | self._unreached_ids
+        excluded_ids = (
+            self._exchange.ledger.sent_to
+            | self._unreached_ids
+            | self._state.list_over_limit(service)
+        )
         candidates = [
             e
             for e in table.list_usable(service, now)
-            if e.endpoint_id not in tried_ids
+            if e.endpoint_id not in excluded_ids
         ]
         if not candidates:
             # An unhealthy endpoint is better than none.
@@ -85,11 +89,14 @@
                 for e in table.list_all(service)
                 if not e.is_draining
                 and not table.is_backing_off(e, now)
-                and e.endpoint_id not in tried_ids
+                and e.endpoint_id not in excluded_ids
             ]
-        return self._state.balancer.choose(
+        endpoint = self._state.balancer.choose(
             candidates, self._state.cfg.domain, now
         )
+        if endpoint is not None:
+            self._state.try_take_from_limit(endpoint)
+        return endpoint
 
     async def _attempt(
         self, endpoint: endpoints_lib.Endpoint
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -39,6 +39,8 @@
 BUDGET_FLOOR_SHARE: typing.Final = 0.85
 
 NEVER: typing.Final = float('-inf')
+# Limits that are older have expired.
+MAX_LIMIT_AGE_MS: typing.Final = int(limits_lib.LIMIT_TTL_S * 1000)
 # Source of evidence that this host received itself, for the log.
 OWN: typing.Final = 'own answer'
 # Time for which a request that crashes endpoints is refused; the same as the
@@ -360,7 +362,8 @@
         now = clocks.now()
         previous_per_s = self.endpoint_limits.rate_per_s(incarnation, now)
         statement = limits_lib.Statement(incarnation, limit_per_s, stated_at)
-        if not self.endpoint_limits.record(statement):
+        sharers = self._limit_sharers()
+        if not self.endpoint_limits.record(statement, sharers, now):
             return
         self.metrics.count('endpoint_limits_changed')
         self.audit.log(
@@ -371,6 +374,75 @@
             source=source,
         )
 
+    def record_peer_limit(
+        self,
+        incarnation: tuple[str, int],
+        limit_per_s: float | None,
+        age_ms: int,
+    ) -> None:
+        """Records a limit that another host heard of.
+
+        Args:
+            incarnation: The incarnation of the endpoint; ignored if it isn't
+                listed.
+            limit_per_s: Its limit; `None` if it no longer states one.
+            age_ms: Time since it stated that.
+        """
+        known = self.endpoints.get(incarnation[0])
+        if known is None or known.incarnation != incarnation:
+            return
+        # An absurd age mustn't overflow a float.
+        age_s = min(max(0, age_ms), MAX_LIMIT_AGE_MS) / 1000
+        self.record_limit(
+            incarnation, limit_per_s, clocks.now() - age_s, 'another host'
+        )
+
+    def drop_expired_limits(self) -> None:
+        """Drops limits that no answer has confirmed for long."""
+        for statement in self.endpoint_limits.drop_expired(clocks.now()):
+            self.metrics.count('endpoint_limits_changed')
+            self.audit.log(
+                events.ENDPOINT_LIMIT,
+                endpoint=statement.incarnation[0],
+                limit_per_s=None,
+                previous_per_s=statement.rate_per_s,
+                source='expired',
+            )
+
+    def _limit_sharers(self) -> int:
+        """Returns the number of hosts that share endpoints' limits.
+
+        A host that hears of no other one may itself be cut off or new, while
+        the others still send.
+        """
+        if self.live_count > 1:
+            return self.live_count
+        return max(1, self.host_count or 1)
+
+    def limit_wait_s(self, endpoint: endpoints_lib.Endpoint) -> float:
+        """Returns the time until an endpoint's limit allows a request."""
+        return self.endpoint_limits.wait_s(
+            endpoint.incarnation, self._limit_sharers(), clocks.now()
+        )
+
+    def list_over_limit(self, service: str) -> set[str]:
+        """Returns the IDs of endpoints whose limit allows no request now."""
+        return {
+            e.endpoint_id
+            for e in self.endpoints.list_all(service)
+            if self.limit_wait_s(e) > 0
+        }
+
+    def try_take_from_limit(self, endpoint: endpoints_lib.Endpoint) -> bool:
+        """Counts a request towards an endpoint's limit.
+
+        Returns:
+            Whether the limit allows it.
+        """
+        return self.endpoint_limits.try_take(
+            endpoint.incarnation, self._limit_sharers(), clocks.now()
+        )
+
     def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
         """Permanently stops new work for one incarnation of an endpoint."""
         if not self.endpoints.mark_leaving(incarnation):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -139,7 +139,9 @@
                 path = self._find_path()
                 if path is not None:
                     return path
-                if self._backoff_exceeds_wait(wait_s):
+                if self._backoff_exceeds_wait(
+                    wait_s
+                ) or self._limits_exceed_wait(wait_s):
                     return None
                 await trio.sleep(POLL_S)
         return None
@@ -159,6 +161,18 @@
             and not self._is_connected()
         )
 
+    def _limits_exceed_wait(self, wait_s: float) -> bool:
+        """Returns whether no endpoint's limit allows a request in time.
+
+        A started stream waits all the same: a limit may change.
+        """
+        left_s = self._exchange.limit_wait_s()
+        return (
+            left_s is not None
+            and left_s > wait_s
+            and not self._exchange.out.is_started
+        )
+
     def _is_connected(self) -> bool:
         service = self._exchange.admitted.service
         if not service.has_layers:
@@ -171,16 +185,20 @@
             return 'no engine'
         if not self._is_connected():
             return 'no path: layers without a holder'
+        if self._exchange.limit_wait_s() is not None:
+            return 'no path: limits of all first engines used up'
         if self._state.link_use(engine) >= paths_lib.LINK_LIMIT:
             return 'no path: no capacity, or only over saturated links'
         return f'no path: no capacity for {self._tokens} tokens'
 
     def _find_path(self) -> paths_lib.Path | None:
-        """Returns a path and counts its crossings as load on the links.
+        """Returns a path, counted as load on links and towards limits.
 
         A crossing is a step of a path into another failure domain.
         """
         path = self._search(self._excluded_ids)
+        if path is not None:
+            self._state.try_take_from_limit(path[0].endpoint)
         if path is not None and self._exchange.admitted.service.has_layers:
             self._state.inflight.crossings.add(path, self._tokens, clocks.now())
         return path
@@ -215,6 +233,7 @@
             paths_lib.STARTED_LINK_LIMIT
             if self._exchange.out.is_started
             else paths_lib.LINK_LIMIT,
+            avoid_first=self._state.list_over_limit(service.name),
         )
 
     def _find_single_endpoint(
@@ -227,7 +246,7 @@
         candidates = [
             e
             for e in state.endpoints.list_usable(name, now)
-            if e.endpoint_id not in excluded_ids
+            if e.endpoint_id not in excluded_ids and not state.limit_wait_s(e)
         ]
         endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
         if endpoint is None:
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -1,5 +1,6 @@
 """Encodes messages as thrift frames and decodes them."""
 
+import math
 import pathlib
 import typing
 
@@ -169,6 +170,9 @@
         verdicts=[
             _IDL.Verdict(**verdict._asdict()) for verdict in message.verdicts
         ],
+        limits=[
+            _IDL.EndpointLimit(**limit._asdict()) for limit in message.limits
+        ],
     )
 
 
@@ -338,6 +342,22 @@
             )
             for verdict in item.verdicts or ()
         ),
+        tuple(_decode_endpoint_limit(limit) for limit in item.limits or ()),
+    )
+
+
+def _decode_endpoint_limit(item: typing.Any) -> messages.EndpointLimit:
+    rate_per_s = item.rate_per_s
+    if rate_per_s is not None and not (
+        0 <= _check_type(rate_per_s, float) < math.inf
+    ):
+        raise errors.MalformedFrame(f'{rate_per_s} is not a limit')
+    age_ms = _check_optional_count(item.age_ms)
+    return messages.EndpointLimit(
+        _check_type(item.endpoint_id, str),
+        _check_type(item.born, int),
+        rate_per_s,
+        _check_type(age_ms, int),
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -131,6 +131,23 @@
     left_ms: int
 
 
+class EndpointLimit(typing.NamedTuple):
+    """The limit that an endpoint last stated on what it takes.
+
+    Attributes:
+        endpoint_id: The endpoint.
+        born: Start time, in Unix milliseconds.
+        rate_per_s: Requests per second from all hosts together; `None` if the
+            endpoint no longer states a limit.
+        age_ms: Time since it stated that.
+    """
+
+    endpoint_id: str
+    born: int
+    rate_per_s: float | None
+    age_ms: int
+
+
 class LoadHeartbeat(typing.NamedTuple):
     """A heartbeat with the sender's load and gossip; not answered.
 
@@ -152,6 +169,8 @@
             reported to it by peers.
         parts_served: Recent objections to quarantining parts, in the same way.
         verdicts: Some of the quarantines in force.
+        limits: Some of the endpoints' limits, known from their answers or from
+            peers.
     """
 
     host: str
@@ -166,6 +185,7 @@
     part_crashes: tuple[PartCrashReport, ...] = ()
     parts_served: tuple[part_evidence.PartServed, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
+    limits: tuple[EndpointLimit, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -76,6 +76,13 @@
   2: i64 left_ms,
 }
 
+struct EndpointLimit {
+  1: string endpoint_id,
+  2: i64 born,
+  3: optional double rate_per_s,
+  4: i64 age_ms,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -89,6 +96,7 @@
   10: optional list<PartCrash> part_crashes,
   11: optional list<PartServed> parts_served,
   12: optional list<Verdict> verdicts,
+  13: optional list<EndpointLimit> limits,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -88,6 +88,16 @@
         st.lists(st.builds(messages.Verdict, TEXT, NUMBER), max_size=3).map(
             tuple
         ),
+        st.lists(
+            st.builds(
+                messages.EndpointLimit,
+                TEXT,
+                NUMBER,
+                st.none() | st.floats(0, 1e6),
+                NUMBER,
+            ),
+            max_size=3,
+        ).map(tuple),
     ),
     st.just(messages.Ack()),
 )
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
@@ -100,10 +100,15 @@
         self._statements: dict[Incarnation, Statement] = {}
         self._tokens: dict[Incarnation, _Tokens] = {}
 
-    def record(self, statement: Statement) -> bool:
+    def record(self, statement: Statement, hosts: int, now: float) -> bool:
         """Records a statement; returns whether the limit differs from before.
 
-        A statement that is older than the known one is ignored.
+        One that is older than the known one, or expired, is ignored.
+
+        Args:
+            statement: The statement.
+            hosts: Number of hosts that share the limit.
+            now: Current time.
         """
         known = self._statements.get(statement.incarnation)
         if statement.rate_per_s is None and (
@@ -111,11 +116,15 @@
         ):
             # The first such statement keeps the time of the end.
             return False
-        if known is not None and statement.stated_at <= known.stated_at:
+        if statement.stated_at <= now - LIMIT_TTL_S or (
+            known is not None and statement.stated_at <= known.stated_at
+        ):
             return False
         self._statements[statement.incarnation] = statement
         if statement.rate_per_s is None:
             self._tokens.pop(statement.incarnation, None)
+        # Tokens accrue from now on.
+        self._current_tokens(statement.incarnation, hosts, now)
         return known is None or known.rate_per_s != statement.rate_per_s
 
     def rate_per_s(self, incarnation: Incarnation, now: float) -> float | None:
--- a/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
@@ -114,6 +114,7 @@
         avoid: typing.Collection[str] = (),
         link_use: float = 0.0,
         link_limit: float = paths.LINK_LIMIT,
+        avoid_first: typing.Collection[str] = (),
     ) -> paths.Path | None:
         """Returns the cheapest path for a request.
 
@@ -123,24 +124,28 @@
             avoid: Names of endpoints to exclude.
             link_use: Used share of the capacity between domains.
             link_limit: Used share from which no path may cross domains.
+            avoid_first: Names of endpoints that no path may begin with.
         """
         pricer = self._finder.with_loads(loads, link_use, link_limit)
         best, best_cost = None, math.inf
         for path in self._paths:
-            if any(p.endpoint.endpoint_id in avoid for p in path):
+            if path[0].endpoint.endpoint_id in avoid_first or any(
+                p.endpoint.endpoint_id in avoid for p in path
+            ):
                 continue
             cost = pricer.cost_of_path(path, tokens)
             if cost < best_cost:
                 best, best_cost = path, cost
         if best is not None:
             return best
-        return self._search(pricer, tokens, avoid)
+        return self._search(pricer, tokens, avoid, avoid_first)
 
     def _search(
         self,
         pricer: paths.PathFinder,
         tokens: float,
         avoid: typing.Collection[str],
+        avoid_first: typing.Collection[str],
     ) -> paths.Path | None:
         """Searches for a path, unless such a search has just failed."""
         if (
@@ -148,7 +153,7 @@
             and tokens >= self._search_failed_tokens
         ):
             return None
-        path = pricer.find(tokens, avoid=avoid)
+        path = pricer.find(tokens, avoid=avoid, avoid_first=avoid_first)
         if path is None and not avoid:
             self._search_failed_at = self._now
             self._search_failed_tokens = tokens
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -194,6 +194,7 @@
         end: int | None = None,
         avoid: typing.Collection[str] = (),
         domain: str | None = None,
+        avoid_first: typing.Collection[str] = (),
     ) -> Path | None:
         """Returns the cheapest path over a range of layers.
 
@@ -203,6 +204,7 @@
             end: Layer after the last; all by default.
             avoid: Names of endpoints to exclude.
             domain: The only failure domain to use; all by default.
+            avoid_first: Names of endpoints that the path may not begin with.
         """
         end = self._engine.layers if end is None else end
         starts: dict[int, list[tuple[endpoints_lib.Endpoint, float]]] = {}
@@ -215,7 +217,9 @@
                 continue
             span = typing.cast(endpoints_lib.Span, endpoint.span)
             for boundary in boundaries:
-                if span.start <= boundary < span.end:
+                if span.start <= boundary < span.end and not (
+                    boundary == start and endpoint.endpoint_id in avoid_first
+                ):
                     starts.setdefault(boundary, []).append((endpoint, cost))
         partial_paths: dict[int, dict[str, _PartialPath]] = {
             start: {'': _PartialPath(0.0)}
