--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -16,6 +16,7 @@
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import balancing
 from sardinebend_policy import catalog as catalog_lib
+from sardinebend_policy import endpoint_limits as limits_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import part_evidence
@@ -38,6 +39,10 @@
 BUDGET_FLOOR_SHARE: typing.Final = 0.85
 
 NEVER: typing.Final = float('-inf')
+# Limits that are older have expired.
+MAX_LIMIT_AGE_MS: typing.Final = int(limits_lib.LIMIT_TTL_S * 1000)
+# Source of evidence that this host received itself, for the log.
+OWN: typing.Final = 'own answer'
 # Time for which a request that crashes endpoints is refused; the same as the
 # default of sardinebend-router's setting `quarantine.hold_s`.
 QUARANTINE_HOLD_S: typing.Final = 600.0
@@ -69,6 +74,7 @@
         catalog_confirmed_at: When that was last confirmed (see
             `Follower.confirmed_at`).
         endpoints: All known endpoints.
+        endpoint_limits: Limits that endpoints state on what they take.
         stream_gaps: History of the gaps between events of streams, by engine.
         answer_buffers: The buffered parts of incomplete answers.
         leaving: Incarnations of endpoints that announced that they leave, to
@@ -107,6 +113,7 @@
         self.catalog_at = NEVER
         self.catalog_confirmed_at = NEVER
         self.endpoints = endpoints_lib.EndpointTable()
+        self.endpoint_limits = limits_lib.EndpointLimits(rng)
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
         self.stream_gaps = stream_gaps.StreamGapHistory()
@@ -322,7 +329,7 @@
             return
         self.record_contact(endpoint)
         if facts.is_leaving:
-            self.mark_leaving(endpoint.incarnation, 'own answer')
+            self.mark_leaving(endpoint.incarnation, OWN)
         if facts.malformed_header:
             self.audit.log(
                 events.ENTRY_SKIPPED,
@@ -338,6 +345,115 @@
                 endpoint=endpoint.endpoint_id,
                 for_s=facts.backoff_s,
             )
+        if facts.limit_per_s is not None:
+            self.record_limit(
+                endpoint.incarnation, facts.limit_per_s, clocks.now(), OWN
+            )
+        elif (facts.is_genuine or facts.was_not_run) and (
+            not facts.malformed_header
+        ):
+            # Other answers, such as reports, need not state a limit.
+            self.record_limit(endpoint.incarnation, None, clocks.now(), OWN)
+
+    def record_limit(
+        self,
+        incarnation: tuple[str, int],
+        limit_per_s: float | None,
+        stated_at: float,
+        source: str,
+    ) -> None:
+        """Records the limit that an endpoint stated on what it takes.
+
+        Args:
+            incarnation: The incarnation of the endpoint.
+            limit_per_s: Requests per second from all hosts together; `None` if
+                it stated none.
+            stated_at: When it stated that.
+            source: Who received that, for the log.
+        """
+        now = clocks.now()
+        previous_per_s = self.endpoint_limits.rate_per_s(incarnation, now)
+        statement = limits_lib.Statement(incarnation, limit_per_s, stated_at)
+        sharers = self._limit_sharers()
+        if not self.endpoint_limits.record(statement, sharers, now):
+            return
+        self.metrics.count('endpoint_limits_changed')
+        self.audit.log(
+            events.ENDPOINT_LIMIT,
+            endpoint=incarnation[0],
+            limit_per_s=limit_per_s,
+            previous_per_s=previous_per_s,
+            source=source,
+        )
+
+    def record_peer_limit(
+        self,
+        incarnation: tuple[str, int],
+        limit_per_s: float | None,
+        age_ms: int,
+    ) -> None:
+        """Records a limit that another host heard of.
+
+        Args:
+            incarnation: The incarnation of the endpoint; ignored if it isn't
+                listed.
+            limit_per_s: Its limit; `None` if it no longer states one.
+            age_ms: Time since it stated that.
+        """
+        known = self.endpoints.get(incarnation[0])
+        if known is None or known.incarnation != incarnation:
+            return
+        # An absurd age mustn't overflow a float.
+        age_s = min(max(0, age_ms), MAX_LIMIT_AGE_MS) / 1000
+        self.record_limit(
+            incarnation, limit_per_s, clocks.now() - age_s, 'another host'
+        )
+
+    def drop_expired_limits(self) -> None:
+        """Drops limits that no answer has confirmed for long."""
+        for statement in self.endpoint_limits.drop_expired(clocks.now()):
+            self.metrics.count('endpoint_limits_changed')
+            self.audit.log(
+                events.ENDPOINT_LIMIT,
+                endpoint=statement.incarnation[0],
+                limit_per_s=None,
+                previous_per_s=statement.rate_per_s,
+                source='expired',
+            )
+
+    def _limit_sharers(self) -> int:
+        """Returns the number of hosts that share endpoints' limits.
+
+        A host that hears of no other one may itself be cut off or new, while
+        the others still send.
+        """
+        if self.live_count > 1:
+            return self.live_count
+        return max(1, self.host_count or 1)
+
+    def limit_wait_s(self, endpoint: endpoints_lib.Endpoint) -> float:
+        """Returns the time until an endpoint's limit allows a request."""
+        return self.endpoint_limits.wait_s(
+            endpoint.incarnation, self._limit_sharers(), clocks.now()
+        )
+
+    def list_over_limit(self, service: str) -> set[str]:
+        """Returns the IDs of endpoints whose limit allows no request now."""
+        return {
+            e.endpoint_id
+            for e in self.endpoints.list_all(service)
+            if self.limit_wait_s(e) > 0
+        }
+
+    def try_take_from_limit(self, endpoint: endpoints_lib.Endpoint) -> bool:
+        """Counts a request towards an endpoint's limit.
+
+        Returns:
+            Whether the limit allows it.
+        """
+        return self.endpoint_limits.try_take(
+            endpoint.incarnation, self._limit_sharers(), clocks.now()
+        )
 
     def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
         """Permanently stops new work for one incarnation of an endpoint."""
