--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -184,7 +184,7 @@
         """Begins a planned stop; `run` returns when it is complete."""
         if self.state.is_stopping:
             return
-        signal_late_s = self.state.host_clock.signal_late_s()
+        signal_late_s = self.state.host_clock.stop_signal_late_s()
         self.state.planned_stop = planned_stop.PlannedStop.begin(
             trio.current_time(), self.state.cfg.grace_s, signal_late_s
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -40,6 +40,7 @@
         # suspended: the platform counts it, too.
         # From the beginning, as a signal may wait for the host to start.
         self._real_delays = host_delays.HostDelays(clocks.now())
+        self._stop_signal_at: float | None = None
         self._deadlines: dict[trio.CancelScope, float] = {}
 
     async def run(self) -> None:
@@ -71,6 +72,23 @@
         now = clocks.now()
         return now - self._real_delays.earliest_signal_at(now)
 
+    def note_stop_signal(self) -> None:
+        """Records that a signal to stop has come; called by its handler.
+
+        Whatever handles the signal later runs after the backlog of a delay,
+        when the delay isn't the last one any more.
+        """
+        if self._stop_signal_at is None:
+            self._stop_signal_at = self._real_delays.earliest_signal_at(
+                clocks.now()
+            )
+
+    def stop_signal_late_s(self) -> float:
+        """Returns how long ago the signal to stop was sent, at most."""
+        if self._stop_signal_at is None:
+            return self.signal_late_s()
+        return clocks.now() - self._stop_signal_at
+
     def was_on_time_since(self, at: float) -> bool:
         """Returns whether what the host measured says something of others.
 
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -1,16 +1,20 @@
 """Tests of hosts that are held up themselves, on the virtual clock."""
 
 import contextlib
+import signal
 import unittest.mock
 
 import pytest
 import trio
 
+from sardinebend_adapter import main as adapter_main
 from sardinebend_gateway import http_server
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
 PAUSE_S = 1.2
+BACKLOG_S = 0.3
+FIRST_PASS_S = 0.01
 EVENT_S = 0.1
 STREAM_S = 3.0
 GRACE_S = 8.0
@@ -77,6 +81,42 @@
     assert PAUSE_S <= fields['signal_late_s'] <= PAUSE_S + 0.2
 
 
+# Guards against streams that are begun too late and killed, because the host
+# handles the signal only after the backlog of the delay in which it came.
+async def test_a_signal_handled_after_a_backlog_came_before_it(clock):
+    handlers = [signal.getsignal(number) for number in adapter_main.SIGNALS]
+    backlog_ended = trio.Event()
+
+    async def read(signals):
+        await backlog_ended.wait()
+        async for number in signals:
+            yield number
+
+    with decision_log.collecting() as lines:
+        async with world_lib.running() as world:
+            with trio.open_signal_receiver(*adapter_main.SIGNALS) as signals:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(
+                        adapter_main._handle_signals,
+                        read(signals),
+                        world.gateway,
+                    )
+                    await trio.sleep(1.0)
+                    clock.jump(PAUSE_S)
+                    signal.raise_signal(signal.SIGTERM)
+                    await trio.sleep(FIRST_PASS_S)
+                    clock.jump(BACKLOG_S)
+                    backlog_ended.set()
+                    await trio.sleep(0.5)
+                    nursery.cancel_scope.cancel()
+    (fields,) = [fields for name, fields in lines if name == 'host_stopping']
+    late_s = fields['signal_late_s'] - PAUSE_S - FIRST_PASS_S - BACKLOG_S
+    assert 0 <= late_s <= 0.2
+    assert handlers == [
+        signal.getsignal(number) for number in adapter_main.SIGNALS
+    ]
+
+
 # Guards against an answer whose end is lost by a reset that leaves no line.
 async def test_a_close_that_discards_bytes_of_the_caller_is_logged(
     clock, monkeypatch
