Cut no request early for a signal that may be late

What callers would see: a pause of 1.5 s that ends just before a signal moved the cut to 5.9 s after it, so that streams in flight were cut before the last sixth of the grace period. Cause: one time for two questions, when a request may begin and when one is cut. Change: requests begin by the earliest time of the signal, and are cut 5/6 of the grace period after it was handled, or later; a kill before that ends only what the rule excuses.

--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -11,6 +11,9 @@
 # Largest share of the grace period that is taken to have passed before the
 # signal is handled.
 MAX_LATE_SHARE: typing.Final = 0.5
+# Share of the grace period, from when the signal is handled, before which no
+# request is cut off, however late the signal may be.
+MIN_CUT_SHARE: typing.Final = 5 / 6
 # Time left at the end of the grace period to end the process.
 EXIT_MARGIN_S: typing.Final = 0.6
 # For this long before requests in flight are cut off, no connection is
@@ -25,10 +28,12 @@
 
     Attributes:
         started_at: When the signal may have been sent, at the earliest.
+        ends_at: When a request must have ended that is begun during the stop.
         cut_at: When requests that are still in flight are cut off.
     """
 
     started_at: float
+    ends_at: float
     cut_at: float
 
     @classmethod
@@ -44,8 +49,12 @@
         """
         # The process would have ended by now if the signal were much older.
         late_s = min(max(0.0, signal_late_s), grace_s * MAX_LATE_SHARE)
-        started_at = now - late_s
-        return cls(started_at, started_at + max(0.0, grace_s - EXIT_MARGIN_S))
+        duration_s = max(0.0, grace_s - EXIT_MARGIN_S)
+        ends_at = now - late_s + duration_s
+        # If the signal has just been sent, an early cut ends requests that
+        # would have been answered.
+        cut_s = min(duration_s, grace_s * MIN_CUT_SHARE)
+        return cls(now - late_s, ends_at, max(ends_at, now + cut_s))
 
     @property
     def closes_at(self) -> float:
@@ -74,8 +83,8 @@
             return False
         if now >= self.refuses_at - SIGNAL_DELAY_S:
             # The grace period began with the signal, too.
-            forced_end_at = self.cut_at + EXIT_MARGIN_S - SIGNAL_DELAY_S
-            return deadline <= min(self.cut_at, forced_end_at)
-        if deadline <= self.cut_at:
+            forced_end_at = self.ends_at + EXIT_MARGIN_S - SIGNAL_DELAY_S
+            return deadline <= min(self.ends_at, forced_end_at)
+        if deadline <= self.ends_at:
             return True
-        return predicted_s is not None and now + predicted_s <= self.cut_at
+        return predicted_s is not None and now + predicted_s <= self.ends_at
