Let tokens of many hosts expire before they add up

What servers would see: after a pause, 20 hosts that share a limit of 1.25 requests a second sent 13 in 4 s, where 12.5 are allowed. Cause: each host's tokens have a random phase, so that their number at a time has a spread that the life of a token left no room for. Change: the life is bounded so that the mean lies four standard deviations below what is allowed; for few hosts nothing changes.

--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
@@ -18,6 +18,10 @@
 # Share of the requests beyond the limit that unused tokens may make up. The
 # rest is for hosts that count the live hosts differently for a moment.
 BURST_SHARE: typing.Final = 0.5
+# Standard deviations between the mean of the requests in a window and the bound.
+DEVIATIONS: typing.Final = 4.0
+# Shortest time for which a token is valid.
+MIN_LIFETIME_S: typing.Final = 0.1
 # Rate over all hosts below which no limit is applied, so that some host learns
 # that the limit has ended.
 MIN_RATE_PER_S: typing.Final = 0.1
@@ -67,7 +71,14 @@
     def _lifetime_s(self) -> float:
         rate_per_s = max(MIN_RATE_PER_S, self._rate_per_s)
         spare = (TOLERANCE - 1) * rate_per_s * WINDOW_S + EXTRA_REQUESTS
-        return BURST_SHARE * spare / rate_per_s
+        allowed = TOLERANCE * rate_per_s * WINDOW_S + EXTRA_REQUESTS
+        # The phases are random, so the tokens of many hosts may be valid
+        # together by chance.
+        mean = _find_safe_mean(allowed, self._hosts)
+        return max(
+            MIN_LIFETIME_S,
+            min(BURST_SHARE * spare / rate_per_s, mean / rate_per_s - WINDOW_S),
+        )
 
     def update(self, rate_per_s: float, hosts: int, now: float) -> None:
         """Applies another rate or number of hosts to tokens still to come."""
@@ -92,6 +103,19 @@
         self._next_at += self._interval_s()
 
 
+def _find_safe_mean(allowed: float, hosts: int) -> float:
+    """Returns the mean of a count that hardly ever exceeds what is allowed.
+
+    Each host contributes a whole number to the count and, with some
+    probability, one more.
+    """
+    mean = allowed - DEVIATIONS * math.sqrt(hosts / 4)
+    if mean >= hosts / 4:
+        return mean
+    # Here the variance is bounded by the mean.
+    return ((math.sqrt(DEVIATIONS**2 + 4 * allowed) - DEVIATIONS) / 2) ** 2
+
+
 class EndpointLimits:
     """The limits of all endpoints, and this host's tokens for them."""
 
