--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoint_limits.py
@@ -18,7 +18,8 @@
 # Share of the requests beyond the limit that unused tokens may make up. The
 # rest is for hosts that count the live hosts differently for a moment.
 BURST_SHARE: typing.Final = 0.5
-# Standard deviations between the mean of the requests in a window and the bound.
+# Standard deviations between the mean of the requests in a window and the
+# bound.
 DEVIATIONS: typing.Final = 4.0
 # Shortest time for which a token is valid.
 MIN_LIFETIME_S: typing.Final = 0.1
