--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -685,9 +685,21 @@
         self.is_whole = False
 
 
-async def read_reply(reader: asyncio.StreamReader, reply: Reply) -> None:
-    """Reads an answer."""
-    lines = await read_headers(reader)
+async def read_reply(
+    reader: asyncio.StreamReader, reply: Reply, pause_s: float | None = None
+) -> None:
+    """Reads an answer.
+
+    Args:
+        reader: The channel.
+        reply: Receives what is read.
+        pause_s: The longest pause before a piece, if there is a limit.
+
+    Raises:
+        TimeoutError: A pause was longer.
+    """
+    async with asyncio.timeout(pause_s):
+        lines = await read_headers(reader)
     if not lines:
         return
     reply.status = int(lines[0].split(' ')[1])
@@ -698,8 +710,9 @@
         reply.is_whole = True
         return
     while True:
-        size = int((await reader.readuntil(b'\r\n'))[:-2], 16)
-        reply.body += (await reader.readexactly(size + 2))[:-2]
+        async with asyncio.timeout(pause_s):
+            size = int((await reader.readuntil(b'\r\n'))[:-2], 16)
+            reply.body += (await reader.readexactly(size + 2))[:-2]
         if not size:
             reply.is_whole = True
             return
