Log what a host knows when it judges a stall or doubts an endpoint

The three hypotheses of docs/incidents/silent-servers.md couldn't be told apart: the log didn't say whether an attempt was ended by silence or by evidence, whether a successor was left, how many endpoints were silent at once, nor what a host relays and has unsent. No decision changes.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -137,6 +137,8 @@
         have failed on the way, and a time-out may be caused by the network.
         """
         outcome = await self._probe_cached(endpoint.address)
+        if outcome is ProbeResult.UNREACHABLE:
+            self._state.silences.record(endpoint.endpoint_id, clocks.now())
         if outcome is ProbeResult.REFUSED:
             if not self._state.endpoints.is_unhealthy(endpoint, clocks.now()):
                 self._state.mark_unhealthy(
@@ -170,6 +172,8 @@
         """Records what another call to an endpoint has shown."""
         if outcome is ProbeResult.UNKNOWN:
             return
+        if outcome is ProbeResult.UNREACHABLE:
+            self._state.silences.record(endpoint.endpoint_id, clocks.now())
         self._probes[endpoint.address] = (clocks.now(), outcome)
         if outcome.shows_failure:
             self._state.record_unreachable(endpoint)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -51,7 +51,12 @@
     'endpoint, born, evidence, requests, contents, prompt_parts',
     True,
 )
-ENDPOINT_DOUBTED = Event('endpoint_doubted', 'endpoint, reason, for_s', True)
+ENDPOINT_DOUBTED = Event(
+    'endpoint_doubted',
+    'endpoint, reason, for_s, other endpoints that were silent within the last'
+    ' second, bytes that wait to be sent to peers',
+    True,
+)
 STORE_LOST = Event('store_lost', 'table, reason, evidence_age_s', True)
 STORE_REGAINED = Event('store_regained', 'table, after_s')
 STORE_ERA_CHANGED = Event(
@@ -73,6 +78,11 @@
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
 )
+STREAM_STALLED = Event(
+    'stream_stalled',
+    'request, endpoint, idle_s, what is known of the cause, action, whether'
+    ' another path and a retry are left',
+)
 STREAM_REPAIRED = Event('stream_repaired', 'request, dead, path, after_s')
 STREAM_RESUMED = Event('stream_resumed', 'request, after_event, endpoint')
 REQUEST_ENDED = Event('request_ended', 'request, route, status, took_s, bytes')
@@ -97,6 +107,9 @@
 )
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed, is_leaving', True)
+TABLE_RELAYED = Event(
+    'table_relayed', 'table, version, rows, bytes of their values'
+)
 ROLE_CHANGED = Event('role_changed', 'reader, is_shared, live')
 TASK_FAILED = Event('task_failed', 'task, error, again_in_s', True)
 LINES_DROPPED = Event('lines_dropped', 'counts by event')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -178,7 +178,7 @@
         }
         for follower in followers.values():
             follower.peers = client
-        server = relay.RelayServer(followers, self._catalog)
+        server = relay.RelayServer(self.state, followers, self._catalog)
         nursery.start_soon(server.run, self._addresses.relay)
         return client
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -12,6 +12,7 @@
 import trio
 
 from sardinebend_gateway import clocks
+from sardinebend_gateway import events
 from sardinebend_gateway import follower as follower_lib
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import settings as settings_lib
@@ -36,6 +37,8 @@
 READER_COOLDOWN_S: typing.Final = 3.0
 # Time after its start in which a host discovers the others.
 STARTUP_S: typing.Final = 3.0
+# Smaller answers aren't logged.
+MIN_LOGGED_BYTES: typing.Final = 4096
 # Peers that a host which starts asks at a time, and how long it waits for the
 # others after the first of them has stated a version.
 ASKED_PEERS: typing.Final = 3
@@ -47,12 +50,15 @@
 
     def __init__(
         self,
+        state: state_lib.State,
         followers: typing.Mapping[str, follower_lib.Follower],
         catalog: watch.CatalogUpdater,
     ) -> None:
+        self._state = state
         self._followers = followers
         self._catalog = catalog
         self._server = links.PeerServer(self._answer, SECRET)
+        state.count_unsent_bytes = self._server.count_unsent_bytes
 
     async def run(self, address: settings_lib.Address) -> None:
         """Serves until cancelled."""
@@ -73,6 +79,7 @@
         era = feeds.era_of(follower.version)
         is_whole = after < 0 or feeds.era_of(after) != era
         rows = follower.rows_since(-1 if is_whole else after)
+        self._record_rows(message.table, follower.version, rows)
         since_outage_s = follower.since_outage_s()
         return messages.FeedReply(
             feeds.counter_of(follower.version),
@@ -93,6 +100,21 @@
             else None,
         )
 
+    def _record_rows(
+        self, table: str, version: int, rows: typing.Sequence[feeds.FeedRow]
+    ) -> None:
+        """Counts the rows of an answer, and logs those of a large one."""
+        size = sum(len(row.value or b'') for row in rows)
+        self._state.metrics.count('relayed_bytes', size, table=table)
+        if size >= MIN_LOGGED_BYTES:
+            self._state.audit.log(
+                events.TABLE_RELAYED,
+                table=table,
+                version=version,
+                rows=len(rows),
+                bytes=size,
+            )
+
 
 class RelayClient(follower_lib.PeerTables):
     """Reads tables of the store from peers."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -28,6 +28,7 @@
 from sardinebend_policy import readers
 from sardinebend_policy import retries
 from sardinebend_policy import service_times
+from sardinebend_policy import silences
 from sardinebend_policy import stream_gaps
 from sardinebend_policy import suspects as suspects_lib
 
@@ -81,6 +82,8 @@
             gossip to other hosts.
         unreachable: Incarnations of endpoints that this host couldn't connect
             to, to gossip to other hosts.
+        silences: Endpoints whose connects timed out.
+        count_unsent_bytes: Returns how many bytes for peers wait to be sent.
         peer_reports: Peer reports of unreachable endpoints.
         suspects: Running and recently ended requests that may have caused a
             crash.
@@ -121,6 +124,8 @@
         self.unreachable: gossip.GossipItems[tuple[str, int]] = (
             gossip.GossipItems(UNREACHABLE_GOSSIP_S)
         )
+        self.silences = silences.Silences()
+        self.count_unsent_bytes: typing.Callable[[], int] = lambda: 0
         self.peer_reports = peer_reports.PeerReports()
         self.leaving: gossip.GossipItems[tuple[str, int]] = gossip.GossipItems()
         self.suspects = suspects_lib.Suspects()
@@ -257,6 +262,8 @@
             endpoint=endpoint.endpoint_id,
             reason=reason,
             for_s=round(cooldown_s, 3),
+            silent_endpoints=self.silences.count(clocks.now()),
+            unsent_bytes=self.count_unsent_bytes(),
         )
         if has_failed:
             self.notify_failure(endpoint.endpoint_id)
@@ -299,6 +306,7 @@
 
     def record_contact(self, endpoint: endpoints_lib.Endpoint) -> None:
         """Records that an endpoint has answered this host."""
+        self.silences.record_answer(endpoint.endpoint_id)
         # The answer may have waited while this host was held up.
         at = clocks.now() - self.host_clock.signal_late_s()
         self.endpoints.record_contact(endpoint, at)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -29,6 +29,8 @@
 # caller is still connected.
 MOVE_FACTOR: typing.Final = 2.2
 MAX_REPAIRS: typing.Final = 6
+# What is known of a stall whose cause no engine names.
+UNEXPLAINED: typing.Final = 'none'
 # An attempt that receives only bytes of an incomplete event is ended after
 # MOVE_FACTOR times the target latency if there is an alternative path, and
 # otherwise after this many times as long.
@@ -69,6 +71,8 @@
         self._calls = engine_calls
         self._endpoint_failed = trio.Event()
         self._repairs = 0
+        self._evidence = UNEXPLAINED
+        self._logged: tuple[str, StallAction] | None = None
         route = progress.exchange.admitted.route
         self._stall_s = max(MIN_STALL_S, STALL_FACTOR * route.gap_target_s)
         self._first_event_stall_s = max(self._stall_s, route.target_s)
@@ -87,7 +91,9 @@
                 )
                 if self._progress.is_waiting_for_caller or not is_stalled:
                     continue
+                self._evidence = UNEXPLAINED
                 action = await self._investigate_stall(idle_s)
+                self._log_decision(idle_s, action)
                 if action is StallAction.MOVE:
                     return
                 if action is StallAction.WAIT:
@@ -95,6 +101,22 @@
         finally:
             self._state.remove_failure_listener(self._on_endpoint_failed)
 
+    def _log_decision(self, idle_s: float, action: StallAction) -> None:
+        """Logs what was decided, unless that has been logged before."""
+        if (self._evidence, action) == self._logged:
+            return
+        self._logged = (self._evidence, action)
+        first = self._progress.path[0].endpoint.endpoint_id
+        self._state.audit.log(
+            events.STREAM_STALLED,
+            request=self._progress.exchange.admitted.facts.request_id,
+            endpoint=first,
+            idle_s=round(idle_s, 3),
+            evidence=self._evidence,
+            action=action.value,
+            has_alternative=self._find_alternative(first) is not None,
+        )
+
     def _stall_limit_s(self) -> float:
         """Returns the time without progress that counts as a stall."""
         return (
@@ -137,6 +159,7 @@
             asked_at = trio.current_time()
             report = await self._calls.report(self._progress.path[0].endpoint)
             if report is None:
+                self._evidence = 'no answer to a report request'
                 if not self._state.host_clock.was_on_time_since(asked_at):
                     return StallAction.WAIT
                 self._state.mark_unhealthy(
@@ -148,7 +171,11 @@
                     'first engine did not answer a report request'
                 )
             failed_ids = await self._mark_stalled_parts(report)
+            self._evidence = 'report of the first engine'
+        else:
+            self._evidence = 'engine doubted before'
         if not failed_ids:
+            self._evidence = UNEXPLAINED
             return self._handle_unexplained_stall(idle_s)
         self._progress.failed_ids |= failed_ids
         return await self._repair(failed_ids)
--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -6,12 +6,14 @@
 """
 
 import collections.abc
+import fcntl
 import hashlib
 import hmac
 import logging
 import secrets
 import ssl
 import struct
+import termios
 import typing
 
 import trio
@@ -29,6 +31,7 @@
 IDLE_TIMEOUT_S: typing.Final = 60.0
 
 _LENGTH = struct.Struct('>I')
+_COUNT = struct.Struct('i')
 
 Handler = collections.abc.Callable[
     [messages.Message], collections.abc.Awaitable[messages.Message]
@@ -113,7 +116,7 @@
         self._handler = handler
         self._secret = secret
         self._tls = tls
-        self._connection_count = 0
+        self._streams: set[trio.SocketStream] = set()
 
     async def serve(self, listener: trio.SocketListener) -> None:
         """Serves until cancelled."""
@@ -127,13 +130,18 @@
                     _LOGGER.exception('a connection was not taken')
                     await trio.sleep(ACCEPT_RETRY_DELAY_S)
                     continue
-                if self._connection_count >= MAX_SERVER_CONNECTIONS:
+                if len(self._streams) >= MAX_SERVER_CONNECTIONS:
                     await trio.aclose_forcefully(stream)
                     continue
                 nursery.start_soon(self._serve_stream, stream)
 
-    async def _serve_stream(self, stream: trio.abc.Stream) -> None:
-        self._connection_count += 1
+    def count_unsent_bytes(self) -> int:
+        """Returns how many bytes for peers their hosts haven't confirmed."""
+        return sum(_count_unsent_bytes(stream) for stream in self._streams)
+
+    async def _serve_stream(self, accepted: trio.SocketStream) -> None:
+        self._streams.add(accepted)
+        stream: trio.abc.Stream = accepted
         if self._tls is not None:
             stream = trio.SSLStream(stream, self._tls, server_side=True)
         frames = FrameStream(stream)
@@ -154,7 +162,7 @@
             # serves the other peers as well.
             _LOGGER.exception('a connection of a peer failed')
         finally:
-            self._connection_count -= 1
+            self._streams.discard(accepted)
             with trio.CancelScope(shield=True):
                 await frames.close()
 
@@ -175,6 +183,17 @@
         await frames.send(data)
 
 
+def _count_unsent_bytes(stream: trio.SocketStream) -> int:
+    try:
+        data = fcntl.ioctl(
+            stream.socket.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size)
+        )
+    except (OSError, ValueError):
+        # The connection has been closed.
+        return 0
+    return int(_COUNT.unpack(data)[0])
+
+
 class _PendingCall:
     """A call that is waiting for its reply."""
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -30,6 +30,7 @@
 from sardinebend_policy import readers
 from sardinebend_policy import retries
 from sardinebend_policy import routes
+from sardinebend_policy import silences
 from sardinebend_policy import stalls
 from sardinebend_policy import stream_watch
 from sardinebend_policy import suspects
@@ -65,6 +66,7 @@
     'readers',
     'retries',
     'routes',
+    'silences',
     'stalls',
     'stream_watch',
     'suspects',
