--- a/tests/common/layered_scene.py
+++ b/tests/common/layered_scene.py
@@ -145,6 +145,9 @@
             held up.
     """
 
+    engine_class = Engine
+    plain_class = PlainServer
+
     def __init__(self, background, folder, host_count):
         super().__init__(background, folder, host_count)
         self.pauses = []
@@ -156,11 +159,13 @@
 
     def _make_servers(self):
         engines = [
-            Engine(f'llm-{number}', 'llm', SPANS[number % len(SPANS)])
+            self.engine_class(
+                f'llm-{number}', 'llm', SPANS[number % len(SPANS)]
+            )
             for number in range(ENGINES)
         ]
         plain = [
-            PlainServer(f'{service}-{number}', service)
+            self.plain_class(f'{service}-{number}', service)
             for service in ('app', PLAIN_STREAMS)
             for number in range(PLAIN_SERVERS)
         ]
--- a/tests/common/stopping_host.py
+++ b/tests/common/stopping_host.py
@@ -328,6 +328,7 @@
         self.stops = []
         self.store_port = ports.find_free(1)[0]
         self.store = None
+        self._client = None
         self.servers = self._make_servers()
         self.hosts = []
         self.hosts += [Host(self, number) for number in range(host_count)]
@@ -365,17 +366,19 @@
         )
         for server in self.servers:
             await server.start(self._background)
-        client = store_client.StoreClient(
+        self._client = store_client.StoreClient(
             f'http://{world_lib.IP}:{self.store_port}'
         )
-        value = json.dumps(self._make_config()).encode()
         with trio.fail_after(START_LIMIT_S):
-            while True:
-                answer = await client.write('op', 'config', None, value)
-                if answer.is_ok():
-                    break
+            while not await self.put_config(self._make_config()):
                 await trio.sleep(0.1)
-        self._background.start_soon(self._keep_listed, client)
+        self._background.start_soon(self._keep_listed, self._client)
+
+    async def put_config(self, config):
+        """Writes a configuration; returns whether the store has it."""
+        value = json.dumps(config).encode()
+        answer = await self._client.write('op', 'config', None, value)
+        return answer.is_ok()
 
     async def start_hosts(self):
         for host in self.hosts:
