Let a silent attempt of a stream go on until another one delivers

Cause: a host took silence for failure. One report request without an answer within 0.25 s, or one connect without one within 0.3 s, marked an engine as failed and took all its streams away. Whether there was another path and a retry was looked at before that and taken after it, when others had used them up, or the other engine refused.

Change: the watchdog ends no attempt for a silence. It has a hedge begun, an attempt that resumes the stream elsewhere, once it holds a path, a connection and a retry. Both run until one of them delivers the next event; that one goes on alone. Silence withholds new work only, and any later answer ends that; only a refused connection, a new incarnation or an answer shows a failure. An engine that merely times out counts towards the route's attempts.

Why it works: an attempt ends only by its own connection, its deadline, its caller, an endless event, or because its successor has delivered an event.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -44,7 +44,7 @@
 
     @property
     def shows_failure(self) -> bool:
-        """Whether the endpoint or the path to it has failed."""
+        """Whether the endpoint, or perhaps the path to it, has failed."""
         return self in (ProbeResult.REFUSED, ProbeResult.UNREACHABLE)
 
 
@@ -145,10 +145,17 @@
                     endpoint, 'nothing listens', has_failed=True
                 )
             self.record_crash(endpoint, 'nothing listens')
-        if outcome.shows_failure:
-            self._state.record_unreachable(endpoint)
+        self._record_unreachable(endpoint, outcome)
         return outcome
 
+    def _record_unreachable(
+        self, endpoint: endpoints_lib.Endpoint, outcome: ProbeResult
+    ) -> None:
+        if outcome.shows_failure:
+            self._state.record_unreachable(
+                endpoint, is_silent=outcome is ProbeResult.UNREACHABLE
+            )
+
     def record_failure_to_connect(
         self,
         endpoint: endpoints_lib.Endpoint,
@@ -175,8 +182,7 @@
         if outcome is ProbeResult.UNREACHABLE:
             self._state.silences.record(endpoint.endpoint_id, clocks.now())
         self._probes[endpoint.address] = (clocks.now(), outcome)
-        if outcome.shows_failure:
-            self._state.record_unreachable(endpoint)
+        self._record_unreachable(endpoint, outcome)
 
     def record_crash(
         self,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -140,10 +140,12 @@
             outcome = self.crash_detector.record_failure_to_connect(
                 endpoint, exc, started_at
             )
-            if outcome.shows_failure:
+            if outcome is crashes.ProbeResult.REFUSED:
                 self.state.mark_unhealthy(
-                    endpoint, 'connect failed', has_failed=True
+                    endpoint, 'connect refused', has_failed=True
                 )
+            elif outcome is crashes.ProbeResult.UNREACHABLE:
+                self.state.record_silence(endpoint, 'connect timed out')
             return None
 
     def is_answered_by(self, facts: edges_lib.AnswerFacts) -> bool:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -238,24 +238,26 @@
         reason: str,
         has_failed: bool,
         cooldown_s: float = endpoints_lib.FIRST_COOLDOWN_S,
+        is_silent: bool = False,
     ) -> None:
         """Marks an endpoint unhealthy for a cooldown.
 
         Args:
             endpoint: The endpoint.
             reason: Why it is marked, for the log.
-            has_failed: Whether to treat the endpoint as failed, which may also
-                follow from a connect time-out. If so, the cooldown for
-                unreachable endpoints applies instead of `cooldown_s`, and the
-                failure listeners are called.
+            has_failed: Whether there is evidence that the endpoint has failed;
+                a time-out is none. If so, the cooldown for unreachable
+                endpoints applies instead of `cooldown_s`, and the failure
+                listeners are called.
             cooldown_s: The first cooldown, which grows as
                 `EndpointTable.mark_unhealthy` describes; ignored if
                 `has_failed` is set.
+            is_silent: Whether any later answer ends the cooldown.
         """
         if has_failed:
             cooldown_s = endpoints_lib.UNREACHABLE_COOLDOWN_S
         cooldown_s = self.endpoints.mark_unhealthy(
-            endpoint, clocks.now(), reason, cooldown_s
+            endpoint, clocks.now(), reason, cooldown_s, is_silent
         )
         self.audit.log(
             events.ENDPOINT_DOUBTED,
@@ -268,13 +270,42 @@
         if has_failed:
             self.notify_failure(endpoint.endpoint_id)
 
-    def record_unreachable(self, endpoint: endpoints_lib.Endpoint) -> None:
+    def record_silence(
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        reason: str,
+        cooldown_s: float = endpoints_lib.UNREACHABLE_COOLDOWN_S,
+    ) -> None:
+        """Withholds new work from an endpoint that didn't answer in time.
+
+        Silence doesn't show that it has failed: requests that run there
+        continue, and any later answer ends the cooldown.
+
+        Args:
+            endpoint: The endpoint.
+            reason: What it didn't answer, for the log.
+            cooldown_s: The first cooldown.
+        """
+        self.mark_unhealthy(
+            endpoint,
+            reason,
+            has_failed=False,
+            cooldown_s=cooldown_s,
+            is_silent=True,
+        )
+
+    def record_unreachable(
+        self, endpoint: endpoints_lib.Endpoint, is_silent: bool
+    ) -> None:
         """Marks an endpoint unhealthy that this host can't connect to.
 
         This alone doesn't call the failure listeners, so requests that already
         run there continue: the network rather than the endpoint may be the
-        cause. Some callers also call `mark_unhealthy` with `has_failed` set,
-        which does call them.
+        cause.
+
+        Args:
+            endpoint: The endpoint.
+            is_silent: Whether it didn't answer, rather than refuse.
         """
         if self.unreachable.add(endpoint.incarnation, clocks.now()):
             self.mark_unhealthy(
@@ -282,6 +313,7 @@
                 'unreachable',
                 has_failed=False,
                 cooldown_s=endpoints_lib.UNREACHABLE_COOLDOWN_S,
+                is_silent=is_silent,
             )
 
     def record_peer_report(
@@ -297,12 +329,7 @@
         if not self.peer_reports.record(incarnation, host, now, late_s):
             return
         if self._may_apply_peer_report(known):
-            self.mark_unhealthy(
-                known,
-                'unreachable for other hosts',
-                has_failed=False,
-                cooldown_s=endpoints_lib.UNREACHABLE_COOLDOWN_S,
-            )
+            self.record_silence(known, 'unreachable for other hosts')
 
     def record_contact(self, endpoint: endpoints_lib.Endpoint) -> None:
         """Records that an endpoint has answered this host."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -13,6 +13,7 @@
 from sardinebend_gateway import replies
 from sardinebend_gateway import responder
 from sardinebend_gateway import stream_progress
+from sardinebend_gateway import stream_rivals
 from sardinebend_gateway import stream_watchdog
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import forwarding
@@ -24,25 +25,30 @@
     """Sends a streamed request along a path and forwards its events.
 
     Attributes:
-        last_id: Id of the last event that was sent to the caller.
+        first_endpoint: The first engine of its path.
+        resume_after: Id of the event after which it resumes the stream.
     """
 
     def __init__(
         self,
         progress: stream_progress.StreamProgress,
         engine_calls: calls_lib.EngineCalls,
-        last_id: bytes | None,
-        find_alternative: stream_watchdog.AlternativeFinder,
+        position: stream_rivals.Position,
+        rivals: stream_rivals.Rivals,
     ) -> None:
-        self.last_id = last_id
+        self.resume_after = position.last_id
+        self._position = position
+        self._rivals = rivals
         self._progress = progress
         self._exchange = progress.exchange
         self._state = progress.exchange.state
         self._watchdog = stream_watchdog.Watchdog(
-            progress, engine_calls, find_alternative
+            progress, engine_calls, rivals
         )
-        self._first_endpoint = progress.path[0].endpoint
+        self.first_endpoint = progress.path[0].endpoint
         self._splitter = event_stream.EventSplitter()
+        # Events without an id that came before this attempt had the lead.
+        self._held_events: list[event_stream.StreamEvent] = []
         self._end = forwarding.End.BROKEN
         self._reply: exchange_lib.Reply | None = None
         self._abort_error: errors.ConnectionAborted | None = None
@@ -89,12 +95,12 @@
         codec = self._state.edges.requests
         path = self._progress.path
         dispatch = edges_lib.Dispatch(
-            endpoint=self._first_endpoint,
+            endpoint=self.first_endpoint,
             # An empty span marks a single endpoint without layers.
             path=path if path[0].span.size else None,
             time_left_s=exchange.time_left_s(),
             customer=exchange.customer_name,
-            resume_after=self.last_id,
+            resume_after=self.resume_after,
             priority=exchange.admitted.priority,
         )
         req = exchange.req
@@ -105,7 +111,7 @@
             ) as response:
                 await self._read_response(conn, response)
         except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
-            exchange.record_oversized_answer(self._first_endpoint)
+            exchange.record_oversized_answer(self.first_endpoint)
             self._progress.reason = str(exc)
             self._end = forwarding.End.BROKEN
         except (store_errors.ExchangeFailed, errors.Malformed) as exc:
@@ -119,11 +125,11 @@
         self, conn: connections.Connection, response: typing.Any
     ) -> None:
         exchange = self._exchange
-        facts = replies.decode_answer(exchange, self._first_endpoint, response)
+        facts = replies.decode_answer(exchange, self.first_endpoint, response)
         if response.status != 200:
             reply = await replies.read_reply(exchange, conn, response, facts)
             self._end, self._progress.reason, self._reply = (
-                replies.classify_reply(exchange, self._first_endpoint, reply)
+                replies.classify_reply(exchange, self.first_endpoint, reply)
             )
             if self._end is forwarding.End.ANSWERED and exchange.out.is_started:
                 # Such an answer can't go on with the stream.
@@ -137,7 +143,7 @@
             return
         reply = exchange_lib.Reply(200, response.headers, b'', facts)
         self._end, self._progress.reason, _ = replies.classify_reply(
-            exchange, self._first_endpoint, reply
+            exchange, self.first_endpoint, reply
         )
         if self._end is not forwarding.End.ANSWERED:
             return
@@ -164,7 +170,7 @@
         for part in self._progress.path:
             if part.endpoint.address == facts.faulty_address:
                 self._progress.failed_ids.add(part.endpoint.endpoint_id)
-                if part.endpoint != self._first_endpoint:
+                if part.endpoint != self.first_endpoint:
                     at_fault_endpoints.append(part.endpoint)
                     self._state.mark_unhealthy(
                         part.endpoint, 'named in a refusal', has_failed=False
@@ -181,56 +187,91 @@
     async def _forward_chunks(
         self, response: typing.Any, buffer: answer_buffers.AnswerBuffer
     ) -> None:
-        out = self._exchange.out
         async for chunk in response.aiter_stream():
             new_events = self._splitter.feed(chunk)
-            buffer.resize(self._splitter.partial_event_bytes)
+            buffer.resize(
+                self._splitter.partial_event_bytes + self._held_bytes()
+            )
             if not new_events:
                 self._progress.record_partial_event(
                     self._splitter.partial_event_bytes
                 )
                 await buffer.throttle(len(chunk))
                 continue
+            if self._is_superseded():
+                return
             self._check_events(new_events)
-            if not out.is_started:
-                headers = self._state.edges.requests.make_answer_headers(
-                    response.headers
-                )
-                await out.start(200, headers)
-                self._state.metrics.record_time(
-                    'first_event', self._exchange.took_s()
-                )
             has_progress = any(event.is_progress for event in new_events)
-            if has_progress:
-                self._progress.record_event()
-            else:
-                self._progress.record_partial_event(
-                    self._splitter.partial_event_bytes
-                )
-            # Set first: events whose writing is cancelled are sent all the
-            # same, before those of the next attempt.
-            ids = [event.event_id for event in new_events if event.event_id]
-            self.last_id = ids[-1] if ids else self.last_id
-            await self._write(b''.join(event.data for event in new_events))
-            if has_progress:
-                # Time spent waiting for the caller to read must not count as
-                # a stall of the engine.
-                self._progress.record_progress()
+            if has_progress and not self._take_lead():
+                return
+            if self._position.leader is not self:
+                self._held_events += new_events
+                continue
+            await self._forward_events_of_leader(response, new_events)
         if self._splitter.has_partial_event:
             self._progress.reason = 'ended within an event'
             return
-        if not out.is_started:
+        if not self._exchange.out.is_started:
             self._progress.reason = 'ended without an event'
             return
+        if not self._take_lead():
+            return
         self._end = forwarding.End.ANSWERED
         self._exchange.ending.record_answered('200')
-        await out.finish()
-        self._state.endpoints.mark_healthy(self._first_endpoint)
+        await self._exchange.out.finish()
+        self._state.endpoints.mark_healthy(self.first_endpoint)
+
+    async def _forward_events_of_leader(
+        self,
+        response: typing.Any,
+        new_events: typing.Sequence[event_stream.StreamEvent],
+    ) -> None:
+        out = self._exchange.out
+        if not out.is_started:
+            headers = self._state.edges.requests.make_answer_headers(
+                response.headers
+            )
+            await out.start(200, headers)
+            self._state.metrics.record_time(
+                'first_event', self._exchange.took_s()
+            )
+        has_progress = any(event.is_progress for event in new_events)
+        if has_progress:
+            self._progress.record_event()
+        else:
+            self._progress.record_partial_event(
+                self._splitter.partial_event_bytes
+            )
+        # Set first: events whose writing is cancelled are sent all the same,
+        # before those of the next attempt.
+        ids = [event.event_id for event in new_events if event.event_id]
+        self._position.last_id = ids[-1] if ids else self._position.last_id
+        held_events, self._held_events = self._held_events, []
+        await self._write(
+            b''.join(event.data for event in (*held_events, *new_events))
+        )
+        if has_progress:
+            # Time spent waiting for the caller to read must not count as a
+            # stall of the engine.
+            self._progress.record_progress()
+
+    def _held_bytes(self) -> int:
+        return sum(len(event.data) for event in self._held_events)
+
+    def _is_superseded(self) -> bool:
+        """Returns whether another attempt has delivered events since."""
+        return (
+            self._position.leader is not self
+            and self._position.last_id != self.resume_after
+        )
+
+    def _take_lead(self) -> bool:
+        return self._rivals.take_lead(self, self.resume_after)
 
     def _check_events(
         self, new_events: typing.Sequence[event_stream.StreamEvent]
     ) -> None:
-        last = self.last_id
+        last = self._position.last_id
         for event in new_events:
             if not event.is_well_formed:
                 raise errors.Malformed('not an event')
--- /dev/null
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -0,0 +1,206 @@
+"""Chooses the paths of one streamed request."""
+
+import typing
+
+import trio
+
+from sardinebend_gateway import clocks
+from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import inflight as inflight_lib
+from sardinebend_policy import paths as paths_lib
+
+# A new request that finds no path waits for this share of its route's target
+# latency. Longer waits fill the engines with requests whose callers have left.
+PATH_WAIT_SHARE: typing.Final = 1 / 8
+# Callers abandon a started stream 2 s after the last event, so the search for
+# another path has to end sooner.
+RESUME_WAIT_S: typing.Final = 1.2
+POLL_S: typing.Final = 0.02
+
+
+class PathChooser:
+    """Chooses paths for one request, given what its attempts have shown.
+
+    Attributes:
+        tokens: Expected total of prompt and answer tokens.
+        excluded_ids: Ids of engines that the request isn't sent to again.
+    """
+
+    def __init__(self, exchange: exchange_lib.Exchange) -> None:
+        self.excluded_ids: set[str] = set()
+        self._exchange = exchange
+        self._state = exchange.state
+        admitted = exchange.admitted
+        self.tokens = (
+            admitted.facts.prompt_tokens + admitted.expected_answer_tokens
+        )
+
+    async def choose(self) -> paths_lib.Path | None:
+        """Returns a path with free capacity, or `None` after a short wait."""
+        exchange = self._exchange
+        wait_s = exchange.admitted.route.target_s * PATH_WAIT_SHARE
+        if exchange.out.is_started:
+            wait_s = RESUME_WAIT_S
+        with trio.move_on_after(wait_s):
+            while True:
+                path = self._search(self.excluded_ids)
+                if path is not None:
+                    self._state.try_take_from_limit(path[0].endpoint)
+                    self._count_crossings(path)
+                    return path
+                if self._backoff_exceeds_wait(
+                    wait_s
+                ) or self._limits_exceed_wait(wait_s):
+                    return None
+                await trio.sleep(POLL_S)
+        return None
+
+    def may_hedge(self) -> bool:
+        """Returns whether the route and the retry budget allow a hedge."""
+        exchange = self._exchange
+        budget = self._state.budget_of(exchange.admitted.service.name)
+        return (
+            exchange.admitted.route.may_repeat
+            and exchange.ledger.can_send()
+            and budget.can_spend(clocks.now())
+        )
+
+    def find_hedge(
+        self, path: paths_lib.Path, refused_ids: typing.Collection[str]
+    ) -> paths_lib.Path | None:
+        """Returns a path for a hedge of an attempt, if one is allowed.
+
+        It is unknown which engine keeps the attempt waiting, so a path without
+        any of them is preferred. It never begins with the same engine.
+
+        Args:
+            path: The path of the attempt.
+            refused_ids: First engines of earlier hedges, which have failed.
+        """
+        if not self.may_hedge():
+            return None
+        excluded_ids = self.excluded_ids | set(refused_ids)
+        all_ids = {part.endpoint.endpoint_id for part in path}
+        return self._search(excluded_ids | all_ids) or self._search(
+            {*excluded_ids, path[0].endpoint.endpoint_id}
+        )
+
+    def try_take_hedge(self, path: paths_lib.Path) -> bool:
+        """Takes the retry of a hedge that is about to be sent.
+
+        Returns:
+            Whether it may be sent.
+        """
+        first = path[0].endpoint
+        if not self._exchange.ledger.can_send() or self._state.limit_wait_s(
+            first
+        ):
+            return False
+        if not self._exchange.try_spend_retry():
+            return False
+        self._state.try_take_from_limit(first)
+        self._count_crossings(path)
+        return True
+
+    def _count_crossings(self, path: paths_lib.Path) -> None:
+        """Counts a path as load on the links between failure domains.
+
+        A crossing is a step of a path into another failure domain.
+        """
+        if self._exchange.admitted.service.has_layers:
+            self._state.inflight.crossings.add(path, self.tokens, clocks.now())
+
+    def _backoff_exceeds_wait(self, wait_s: float) -> bool:
+        """Returns whether to stop waiting because of the endpoints' backoffs.
+
+        That is so if the answer hasn't started, no path exists, whatever the
+        load, and the earliest backoff ends only after the wait. The request is
+        then refused without waiting.
+        """
+        left_s = self._exchange.backoff_left_s()
+        return (
+            left_s is not None
+            and left_s > wait_s
+            and not self._exchange.out.is_started
+            and not self._is_connected()
+        )
+
+    def _limits_exceed_wait(self, wait_s: float) -> bool:
+        """Returns whether no endpoint's limit allows a request in time.
+
+        A started stream waits all the same: a limit may change.
+        """
+        left_s = self._exchange.limit_wait_s()
+        return (
+            left_s is not None
+            and left_s > wait_s
+            and not self._exchange.out.is_started
+        )
+
+    def _is_connected(self) -> bool:
+        service = self._exchange.admitted.service
+        if not service.has_layers:
+            return self._find_single_endpoint(self.excluded_ids) is not None
+        return self._state.path_cache_of(service).is_connected()
+
+    def explain_missing_path(self) -> str:
+        """Returns why `choose` finds no path."""
+        engine = self._exchange.admitted.service.engine
+        if engine is None or not self._exchange.admitted.service.has_layers:
+            return 'no engine'
+        if not self._is_connected():
+            return 'no path: layers without a holder'
+        if self._exchange.limit_wait_s() is not None:
+            return 'no path: limits of all first engines used up'
+        if self._state.link_use(engine) >= paths_lib.LINK_LIMIT:
+            return 'no path: no capacity, or only over saturated links'
+        return f'no path: no capacity for {self.tokens} tokens'
+
+    def _search(self, excluded_ids: set[str]) -> paths_lib.Path | None:
+        service = self._exchange.admitted.service
+        if not service.has_layers:
+            return self._find_single_endpoint(excluded_ids)
+        assert service.engine is not None
+        return self._state.path_cache_of(service).choose(
+            self.tokens,
+            self._state.loads(),
+            excluded_ids,
+            self._state.link_use(service.engine),
+            paths_lib.STARTED_LINK_LIMIT
+            if self._exchange.out.is_started
+            else paths_lib.LINK_LIMIT,
+            avoid_first=self._state.list_over_limit(service.name),
+        )
+
+    def _find_single_endpoint(
+        self, excluded_ids: typing.Collection[str]
+    ) -> paths_lib.Path | None:
+        """Returns a path of one endpoint that holds the whole model."""
+        state = self._state
+        now = clocks.now()
+        name = self._exchange.admitted.service.name
+        candidates = [
+            e
+            for e in state.endpoints.list_usable(name, now)
+            if e.endpoint_id not in excluded_ids and not state.limit_wait_s(e)
+        ]
+        endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
+        if endpoint is None:
+            return None
+        # An empty span marks an endpoint without layers, which serves the
+        # request alone.
+        return (paths_lib.Part(endpoint, endpoints_lib.Span(0, 0)),)
+
+    def make_log_fields(self, path: paths_lib.Path) -> dict[str, typing.Any]:
+        """Returns the inputs to the choice of a path, as fields for the log."""
+        engine = self._exchange.admitted.service.engine
+        # An empty span marks a single endpoint without layers.
+        if engine is None or not path[0].span.size:
+            return {}
+        return {
+            'tokens': self.tokens,
+            'crossings': inflight_lib.count_crossings(path),
+            'link_use': round(self._state.link_use(engine), 2),
+            'domain': path[0].endpoint.domain,
+        }
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -1,8 +1,9 @@
-"""Diagnoses stalled streams and repairs or ends their attempts.
+"""Diagnoses stalled streams and has them continued elsewhere.
 
 The watchdog asks the first engine which others it waits for. It then has the
-stream continued along a path that avoids them, or ends the attempt so that the
-stream is resumed elsewhere.
+stream continued along a path that avoids them, or has a hedge begun. A silence
+never ends the attempt itself: its engine may be sound and go on, and only the
+caller knows how long it waits.
 """
 
 import enum
@@ -15,6 +16,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
 from sardinebend_gateway import stream_progress
+from sardinebend_gateway import stream_rivals
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
 from sardinebend_policy import stream_gaps
@@ -25,35 +27,33 @@
 STALL_FACTOR: typing.Final = 1.5
 MIN_STALL_S: typing.Final = 0.25
 # Callers leave after 2 s without an event. A stream that has stalled without a
-# known cause for this many times its route's target latency is moved, while the
-# caller is still connected.
-MOVE_FACTOR: typing.Final = 2.2
+# known cause for this many times its route's target latency gets a hedge, while
+# the caller is still connected.
+HEDGE_FACTOR: typing.Final = 2.2
 MAX_REPAIRS: typing.Final = 6
 # What is known of a stall whose cause no engine names.
 UNEXPLAINED: typing.Final = 'none'
-# An attempt that receives only bytes of an incomplete event is ended after
-# MOVE_FACTOR times the target latency if there is an alternative path, and
-# otherwise after this many times as long.
+# An attempt that receives only bytes of an incomplete event gets a hedge after
+# HEDGE_FACTOR times the target latency, and is ended after this many times as
+# long.
 PARTIAL_EVENT_FACTOR: typing.Final = 4
 POLL_S: typing.Final = 0.02
 
-# Returns a path that could continue a stream and avoids the given engine.
-AlternativeFinder = typing.Callable[[str], paths_lib.Path | None]
-
 
 class StallAction(enum.Enum):
     """What was decided about a stalled stream.
 
     Attributes:
-        WAIT: Keep the attempt: no fault was found, or ending the attempt would
-            end the caller's stream.
+        WAIT: Only wait: no fault was found, or no hedge is allowed.
         REPAIRED: The stream continues along another path.
-        MOVE: End this attempt so that the stream is resumed elsewhere.
+        HEDGE: Another attempt runs beside this one.
+        END: End this attempt: its answer has no end.
     """
 
     WAIT = 'wait'
     REPAIRED = 'repaired'
-    MOVE = 'move'
+    HEDGE = 'hedge'
+    END = 'end'
 
 
 class Watchdog:
@@ -63,10 +63,10 @@
         self,
         progress: stream_progress.StreamProgress,
         engine_calls: calls_lib.EngineCalls,
-        find_alternative: AlternativeFinder,
+        rivals: stream_rivals.Rivals,
     ) -> None:
         self._progress = progress
-        self._find_alternative = find_alternative
+        self._rivals = rivals
         self._state = progress.exchange.state
         self._calls = engine_calls
         self._endpoint_failed = trio.Event()
@@ -94,9 +94,9 @@
                 self._evidence = UNEXPLAINED
                 action = await self._investigate_stall(idle_s)
                 self._log_decision(idle_s, action)
-                if action is StallAction.MOVE:
+                if action is StallAction.END:
                     return
-                if action is StallAction.WAIT:
+                if action is not StallAction.REPAIRED:
                     await trio.sleep(self._stall_s / 2)
         finally:
             self._state.remove_failure_listener(self._on_endpoint_failed)
@@ -114,7 +114,7 @@
             idle_s=round(idle_s, 3),
             evidence=self._evidence,
             action=action.value,
-            has_alternative=self._find_alternative(first) is not None,
+            has_alternative=self._rivals.has_hedge_path(self._progress.path),
         )
 
     def _stall_limit_s(self) -> float:
@@ -162,14 +162,10 @@
                 self._evidence = 'no answer to a report request'
                 if not self._state.host_clock.was_on_time_since(asked_at):
                     return StallAction.WAIT
-                self._state.mark_unhealthy(
-                    self._progress.path[0].endpoint,
-                    'report request unanswered',
-                    has_failed=True,
-                )
-                return self._move_unless_stream_would_end(
-                    'first engine did not answer a report request'
+                self._state.record_silence(
+                    self._progress.path[0].endpoint, 'report request unanswered'
                 )
+                return self._begin_hedge()
             failed_ids = await self._mark_stalled_parts(report)
             self._evidence = 'report of the first engine'
         else:
@@ -184,17 +180,10 @@
         progress = self._progress
         first = progress.path[0].endpoint
         now = clocks.now()
-        limit_s = progress.exchange.admitted.route.target_s * MOVE_FACTOR
+        limit_s = progress.exchange.admitted.route.target_s * HEDGE_FACTOR
         partial_event_s = progress.partial_event_s()
-        if partial_event_s > limit_s and (
-            partial_event_s > PARTIAL_EVENT_FACTOR * limit_s
-            or self._find_alternative(first.endpoint_id) is not None
-        ):
-            progress.reason = 'bytes received but no complete event'
-            # The event may be endless, so it is treated as an oversized answer,
-            # however few bytes have arrived.
-            progress.exchange.record_oversized_answer(first)
-            return StallAction.MOVE
+        if partial_event_s > limit_s:
+            return self._handle_partial_event(partial_event_s, limit_s)
         stall = stream_gaps.StreamStall(
             idle_s,
             limit_s,
@@ -205,31 +194,53 @@
         )
         if not progress.has_received_event or not stall.is_unusual:
             return StallAction.WAIT
-        alternative = self._find_alternative(first.endpoint_id)
-        if alternative is None or not stall.is_likely_faster(
+        path = self._rivals.find_hedge_path(progress.path)
+        if path is None or not stall.is_likely_faster(
             self._state.stream_gaps.longest_recent_gap_s(
-                alternative[0].endpoint.endpoint_id, now
+                path[0].endpoint.endpoint_id, now
             )
         ):
             return StallAction.WAIT
-        progress.reason = 'stalled without a known cause'
         if self._state.stream_gaps.record_stall(first.endpoint_id, now):
-            self._state.mark_unhealthy(
+            self._state.record_silence(
                 first,
                 'several streams stalled',
-                has_failed=False,
                 cooldown_s=endpoints_lib.STALL_COOLDOWN_S,
             )
-        return StallAction.MOVE
+        self._rivals.begin_hedge(path)
+        return StallAction.HEDGE
+
+    def _handle_partial_event(
+        self, partial_event_s: float, limit_s: float
+    ) -> StallAction:
+        """Handles an event whose end doesn't come.
+
+        It may be endless, so it is treated as an oversized answer, however few
+        bytes have arrived.
+        """
+        progress = self._progress
+        action = StallAction.END
+        if partial_event_s <= PARTIAL_EVENT_FACTOR * limit_s:
+            action = self._begin_hedge()
+        if action is not StallAction.WAIT:
+            progress.reason = 'bytes received but no complete event'
+            progress.exchange.record_oversized_answer(progress.path[0].endpoint)
+        return action
+
+    def _begin_hedge(self) -> StallAction:
+        """Has a hedge begun if that is allowed, and returns what was done."""
+        path = self._rivals.find_hedge_path(self._progress.path)
+        if path is None:
+            return StallAction.WAIT
+        self._rivals.begin_hedge(path)
+        return StallAction.HEDGE
 
     async def _mark_stalled_parts(self, report: edges_lib.Report) -> set[str]:
         failed_ids = set()
         for part in self._progress.path:
             if part.endpoint.address in report.stalled:
-                self._state.mark_unhealthy(
-                    part.endpoint,
-                    'another engine waits for it',
-                    has_failed=True,
+                self._state.record_silence(
+                    part.endpoint, 'another engine waits for it'
                 )
                 failed_ids.add(part.endpoint.endpoint_id)
                 await self._progress.exchange.crash_detector.probe(
@@ -271,23 +282,7 @@
             if refusing_id is None:
                 break
             failed_ids = failed_ids | {refusing_id}
-        return self._move_unless_stream_would_end(
-            f'failed engines {sorted(failed_ids)}'
-        )
-
-    def _move_unless_stream_would_end(self, reason: str) -> StallAction:
-        """Returns `MOVE`, or `WAIT` if that would end the caller's stream.
-
-        A started stream without an alternative path may still recover on its
-        current one: a replacement for the failed engine may be listed, or an
-        engine that didn't answer may respond again.
-        """
-        self._progress.reason = reason
-        first = self._progress.path[0].endpoint.endpoint_id
-        is_begun = self._progress.exchange.out.is_started
-        if is_begun and self._find_alternative(first) is None:
-            return StallAction.WAIT
-        return StallAction.MOVE
+        return self._begin_hedge()
 
     def _make_path_finder(self) -> paths_lib.PathFinder:
         """Returns a path finder for the current loads and link use."""
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -81,11 +81,16 @@
 
 
 class _Cooldown(typing.NamedTuple):
-    """Time during which an unhealthy endpoint gets no new work."""
+    """Time during which an unhealthy endpoint gets no new work.
+
+    If it was only silent (`is_silent`), an answer after `began_at` ends it.
+    """
 
     until: float
     duration_s: float
     reason: str
+    began_at: float
+    is_silent: bool
 
 
 class _Contact(typing.NamedTuple):
@@ -184,22 +189,37 @@
         now: float,
         reason: str,
         first_cooldown_s: float = FIRST_COOLDOWN_S,
+        is_silent: bool = False,
     ) -> float:
         """Marks an endpoint unhealthy for a cooldown.
 
         The cooldown doubles, up to `MAX_COOLDOWN_S`, if the endpoint is marked
         again soon after the last one has ended.
 
+        Args:
+            endpoint: The endpoint.
+            now: The time.
+            reason: Why it is marked.
+            first_cooldown_s: The first cooldown.
+            is_silent: Whether it merely didn't answer in time, so that an
+                answer ends the cooldown.
+
         Returns:
             The cooldown that is left, in seconds.
         """
         self._contacts.pop(endpoint.endpoint_id, None)
         last = self._cooldowns.get(endpoint.incarnation)
         if last is not None and last.until > now:
-            if now + first_cooldown_s > last.until:
+            is_longer = now + first_cooldown_s > last.until
+            # A silence must not make another cause forgotten.
+            if is_longer or (last.is_silent and not is_silent):
                 # Stronger evidence extends the current cooldown.
                 self._cooldowns[endpoint.incarnation] = _Cooldown(
-                    now + first_cooldown_s, last.duration_s, reason
+                    max(now + first_cooldown_s, last.until),
+                    last.duration_s,
+                    reason,
+                    now,
+                    is_silent and last.is_silent,
                 )
                 self.revision += 1
             return max(first_cooldown_s, last.until - now)
@@ -209,7 +229,7 @@
                 duration_s, min(MAX_COOLDOWN_S, last.duration_s * 2)
             )
         self._cooldowns[endpoint.incarnation] = _Cooldown(
-            now + duration_s, duration_s, reason
+            now + duration_s, duration_s, reason, now, is_silent
         )
         self.revision += 1
         return duration_s
@@ -222,6 +242,8 @@
     def record_contact(self, endpoint: Endpoint, at: float) -> None:
         """Records that an endpoint has answered this host.
 
+        That ends a cooldown for a silence.
+
         Args:
             endpoint: The endpoint; ignored if this incarnation isn't listed.
             at: When the answer was sent, at the earliest.
@@ -232,6 +254,13 @@
         last = self._contacts.get(endpoint.endpoint_id)
         if last is None or last.born != endpoint.born or last.at < at:
             self._contacts[endpoint.endpoint_id] = _Contact(endpoint.born, at)
+        cooldown = self._cooldowns.get(endpoint.incarnation)
+        if (
+            cooldown is not None
+            and cooldown.is_silent
+            and cooldown.began_at <= at < cooldown.until
+        ):
+            self.mark_healthy(endpoint)
 
     def has_recent_contact(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint has just answered, undoubted since."""
--- a/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
@@ -106,10 +106,14 @@
         """Returns whether the route's limit allows another endpoint."""
         return self.attempts < max(1, self._route.max_attempts)
 
-    def next_step(self, end: End, time_left_s: float) -> Step:
-        """Records the result of an attempt and returns what to do next."""
+    def record_end(self, end: End) -> None:
+        """Records the result of an attempt."""
         if end in (End.FAILED, End.BROKEN, End.TIMED_OUT):
             self.may_have_run = True
+
+    def next_step(self, end: End, time_left_s: float) -> Step:
+        """Records the result of an attempt and returns what to do next."""
+        self.record_end(end)
         if end is End.ANSWERED:
             return Step.PASS_ON
         if time_left_s <= 0:
