Let a silent attempt of a lookup go on beside the next one

What callers saw: a lookup failed although the server that had it answered a second later, because its attempt had been dropped for others that refused it.

Change: the request is sent to another endpoint as well, under the same limits; the first whole answer goes to the caller and ends the other attempts.

Test that failed before: test_a_lookup_is_answered_by_the_server_that_was_silent (502 before).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -1,5 +1,6 @@
 """Requests to plain services, whose endpoints are interchangeable."""
 
+import collections
 import typing
 
 import trio
@@ -14,9 +15,18 @@
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
 
-# Share of the time left after which an attempt of a repeatable request is
-# cancelled, so that the request can be sent to another endpoint.
-ATTEMPT_TIMEOUT_SHARE: typing.Final = 0.35
+# Share of the time left after which a repeatable request that has no answer yet
+# is sent to another endpoint as well.
+HEDGE_AFTER_SHARE: typing.Final = 0.35
+SUPERSEDED: typing.Final = 'another endpoint has answered'
+
+
+class _Result(typing.NamedTuple):
+    """How an attempt ended."""
+
+    end: forwarding.End
+    reason: str
+    reply: exchange_lib.Reply | None
 
 
 class PlainRequestHandler:
@@ -26,40 +36,118 @@
         self._exchange = exchange
         self._state = exchange.state
         self._unreached_ids: set[str] = set()
+        self._running = 0
+        self._results: collections.deque[_Result] = collections.deque()
+        self._result_added = trio.Event()
+        self._is_answered = False
+        self._reason = 'no_endpoint'
+        self._reply: exchange_lib.Reply | None = None
+        self._retry_after_s = exchange_lib.RETRY_AFTER_S
 
     async def run(self) -> None:
         """Serves the request and answers the caller."""
-        exchange = self._exchange
-        step, reason = forwarding.Step.REFUSE, 'no_endpoint'
-        reply: exchange_lib.Reply | None = None
-        retry_after_s = exchange_lib.RETRY_AFTER_S
-        while True:
-            quarantine_s = exchange.quarantine_left_s()
-            if quarantine_s:
-                step = exchange.ledger.give_up_step()
-                reason, retry_after_s = exchange_lib.QUARANTINED, quarantine_s
-                break
-            endpoint = self._choose()
-            if endpoint is None:
-                step = self._give_up_step(reply)
-                retry_after_s = exchange.retry_after_s(retry_after_s)
-                break
-            end, reason, latest_reply = await self._attempt(endpoint)
-            reply = latest_reply or reply
-            step = exchange.ledger.next_step(end, exchange.time_left_s())
-            is_repeat = end is not forwarding.End.UNREACHED
-            if (
-                step is forwarding.Step.RETRY
-                and is_repeat
-                and not exchange.try_spend_retry()
-            ):
-                step, reason = exchange.ledger.final_step(end), 'no_budget'
-            if step is not forwarding.Step.RETRY:
-                break
-        if step is forwarding.Step.PASS_ON and reply is not None:
-            await exchange.send_reply(reply)
+        async with trio.open_nursery() as nursery:
+            step = await self._run_attempts(nursery)
+            nursery.cancel_scope.cancel()
+        if step is forwarding.Step.PASS_ON and self._reply is not None:
+            await self._exchange.send_reply(self._reply)
         else:
-            await exchange.send_error(step, reason, retry_after_s)
+            await self._exchange.send_error(
+                step, self._reason, self._retry_after_s
+            )
+
+    async def _run_attempts(self, nursery: trio.Nursery) -> forwarding.Step:
+        """Runs attempts until one answers or none may be begun."""
+        step = self._begin_attempt(nursery)
+        while step is None or self._running:
+            result = await self._wait_for_result(may_hedge=step is None)
+            if result is None:
+                # A hedge: the silent attempts go on beside it.
+                step = self._begin_retry(nursery, forwarding.End.TIMED_OUT)
+                continue
+            self._reason = result.reason
+            self._reply = result.reply or self._reply
+            if result.end is forwarding.End.ANSWERED:
+                self._is_answered = True
+                return forwarding.Step.PASS_ON
+            step = self._exchange.ledger.next_step(
+                result.end, self._exchange.time_left_s()
+            )
+            if step is forwarding.Step.RETRY:
+                step = self._begin_retry(nursery, result.end)
+        return step
+
+    def _begin_retry(
+        self, nursery: trio.Nursery, end: forwarding.End
+    ) -> forwarding.Step | None:
+        """Begins another attempt if the retry budget allows one.
+
+        Args:
+            nursery: Runs the attempt.
+            end: Result of the attempt before it.
+
+        Returns:
+            `None`, or how to end the request unless an earlier attempt answers.
+        """
+        endpoint, step = self._choose_or_give_up()
+        if endpoint is None:
+            return step
+        is_repeat = end is not forwarding.End.UNREACHED
+        if is_repeat and not self._exchange.try_spend_retry():
+            self._reason = 'no_budget'
+            return self._exchange.ledger.final_step(end)
+        self._start(nursery, endpoint)
+        return None
+
+    def _begin_attempt(self, nursery: trio.Nursery) -> forwarding.Step | None:
+        endpoint, step = self._choose_or_give_up()
+        if endpoint is not None:
+            self._start(nursery, endpoint)
+        return step
+
+    def _choose_or_give_up(
+        self,
+    ) -> tuple[endpoints_lib.Endpoint | None, forwarding.Step | None]:
+        """Returns the next endpoint, or how to end the request without one."""
+        exchange = self._exchange
+        quarantine_s = exchange.quarantine_left_s()
+        if quarantine_s:
+            self._reason = exchange_lib.QUARANTINED
+            self._retry_after_s = quarantine_s
+            return None, exchange.ledger.give_up_step()
+        endpoint = self._choose()
+        if endpoint is not None:
+            return endpoint, None
+        self._retry_after_s = exchange.retry_after_s(self._retry_after_s)
+        return None, self._give_up_step(self._reply)
+
+    def _start(
+        self, nursery: trio.Nursery, endpoint: endpoints_lib.Endpoint
+    ) -> None:
+        self._state.try_take_from_limit(endpoint)
+        self._running += 1
+        nursery.start_soon(self._run_attempt, endpoint)
+
+    async def _run_attempt(self, endpoint: endpoints_lib.Endpoint) -> None:
+        self._results.append(_Result(*await self._attempt(endpoint)))
+        self._running -= 1
+        self._result_added.set()
+
+    async def _wait_for_result(self, may_hedge: bool) -> '_Result | None':
+        """Returns the next result; `None` if a hedge is due before it."""
+        exchange = self._exchange
+        route = exchange.admitted.route
+        wait_s = float('inf')
+        if may_hedge and route.may_repeat and exchange.ledger.can_send():
+            wait_s = max(
+                route.target_s, exchange.time_left_s() * HEDGE_AFTER_SHARE
+            )
+        with self._state.host_clock.move_on_after(wait_s):
+            while not self._results:
+                self._result_added = trio.Event()
+                await self._result_added.wait()
+            return self._results.popleft()
+        return None
 
     def _give_up_step(
         self, reply: exchange_lib.Reply | None
@@ -91,12 +179,9 @@
                 and not table.is_backing_off(e, now)
                 and e.endpoint_id not in excluded_ids
             ]
-        endpoint = self._state.balancer.choose(
+        return self._state.balancer.choose(
             candidates, self._state.cfg.domain, now
         )
-        if endpoint is not None:
-            self._state.try_take_from_limit(endpoint)
-        return endpoint
 
     async def _attempt(
         self, endpoint: endpoints_lib.Endpoint
@@ -115,6 +200,7 @@
         balancer.begin(endpoint.endpoint_id)
         clock = self._state.host_clock
         start = clock.now()
+        end: forwarding.End | None = None
         try:
             end, reason, reply = await self._send(conn, endpoint)
             if end in forwarding.ENDS_SHOWING_LIVENESS:
@@ -125,13 +211,15 @@
             exposure.close()
             balancer.end(endpoint.endpoint_id)
             await conn.close()
-        took_s = clock.now() - start
-        balancer.record(
-            endpoint.endpoint_id,
-            took_s,
-            end is forwarding.End.ANSWERED,
-            clocks.now(),
-        )
+            if end is not None or self._is_answered:
+                balancer.record(
+                    endpoint.endpoint_id,
+                    clock.now() - start,
+                    end is forwarding.End.ANSWERED,
+                    clocks.now(),
+                )
+            if end is None and self._is_answered:
+                exchange.log_attempt(endpoint, SUPERSEDED, 'none')
         if end is forwarding.End.BROKEN:
             await exchange.crash_detector.probe(endpoint)
         if end is not forwarding.End.ANSWERED:
@@ -145,10 +233,6 @@
     ) -> tuple[forwarding.End, str, exchange_lib.Reply | None]:
         exchange = self._exchange
         left_s = exchange.time_left_s()
-        wait_s = left_s
-        route = exchange.admitted.route
-        if route.may_repeat and exchange.ledger.can_send():
-            wait_s = max(route.target_s, left_s * ATTEMPT_TIMEOUT_SHARE)
         dispatch = edges_lib.Dispatch(
             endpoint=endpoint,
             path=None,
@@ -160,10 +244,7 @@
         codec = self._state.edges.requests
         headers = codec.make_request_headers(exchange.req.headers, dispatch)
         req = exchange.req
-        with (
-            trio.move_on_after(max(0.0, left_s)),
-            self._state.host_clock.move_on_after(wait_s),
-        ):
+        with trio.move_on_after(max(0.0, left_s)):
             try:
                 async with conn.stream(
                     req.method, req.target, headers, req.body
