Name the endpoint in reports and orders, so that no other one takes them

Cause: reports and orders went to an address, which may belong to another endpoint before the listing lapses. The expected count of orders doesn't help: it was asked for at the same address right before.

Change: both name the endpoint, as requests do, and any other one answers 421; the listing is then taken for outdated. The stand-in refuses them as well.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -24,6 +24,8 @@
 REPORT_CACHE_S: typing.Final = 0.15
 
 ACCEPTED_STATUSES: typing.Final = (200, 202)
+# The call reached another endpoint than the one that it names.
+MISDIRECTED: typing.Final = 421
 # A report names the engines that its sender waits for, some 60 bytes each.
 MAX_REPLY_BYTES: typing.Final = 256 * 1024
 
@@ -130,7 +132,7 @@
         origin = connections.Origin(
             f'http://{endpoint.address}', fail_after=clock.fail_after
         )
-        headers = []
+        headers = self._state.edges.engines.make_headers(endpoint)
         if call.body:
             headers.append((b'content-type', b'application/json'))
         try:
@@ -172,3 +174,5 @@
         ]
         facts = self._state.edges.requests.decode_answer(reply.status, headers)
         self._state.apply_answer_facts(endpoint, facts)
+        if reply.status == MISDIRECTED:
+            self._state.record_reused_address(endpoint)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -85,6 +85,10 @@
     limit_per_s: float | None = None
     malformed_header: str = ''
 
+    def is_from_another(self, endpoint: endpoints.Endpoint) -> bool:
+        """Returns whether the answer states another sender than an endpoint."""
+        return self.answered_by not in (None, endpoint.endpoint_id)
+
 
 class Report(typing.NamedTuple):
     """Status report of an endpoint.
@@ -143,6 +147,15 @@
 class EngineCodec(abc.ABC):
     """Encodes orders to engines and decodes their reports."""
 
+    @abc.abstractmethod
+    def make_headers(
+        self, endpoint: endpoints.Endpoint
+    ) -> list[tuple[bytes, bytes]]:
+        """Returns headers with which any other endpoint refuses a call.
+
+        An address may belong to another endpoint by the time of the call.
+        """
+
     @abc.abstractmethod
     def place(self, span: endpoints.Span, orders_begun: int) -> Call:
         """Returns the order to hold a range of layers.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -3,7 +3,6 @@
 import typing
 
 from sardinebend_gateway import edges as edges_lib
-from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -86,14 +85,8 @@
     if reply.is_followed:
         return forwarding.End.BROKEN, 'refusal before another answer', None
     if facts.was_not_run:
-        if facts.answered_by not in (None, endpoint.endpoint_id):
-            # Another endpoint uses the address, so the listing is outdated.
-            exchange.state.endpoints.mark_leaving(endpoint.incarnation)
-            exchange.state.audit.log(
-                events.ENDPOINT_GONE,
-                endpoint=endpoint.endpoint_id,
-                source='address in use by another endpoint',
-            )
+        if facts.is_from_another(endpoint):
+            exchange.state.record_reused_address(endpoint)
         return forwarding.End.NOT_RUN, f'status {reply.status}', reply
     if not facts.is_genuine:
         return forwarding.End.BROKEN, 'answer without a mark of origin', None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -359,7 +359,7 @@
         self, endpoint: endpoints_lib.Endpoint, facts: edges_lib.AnswerFacts
     ) -> None:
         """Applies what an answer states about the endpoint that sent it."""
-        if facts.answered_by not in (None, endpoint.endpoint_id):
+        if facts.is_from_another(endpoint):
             # The address now belongs to another endpoint.
             return
         self.record_contact(endpoint)
@@ -490,6 +490,18 @@
             endpoint.incarnation, self._limit_sharers(), clocks.now()
         )
 
+    def record_reused_address(self, endpoint: endpoints_lib.Endpoint) -> None:
+        """Records that another endpoint uses the address of a listed one.
+
+        The listing is outdated, so the endpoint gets no new work.
+        """
+        if self.endpoints.mark_leaving(endpoint.incarnation):
+            self.audit.log(
+                events.ENDPOINT_GONE,
+                endpoint=endpoint.endpoint_id,
+                source='address in use by another endpoint',
+            )
+
     def mark_leaving(self, incarnation: tuple[str, int], source: str) -> None:
         """Permanently stops new work for one incarnation of an endpoint."""
         if not self.endpoints.mark_leaving(incarnation):
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -59,6 +59,7 @@
 
     Attributes:
         backlog: Connections that may wait until they are accepted.
+        misdirected: Number of messages that named another server.
     """
 
     backlog = 16
@@ -77,6 +78,7 @@
         self.span = None
         self.port = 0
         self.dropped = 0
+        self.misdirected = 0
         self._streams = set()
         self._socket = None
 
@@ -155,6 +157,11 @@
         if req is None:
             return
         target = req.target.decode()
+        headers = {n.decode(): v.decode() for n, v in req.headers}
+        if headers.get('expect-instance', self.name) != self.name:
+            self.misdirected += 1
+            await stream.send_all(head(421, [('Instance-Id', self.name)]))
+            return
         if target == '/-/report':
             if not self.answers_reports:
                 await trio.sleep_forever()
@@ -164,7 +171,6 @@
             status = self.take_order(json.loads(body))
             await stream.send_all(head(status, []))
             return
-        headers = {n.decode(): v.decode() for n, v in req.headers}
         self.requests.append((req.method.decode(), target, headers, body))
         answer = await self.script(headers, stream)
         if answer is None:
