Keep callers that are there and only pause reading

Cause: TCP_USER_TIMEOUT of 4 s was to find callers whose machine is gone; the kernel applies it to closed windows as well.

Change: each second the host asks the kernel what nothing has answered. A caller is lost if two repetitions or probes and 4 s passed without any confirmation; one that takes nothing is given up at the configured idle limit.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
@@ -11,19 +11,65 @@
 # Idle time after which the kernel probes whether a caller is still connected.
 KEEPALIVE_IDLE_S: typing.Final = 2
 KEEPALIVE_PROBES: typing.Final = 2
-USER_TIMEOUT_MS: typing.Final = 4000
+# A caller whose machine confirms nothing for this long, although it was asked
+# again, is lost. One that pauses confirms that its window is closed.
+LOST_AFTER_S: typing.Final = 4.0
+MIN_UNANSWERED: typing.Final = 2
 LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 _COUNT: typing.Final = struct.Struct('i')
+# Linux's `struct tcp_info`: the repetitions and window probes that nothing has
+# answered, the time since the last confirmation in ms, the confirmed bytes.
+_TCP_INFO: typing.Final = struct.Struct('=2xBB52xI60xQ')
+
+
+class Delivery(typing.NamedTuple):
+    """How the kernel's sending to a caller stands.
+
+    Attributes:
+        unanswered: Repetitions and probes that nothing has answered.
+        since_answer_s: Time since the caller's machine last confirmed anything.
+        confirmed_bytes: Bytes that it has received in all.
+    """
+
+    unanswered: int
+    since_answer_s: float
+    confirmed_bytes: int
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether the caller's machine or the way to it is gone."""
+        return (
+            self.unanswered >= MIN_UNANSWERED
+            and self.since_answer_s >= LOST_AFTER_S
+        )
+
+
+def read_delivery(conn: trio.socket.SocketType) -> Delivery | None:
+    """Returns how sending stands; `None` if it is unknown."""
+    try:
+        data = conn.getsockopt(
+            socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO.size
+        )
+    except OSError:
+        # The connection has been closed.
+        return None
+    if len(data) < _TCP_INFO.size:
+        return None
+    repetitions, probes, since_ms, confirmed = _TCP_INFO.unpack(data)
+    return Delivery(repetitions + probes, since_ms / 1000, confirmed)
 
 
 def detect_lost_callers(conn: trio.socket.SocketType) -> None:
-    """Makes the kernel probe an idle caller and give up an unresponsive one."""
+    """Makes the kernel probe idle callers.
+
+    The kernel's limit for unconfirmed bytes (TCP_USER_TIMEOUT) isn't used: it
+    also ends connections of callers that are there and pause.
+    """
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
         (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-        (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
     ):
         conn.setsockopt(socket.IPPROTO_TCP, option, value)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -29,6 +29,8 @@
 # When a server closes, connections without a request in progress are kept for
 # this long: a caller may have sent one already.
 LAST_REQUEST_WAIT_S: typing.Final = 0.2
+# Interval at which callers are checked that may be gone.
+LOST_CHECK_INTERVAL_S: typing.Final = 1.0
 # After the last answer on a connection, the caller has this long to receive it
 # and to close.
 LINGER_S: typing.Final = 1.0
@@ -86,6 +88,8 @@
         self._is_idle = False
         self._log_fields: dict[str, str] = {}
         self._responder: responder_lib.Responder | None = None
+        self._confirmed_bytes = 0
+        self._taken_at = trio.current_time()
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
@@ -111,7 +115,29 @@
         finally:
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(self._stream)
-            self._server.record_connection_end()
+            self._server.record_connection_end(self)
+
+    def give_up_if_lost(self, now: float) -> None:
+        """Ends the connection if its caller is gone or takes nothing any more.
+
+        Args:
+            now: The time, by trio's clock.
+        """
+        delivery = caller_sockets.read_delivery(self._stream.socket)
+        if delivery is None:
+            return
+        has_unsent = self._responder is not None and (
+            self._responder.unsent_bytes > 0
+        )
+        if not has_unsent or delivery.confirmed_bytes != self._confirmed_bytes:
+            self._confirmed_bytes = delivery.confirmed_bytes
+            self._taken_at = now
+        is_stuck = now - self._taken_at > self._server.limits().idle_timeout_s
+        if delivery.is_lost or is_stuck:
+            # Wakes the tasks that send and receive. The connection may have
+            # been reset meanwhile.
+            with contextlib.suppress(OSError):
+                self._stream.socket.shutdown(socket.SHUT_RDWR)
 
     def _reset(self, reason: str) -> None:
         if self._responder is not None and not self._responder.is_caller_gone:
@@ -334,7 +360,7 @@
         self.handler = handler
         self.limits = limits
         self.wait_limit = wait_limit
-        self._connection_count = 0
+        self._callers: set[_CallerConnection] = set()
         self._connection_ended = trio.Event()
         self._is_closing = False
         self._idle_scopes: set[trio.CancelScope] = set()
@@ -363,20 +389,21 @@
         self._listener = listener
         self._nursery = nursery
         nursery.start_soon(self._accept, listener)
+        nursery.start_soon(self._watch_lost_callers)
 
     def begin_stop(self) -> None:
         """Makes answers tell callers to close their connections."""
         self.is_stopping = True
 
-    def record_connection_end(self) -> None:
+    def record_connection_end(self, caller: _CallerConnection) -> None:
         """Records that a connection has been closed."""
-        self._connection_count -= 1
+        self._callers.discard(caller)
         self._connection_ended.set()
         self._connection_ended = trio.Event()
 
     async def wait_closed(self) -> None:
         """Waits until all connections have been closed."""
-        while self._connection_count:
+        while self._callers:
             await self._connection_ended.wait()
 
     def close(self) -> None:
@@ -422,6 +449,13 @@
         finally:
             self._idle_scopes.remove(scope)
 
+    async def _watch_lost_callers(self) -> None:
+        while True:
+            await trio.sleep(LOST_CHECK_INTERVAL_S)
+            now = trio.current_time()
+            for caller in list(self._callers):
+                caller.give_up_if_lost(now)
+
     async def _accept(self, listener: trio.socket.SocketType) -> None:
         with self._accept_scope:
             while True:
@@ -436,6 +470,6 @@
 
     def _serve(self, conn: trio.socket.SocketType) -> None:
         assert self._nursery is not None
-        self._connection_count += 1
         caller = _CallerConnection(self, trio.SocketStream(conn))
+        self._callers.add(caller)
         self._nursery.start_soon(caller.run)
