Relay configurations compressed, by the hosts with the widest links

Cause: each change of the configuration goes, whole, from that host to all that follow it, some 25. The host was chosen by a hash, whatever its link. On one of 10 Mbit/s some 60 KB for each of them take about a second, and all that the host sends meanwhile waits behind them.

Change: the hosts state the capacity of their link in their row, and those with the widest ones read and relay. Values over 4 KB are sent compressed to hosts that read that; each is compressed once.

Tests that failed before: test_hosts_with_the_widest_links_answer_the_others, test_a_large_configuration_is_relayed_compressed.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -53,6 +53,7 @@
         state: The state that its components share.
         members: The hosts of the fleet.
         supervisor: Runs the background tasks.
+        relay_server: Answers peers; set once `run` has begun.
     """
 
     def __init__(
@@ -96,6 +97,7 @@
             'domain': cfg.domain,
             'incarnation': self.incarnation,
             'is_leaving': False,
+            'link_mbps': cfg.link_mbps,
         }
         self.members = members.Members(self.state, row)
         self._shared = follower_lib.Follower(
@@ -178,8 +180,10 @@
         }
         for follower in followers.values():
             follower.peers = client
-        server = relay.RelayServer(self.state, followers, self._catalog)
-        nursery.start_soon(server.run, self._addresses.relay)
+        self.relay_server = relay.RelayServer(
+            self.state, followers, self._catalog
+        )
+        nursery.start_soon(self.relay_server.run, self._addresses.relay)
         return client
 
     def begin_stop(self) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/members.py
@@ -36,6 +36,7 @@
         self._rows: dict[str, shared_table.HostRow] = {}
         self._live_names: set[str] = set()
         self._domains: dict[str, str] = {}
+        self._links_mbps: dict[str, float] = {}
         self._own_row_lost = trio.Event()
         self.liveness = liveness_lib.Liveness(state.rng)
 
@@ -95,9 +96,13 @@
         cfg = self._state.cfg
         domains = {name: row['domain'] for name, row in live.items()}
         domains[cfg.name] = cfg.domain
-        if domains != self._domains:
-            self._domains = domains
-            self._apply_role(readers.choose_role(cfg.name, domains))
+        links_mbps = {
+            name: row.get('link_mbps', 0.0) for name, row in live.items()
+        }
+        links_mbps[cfg.name] = cfg.link_mbps
+        if (domains, links_mbps) != (self._domains, self._links_mbps):
+            self._domains, self._links_mbps = domains, links_mbps
+            self._apply_role(readers.choose_role(cfg.name, domains, links_mbps))
 
     def _apply_role(self, role: readers.Role) -> None:
         if role != self._state.role:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -18,6 +18,7 @@
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_gateway import state as state_lib
 from sardinebend_gateway import watch
+from sardinebend_peers import compression
 from sardinebend_peers import errors as peer_errors
 from sardinebend_peers import links
 from sardinebend_peers import messages
@@ -39,6 +40,9 @@
 STARTUP_S: typing.Final = 3.0
 # Smaller answers aren't logged.
 MIN_LOGGED_BYTES: typing.Final = 4096
+# Smaller values fit a few packets as they are. Few rows are larger: that of the
+# configuration, above all.
+MIN_COMPRESSED_BYTES: typing.Final = 4096
 # Peers that a host which starts asks at a time, and how long it waits for the
 # others after the first of them has stated a version.
 ASKED_PEERS: typing.Final = 3
@@ -56,8 +60,10 @@
     ) -> None:
         self._state = state
         self._followers = followers
+        # Version and compressed value of large rows, by table and key.
+        self._compressed: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._catalog = catalog
-        self._server = links.PeerServer(self._answer, SECRET)
+        self._server = links.PeerServer(self.answer, SECRET)
         state.count_unsent_bytes = self._server.count_unsent_bytes
 
     async def run(self, address: settings_lib.Address) -> None:
@@ -65,7 +71,8 @@
         listeners = await trio.open_tcp_listeners(address.port, host=address.ip)
         await self._server.serve(listeners[0])
 
-    async def _answer(self, message: messages.Message) -> messages.Message:
+    async def answer(self, message: messages.Message) -> messages.Message:
+        """Returns the reply to a message of a peer."""
         if not isinstance(message, messages.FeedQuestion):
             return messages.Ack()
         follower = self._followers.get(message.table)
@@ -78,7 +85,10 @@
             await follower.wait_for_newer(after)
         era = feeds.era_of(follower.version)
         is_whole = after < 0 or feeds.era_of(after) != era
-        rows = follower.rows_since(-1 if is_whole else after)
+        rows = tuple(
+            self._make_row(message.table, row, message.may_compress)
+            for row in follower.rows_since(-1 if is_whole else after)
+        )
         self._record_rows(message.table, follower.version, rows)
         since_outage_s = follower.since_outage_s()
         return messages.FeedReply(
@@ -86,12 +96,7 @@
             # Rounded up: evidence must never seem fresher than it is.
             math.ceil(follower.evidence_age_s() * 1000),
             is_whole,
-            tuple(
-                messages.FeedRow(
-                    row.key, feeds.counter_of(row.version), row.value
-                )
-                for row in rows
-            ),
+            rows,
             int((clocks.now() - asked_at) * 1000),
             -1 if since_outage_s is None else int(since_outage_s * 1000),
             era,
@@ -100,8 +105,22 @@
             else None,
         )
 
+    def _make_row(
+        self, table: str, row: feeds.FeedRow, may_compress: bool
+    ) -> messages.FeedRow:
+        """Returns a row as it is sent; a large value is compressed once."""
+        version = feeds.counter_of(row.version)
+        value = row.value or b''
+        if not may_compress or len(value) < MIN_COMPRESSED_BYTES:
+            return messages.FeedRow(row.key, version, row.value)
+        cached_version, data = self._compressed.get((table, row.key), (-1, b''))
+        if cached_version != row.version:
+            data = compression.compress(value)
+            self._compressed[table, row.key] = (row.version, data)
+        return messages.FeedRow(row.key, version, data, is_compressed=True)
+
     def _record_rows(
-        self, table: str, version: int, rows: typing.Sequence[feeds.FeedRow]
+        self, table: str, version: int, rows: typing.Sequence[messages.FeedRow]
     ) -> None:
         """Counts the rows of an answer, and logs those of a large one."""
         size = sum(len(row.value or b'') for row in rows)
@@ -305,6 +324,7 @@
         feeds.counter_of(after),
         int(wait_s * 1000),
         feeds.era_of(after),
+        may_compress=True,
     )
 
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of a gateway host."""
 
 import ipaddress
+import math
 import typing
 
 from sardinebend_gateway import errors
@@ -77,6 +78,7 @@
         extra_retries: Retries allowed in addition, over all hosts.
         retry_window_s: Time window in which retries are counted.
         answer_life_s: How long callers may cache an address.
+        link_mbps: Capacity of the host's link, in Mbit/s; 0 if unknown.
     """
 
     name: str
@@ -90,6 +92,7 @@
     extra_retries: int = 50
     retry_window_s: float = 10.0
     answer_life_s: float = 1.0
+    link_mbps: float = 0.0
 
     def check(self) -> 'HostSettings':
         """Returns the settings if all values are in range.
@@ -115,6 +118,10 @@
                 raise errors.InvalidSettings(
                     f'{field}={value}; expected more than 0 and less than 3600'
                 )
+        if not 0 <= self.link_mbps < math.inf:
+            raise errors.InvalidSettings(
+                f'link_mbps={self.link_mbps}; expected 0 or more'
+            )
         if not 0 <= self.retry_ratio <= 1:
             raise errors.InvalidSettings(
                 f'retry_ratio={self.retry_ratio}; expected 0 to 1'
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -45,6 +45,8 @@
         domain: Its failure domain.
         incarnation: Changes with each start of its process.
         is_leaving: Whether a planned stop has begun.
+        link_mbps: Capacity of its link, in Mbit/s; not stated by hosts of the
+            previous release.
     """
 
     callers: str
@@ -53,6 +55,9 @@
     domain: str
     incarnation: str
     is_leaving: bool
+    link_mbps: typing.NotRequired[
+        typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e9)]
+    ]
 
 
 def encode(row: HostRow | lease_lib.LeaseRow) -> bytes:
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -9,6 +9,7 @@
 from thriftpy2.protocol import compact
 from thriftpy2.transport import memory
 
+from sardinebend_peers import compression
 from sardinebend_peers import errors
 from sardinebend_peers import messages
 from sardinebend_policy import claims
@@ -274,6 +275,7 @@
             _check_type(question.after, int),
             _check_type(question.wait_ms, int),
             _check_optional_count(question.era),
+            bool(question.may_compress),
         )
     if frame.feed_reply is not None:
         reply = frame.feed_reply
@@ -303,6 +305,8 @@
 
 def _decode_feed_row(row: typing.Any) -> messages.FeedRow:
     value = None if row.value is None else _check_type(row.value, bytes)
+    if value is not None and row.is_compressed:
+        value = compression.decompress(value)
     return messages.FeedRow(
         _check_type(row.key, str), _check_type(row.version, int), value
     )
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -189,11 +189,20 @@
 
 
 class FeedRow(typing.NamedTuple):
-    """A row of a table; `value` is `None` if the row has been removed."""
+    """A row of a table.
+
+    Attributes:
+        key: Its key.
+        version: Its version.
+        value: Its value; `None` if the row has been removed.
+        is_compressed: Whether the value is sent as `compression` returns it;
+            received ones are plain.
+    """
 
     key: str
     version: int
     value: bytes | None
+    is_compressed: bool = False
 
 
 class FeedQuestion(typing.NamedTuple):
@@ -204,12 +213,14 @@
         after: The store's counter at the version; -1 for all rows.
         wait_ms: Longest time to wait for a change.
         era: Era of the version; `None` from hosts of the previous release.
+        may_compress: Whether the sender reads compressed values.
     """
 
     table: str
     after: int
     wait_ms: int
     era: int | None = None
+    may_compress: bool = False
 
 
 class FeedReply(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -103,6 +103,7 @@
   1: string key,
   2: i64 version,
   3: optional binary value,
+  4: optional bool is_compressed,
 }
 
 struct FeedQuestion {
@@ -110,6 +111,7 @@
   2: i64 after,
   3: i32 wait_ms,
   4: optional i64 era,
+  5: optional bool may_compress,
 }
 
 struct FeedReply {
--- a/packages/sardinebend-policy/src/sardinebend_policy/readers.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/readers.py
@@ -3,7 +3,8 @@
 Each host that reads the store adds the same load to it, so only two hosts do,
 whatever the size of the fleet. In a small fleet all others ask one of them. In
 a larger one a few hosts of each failure domain ask them and relay the answers
-to the others. Hosts are chosen by rendezvous hashing.
+to the others. Hosts with the widest links are chosen, as each of them sends
+every change to all that ask it; among equal ones, by rendezvous hashing.
 """
 
 import hashlib
@@ -36,7 +37,11 @@
 DIRECT_READER: typing.Final = Role()
 
 
-def choose_role(own: str, domains: typing.Mapping[str, str]) -> Role:
+def choose_role(
+    own: str,
+    domains: typing.Mapping[str, str],
+    links_mbps: typing.Mapping[str, float] | None = None,
+) -> Role:
     """Returns a host's role among the live hosts.
 
     All hosts with the same view of the live hosts choose the same roles. When a
@@ -46,13 +51,15 @@
     Args:
         own: The host's name.
         domains: Failure domain by name of each live host, including this one.
+        links_mbps: Capacity of each host's link, in Mbit/s; 0 if unknown.
     """
     if len(domains) < MIN_HOSTS:
         return DIRECT_READER
-    sources = _choose_sources(domains)
+    links_mbps = links_mbps or {}
+    sources = _choose_sources(domains, links_mbps)
     # A host that ranks highest in the fleet does so in its domain as well, so
     # the store readers are among the sources.
-    store_readers = _highest_ranked(domains, READERS)
+    store_readers = _highest_ranked(domains, READERS, links_mbps)
     if own in store_readers:
         return Role(None, is_shared=True)
     if own in sources:
@@ -61,23 +68,32 @@
     return Role(_choose_source(own, same_domain or store_readers, domains))
 
 
-def _choose_sources(domains: typing.Mapping[str, str]) -> list[str]:
+def _choose_sources(
+    domains: typing.Mapping[str, str], links_mbps: typing.Mapping[str, float]
+) -> list[str]:
     """Returns the hosts that answer questions of others."""
     if len(domains) <= HOSTS_PER_SOURCE:
-        return _highest_ranked(domains, READERS)
+        return _highest_ranked(domains, READERS, links_mbps)
     by_domain: dict[str, list[str]] = {}
     for name, domain in domains.items():
         by_domain.setdefault(domain, []).append(name)
-    sources = set(_highest_ranked(domains, READERS))
+    sources = set(_highest_ranked(domains, READERS, links_mbps))
     for names in by_domain.values():
-        sources.update(
-            _highest_ranked(names, math.ceil(len(names) / HOSTS_PER_SOURCE))
-        )
+        count = math.ceil(len(names) / HOSTS_PER_SOURCE)
+        sources.update(_highest_ranked(names, count, links_mbps))
     return sorted(sources)
 
 
-def _highest_ranked(names: typing.Iterable[str], count: int) -> list[str]:
-    return sorted(names, key=_rank, reverse=True)[:count]
+def _highest_ranked(
+    names: typing.Iterable[str],
+    count: int,
+    links_mbps: typing.Mapping[str, float],
+) -> list[str]:
+    return sorted(
+        names,
+        key=lambda name: (links_mbps.get(name, 0.0), _rank(name)),
+        reverse=True,
+    )[:count]
 
 
 def _choose_source(
--- a/packages/sardinebend-policy/tests/cover/test_readers.py
+++ b/packages/sardinebend-policy/tests/cover/test_readers.py
@@ -84,3 +84,18 @@
     for name, role in roles.items():
         if role.reader is not None and not role.is_shared:
             assert fleet[role.reader] == fleet[name]
+
+
+# Guards against a host on a thin link that sends every change to all others, so
+# that its own requests wait behind that.
+@hypothesis.given(fleets, st.randoms(use_true_random=False))
+@hypothesis.settings(derandomize=True, deadline=None, database=None)
+def test_hosts_with_the_widest_links_answer_the_others(fleet, rng):
+    links = {name: rng.choice((0.0, 10.0, 100.0)) for name in fleet}
+    roles = {n: readers.choose_role(n, fleet, links) for n in fleet}
+    shared = {name for name, role in roles.items() if role.is_shared}
+    for name in fleet.keys() - shared:
+        reader = roles[name].reader
+        if reader is not None:
+            same_domain = fleet[name] == fleet[reader]
+            assert not same_domain or links[reader] >= links[name]
--- a/tests/cover/test_gateway_readers.py
+++ b/tests/cover/test_gateway_readers.py
@@ -1,11 +1,13 @@
 """Several hosts of a failure domain; readers read the store for the rest."""
 
 import contextlib
+import json
 
 import trio
 
 from sardinebend_gateway import follower
 from sardinebend_gateway import shared_table
+from sardinebend_peers import messages
 from sardinebend_policy import readers
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
@@ -214,3 +216,28 @@
         assert not any(
             h.gateway.placement_controller.holds_lease for h in chosen
         )
+
+
+# Guards against a reader whose link is full of the configuration that it relays
+# to all that follow it, so that everything else it sends waits.
+async def test_a_large_configuration_is_relayed_compressed(clock):
+    async with fleet() as hosts:
+        chosen, others = split(hosts)
+        config = world_lib.make_config(2)
+        route = config['routes'][0]
+        config['routes'] += [
+            {**route, 'name': f'r-{n}', 'prefix': f'/r-{n}/'}
+            for n in range(1000)
+        ]
+        size = len(json.dumps(config))
+        await others[0].put_config(config)
+        await wait_for_version(hosts, 2)
+        sent = [
+            host.gateway.state.metrics.read('relayed_bytes', table='op')
+            for host in chosen
+        ]
+        assert sum(sent) < 0.1 * size * len(others)
+        # Hosts of the previous release don't read compressed values.
+        question = messages.FeedQuestion('op', -1, 0)
+        reply = await chosen[0].gateway.relay_server.answer(question)
+        assert [len(row.value) for row in reply.rows] == [size]
