Doubt no endpoints when so many are silent that the host's own link is to blame

Cause: a connect that times out was taken for the endpoint's fault even while connects to endpoints of all domains timed out: "what I send waits" was taken for "nobody answers".

Change: a host believes the time-outs of two endpoints within a second; from the third on they only end the attempt to connect. An answer of an endpoint takes it out of the count.

Test that failed before: test_a_host_to_which_all_are_silent_does_not_doubt_them_all.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -34,7 +34,8 @@
         LISTENS: Its process runs, whatever it does with requests.
         REFUSED: Its machine refuses the connection: no process listens.
         UNREACHABLE: No answer; the machine or the network path to it is down.
-        UNKNOWN: No answer, but this host was held up meanwhile.
+        UNKNOWN: No answer, but this host was held up meanwhile, or so many
+            endpoints are silent that its own link is the likely cause.
     """
 
     LISTENS = 'listens'
@@ -136,9 +137,7 @@
         Only a refused connection shows a crash. A connection that is reset may
         have failed on the way, and a time-out may be caused by the network.
         """
-        outcome = await self._probe_cached(endpoint.address)
-        if outcome is ProbeResult.UNREACHABLE:
-            self._state.silences.record(endpoint.endpoint_id, clocks.now())
+        outcome = await self._probe_cached(endpoint)
         if outcome is ProbeResult.REFUSED:
             if not self._state.endpoints.is_unhealthy(endpoint, clocks.now()):
                 self._state.mark_unhealthy(
@@ -169,7 +168,7 @@
             exc: The failure.
             since: When the attempt to connect began, by `trio.current_time`.
         """
-        outcome = self._classify(exc, since)
+        outcome = self._classify(endpoint, exc, since)
         self.record_probe(endpoint, outcome)
         return outcome
 
@@ -179,8 +178,6 @@
         """Records what another call to an endpoint has shown."""
         if outcome is ProbeResult.UNKNOWN:
             return
-        if outcome is ProbeResult.UNREACHABLE:
-            self._state.silences.record(endpoint.endpoint_id, clocks.now())
         self._probes[endpoint.address] = (clocks.now(), outcome)
         self._record_unreachable(endpoint, outcome)
 
@@ -235,7 +232,10 @@
             endpoint, 'no longer listed', only_finished_attempts=True
         )
 
-    async def _probe_cached(self, address: str) -> ProbeResult:
+    async def _probe_cached(
+        self, endpoint: endpoints_lib.Endpoint
+    ) -> ProbeResult:
+        address = endpoint.address
         while address in self._in_progress:
             await self._in_progress[address].wait()
         at, outcome = self._probes.get(
@@ -245,35 +245,42 @@
             return outcome
         self._in_progress[address] = trio.Event()
         try:
-            outcome = await self._probe_new(address)
+            outcome = await self._probe_new(endpoint)
             self._probes[address] = (clocks.now(), outcome)
         finally:
             self._in_progress.pop(address).set()
         return outcome
 
-    async def _probe_new(self, address: str) -> ProbeResult:
-        """Returns the result of a new connection to an address."""
+    async def _probe_new(self, endpoint: endpoints_lib.Endpoint) -> ProbeResult:
+        """Returns the result of a new connection to an endpoint."""
         clock = self._state.host_clock
         origin = connections.Origin(
-            f'http://{address}', fail_after=clock.fail_after
+            f'http://{endpoint.address}', fail_after=clock.fail_after
         )
         started_at = trio.current_time()
         try:
             conn = await origin.connect(PROBE_TIMEOUT_S)
         except store_errors.ConnectFailed as exc:
-            return self._classify(exc, started_at)
+            return self._classify(endpoint, exc, started_at)
         await conn.close()
         return ProbeResult.LISTENS
 
     def _classify(
-        self, exc: store_errors.ConnectFailed, since: float
+        self,
+        endpoint: endpoints_lib.Endpoint,
+        exc: store_errors.ConnectFailed,
+        since: float,
     ) -> ProbeResult:
         """Returns what a failure to connect shows."""
         if exc.refused:
             return ProbeResult.REFUSED
-        if self._state.host_clock.was_on_time_since(since):
-            return ProbeResult.UNREACHABLE
-        return ProbeResult.UNKNOWN
+        if not self._state.host_clock.was_on_time_since(since):
+            return ProbeResult.UNKNOWN
+        now = clocks.now()
+        self._state.silences.record(endpoint.endpoint_id, now)
+        if self._state.silences.is_own_fault_likely(now):
+            return ProbeResult.UNKNOWN
+        return ProbeResult.UNREACHABLE
 
 
 def _shorten(names: typing.Iterable[str]) -> list[str]:
--- a/packages/sardinebend-policy/src/sardinebend_policy/silences.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/silences.py
@@ -7,6 +7,10 @@
 
 # Time-outs that are older say nothing about the present.
 WINDOW_S: typing.Final = 1.0
+# If more endpoints than this are silent at the same moment, the cause is rather
+# on the host's own side. If it isn't, few requests are lost: those that meet
+# such an endpoint try another one.
+MAX_SILENT: typing.Final = 2
 
 
 class Silences:
@@ -23,6 +27,10 @@
         """Records that an endpoint has answered."""
         self._silent_at.pop(endpoint_id, None)
 
+    def is_own_fault_likely(self, now: float) -> bool:
+        """Returns whether the host's own link is the likely cause."""
+        return self.count(now) > MAX_SILENT
+
     def count(self, now: float) -> int:
         """Returns how many endpoints were silent within `WINDOW_S`."""
         self._silent_at = {
--- a/tests/cover/test_gateway_silent_servers.py
+++ b/tests/cover/test_gateway_silent_servers.py
@@ -202,3 +202,28 @@
         world.nursery.start_soon(list_full_servers)
         status, _, body, is_complete = await world.ask(deadline_ms='1900')
     assert (status, body, is_complete) == (200, b'found', True)
+
+
+# Guards against a host whose own link is busy, and which makes itself and all
+# others avoid one sound engine after the other.
+async def test_a_host_to_which_all_are_silent_does_not_doubt_them_all(
+    clock, monkeypatch
+):
+    servers = make_engines(*[stream_events] * 6)
+    blocked = set()
+    silent_servers.block_connects(monkeypatch, blocked)
+    answers = {}
+    async with world_lib.running(*servers) as world:
+        await trio.sleep(1.5)
+        blocked |= {server.address for server in servers}
+        async with trio.open_nursery() as nursery:
+            for number in range(12):
+                nursery.start_soon(ask, world, answers, number)
+        state = world.gateway.state
+        usable = state.endpoints.list_usable('llm', trio.current_time())
+        assert len(usable) >= 4
+        assert len(state.unreachable.recent(trio.current_time())) <= 2
+        blocked.clear()
+        answers.clear()
+        await ask(world, answers, 0)
+    assert_all_whole(answers, 1)
