Ask an engine that refuses a stream only after a pause again

Change: a first engine that refuses a request is left out for it for 0.1 s, twice as long after each further refusal. A refusal that names another engine of the path doesn't count.

Test that failed before: test_a_refused_stream_leaves_the_retry_budget_to_others.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -17,6 +17,19 @@
 # another path has to end sooner.
 RESUME_WAIT_S: typing.Final = 1.2
 POLL_S: typing.Final = 0.02
+# An engine that has refused a request isn't asked again by it for this long,
+# twice as long after each further refusal.
+REFUSAL_PAUSE_S: typing.Final = 0.1
+
+
+class _Refusals(typing.NamedTuple):
+    """How often a first engine has refused a request, and until when it pauses.
+
+    `until` is by trio's clock.
+    """
+
+    times: int
+    until: float
 
 
 class PathChooser:
@@ -31,11 +44,24 @@
         self.excluded_ids: set[str] = set()
         self._exchange = exchange
         self._state = exchange.state
+        self._refusals: dict[str, _Refusals] = {}
         admitted = exchange.admitted
         self.tokens = (
             admitted.facts.prompt_tokens + admitted.expected_answer_tokens
         )
 
+    def record_refusal(self, endpoint_id: str) -> None:
+        """Records that a first engine has refused the request.
+
+        Each refusal takes a retry from the budget of all requests, so the
+        engine isn't asked again at once.
+        """
+        last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
+        pause_s = REFUSAL_PAUSE_S * 2**last.times
+        self._refusals[endpoint_id] = _Refusals(
+            last.times + 1, trio.current_time() + pause_s
+        )
+
     async def choose(self) -> paths_lib.Path | None:
         """Returns a path with free capacity, or `None` after a short wait."""
         exchange = self._exchange
@@ -159,6 +185,11 @@
 
     def _search(self, excluded_ids: set[str]) -> paths_lib.Path | None:
         service = self._exchange.admitted.service
+        now = trio.current_time()
+        pausing_ids = {
+            name for name, r in self._refusals.items() if r.until > now
+        }
+        excluded_ids = excluded_ids | pausing_ids
         if not service.has_layers:
             return self._find_single_endpoint(excluded_ids)
         assert service.engine is not None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -213,6 +213,8 @@
         self._paths.excluded_ids |= progress.failed_ids
         if end is not forwarding.End.NOT_RUN:
             self._paths.excluded_ids.add(first.endpoint_id)
+        elif not progress.failed_ids:
+            self._paths.record_refusal(first.endpoint_id)
         self._exchange.log_attempt(first, progress.reason, end.value)
         if (
             end is forwarding.End.BROKEN
--- a/tests/cover/test_gateway_silent_servers.py
+++ b/tests/cover/test_gateway_silent_servers.py
@@ -227,3 +227,14 @@
         answers.clear()
         await ask(world, answers, 0)
     assert_all_whole(answers, 1)
+
+
+# Guards against a request that spends the retry budget of all on an engine that
+# refuses it again and again.
+async def test_a_refused_stream_leaves_the_retry_budget_to_others(clock):
+    servers = make_engines(refuse)
+    answers = {}
+    async with world_lib.running(*servers, extra_retries=50) as world:
+        await ask(world, answers, 0)
+    assert answers[0][0] == 503
+    assert len(servers[0].requests) <= 2
