--- a/packages/sardinebend-admin/src/sardinebend_admin/explain.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/explain.py
@@ -29,6 +29,7 @@
     'prompt_part_quarantined',
     'store_era_changed',
     'store_lost',
+    'stream_stalled',
 )
 # Lines on the end of a host, the causes of a request that it cut. They are
 # looked for on that host from the beginning of its stop until a little after
