Let a late reply of a peer cost only its own call

A call that wasn't answered in time closed the connection and failed all other calls on it; a reader on a thin link lost its half-sent configurations and sent them again.

Change: after a silence the next call opens a new connection; calls that wait on the old one still get their answers, and it is closed with the last of them.

Test that failed before: test_a_late_reply_of_a_peer_does_not_end_the_other_calls.

--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -1,8 +1,9 @@
 """Connections between entry hosts: framing, authentication, calls.
 
-Each host opens one connection to each peer that it calls. A call that isn't
-answered in time closes the connection: a device between the two ends may have
-dropped the connection's state, and a new connection may work.
+Each host opens one connection to each peer that it calls. After a call that
+isn't answered in time, and nothing else either, the next one opens a new
+connection: a device between the two ends may have dropped the old one's state.
+Calls that wait for their answer on the old one still get it.
 """
 
 import collections.abc
@@ -200,6 +201,7 @@
     def __init__(self) -> None:
         self.done = trio.Event()
         self.reply: messages.Message | None = None
+        self.frames: FrameStream | None = None
 
 
 class PeerLink:
@@ -220,6 +222,7 @@
         self._pending_calls: dict[int, _PendingCall] = {}
         self._next_id = 0
         self._connect_lock = trio.Lock()
+        self._received_at = float('-inf')
 
     async def call(
         self, message: messages.Message, timeout_s: float
@@ -233,11 +236,14 @@
         self._next_id += 1
         call_id = self._next_id
         self._pending_calls[call_id] = call
+        began_at = trio.current_time()
+        is_sent = False
         try:
             with trio.fail_after(timeout_s):
-                frames = await self._get_frames()
+                call.frames = await self._get_frames()
                 envelope = codec.Envelope(call_id, False, message)
-                await frames.send(codec.encode(envelope))
+                await call.frames.send(codec.encode(envelope))
+                is_sent = True
                 await call.done.wait()
         except (
             errors.PeerError,
@@ -246,11 +252,15 @@
             trio.ClosedResourceError,
             OSError,
         ) as exc:
-            await self.close()
             text = f'{self._address}: {type(exc).__name__}: {exc}'
             raise errors.PeerUnreachable(text) from exc
         finally:
             del self._pending_calls[call_id]
+            is_silent = call.reply is None and self._received_at < began_at
+            is_replaced = call.frames is not self._frames
+            # A part of a frame may have been sent.
+            if call.frames and (is_silent or not is_sent or is_replaced):
+                await self._replace(call.frames)
         if call.reply is None:
             raise errors.PeerUnreachable(f'{self._address}: connection closed')
         return call.reply
@@ -264,6 +274,18 @@
         for call in self._pending_calls.values():
             call.done.set()
 
+    async def _replace(self, frames: FrameStream) -> None:
+        """Lets the next call open a new connection.
+
+        The old one is closed with its last call.
+        """
+        if self._frames is frames:
+            self._frames = None
+        calls = self._pending_calls.values()
+        if not any(call.frames is frames for call in calls):
+            with trio.CancelScope(shield=True):
+                await frames.close()
+
     async def _get_frames(self) -> FrameStream:
         async with self._connect_lock:
             if self._frames is None:
@@ -296,6 +318,7 @@
         try:
             while True:
                 envelope = codec.decode(await frames.receive())
+                self._received_at = trio.current_time()
                 call = self._pending_calls.get(envelope.call_id)
                 if call is not None and envelope.is_reply:
                     call.reply = envelope.message
@@ -305,5 +328,8 @@
             trio.BrokenResourceError,
             trio.ClosedResourceError,
         ):
-            if self._frames is frames:
-                await self.close()
+            # The connection has failed, and so have its calls.
+            for call in self._pending_calls.values():
+                if call.frames is frames:
+                    call.done.set()
+            await self._replace(frames)
