Suspect the host's own link only if no connect succeeds

When three or more endpoints were really cut off, the later ones were never doubted, and each new stream tried them one after the other, 0.3 s each. Besides, the window mixed two clocks.

Change: the host's own link is suspected if more than two endpoints are silent and no connect that began since has succeeded; all times are by trio's clock.

Tests that failed before: test_streams_begin_in_time_while_some_engines_are_cut_off, test_a_connect_that_succeeds_meanwhile_shows_that_the_host_is_sound.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -262,6 +262,7 @@
             conn = await origin.connect(PROBE_TIMEOUT_S)
         except store_errors.ConnectFailed as exc:
             return self._classify(endpoint, exc, started_at)
+        self._state.silences.record_success(started_at)
         await conn.close()
         return ProbeResult.LISTENS
 
@@ -276,8 +277,8 @@
             return ProbeResult.REFUSED
         if not self._state.host_clock.was_on_time_since(since):
             return ProbeResult.UNKNOWN
-        now = clocks.now()
-        self._state.silences.record(endpoint.endpoint_id, now)
+        now = trio.current_time()
+        self._state.silences.record(endpoint.endpoint_id, since, now)
         if self._state.silences.is_own_fault_likely(now):
             return ProbeResult.UNKNOWN
         return ProbeResult.UNREACHABLE
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -134,7 +134,7 @@
         started_at = trio.current_time()
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.01, self.time_left_s()))
         try:
-            return await origin.connect(timeout_s)
+            conn = await origin.connect(timeout_s)
         except store_errors.ConnectFailed as exc:
             self.log_attempt(endpoint, f'connect: {exc}', 'other endpoint')
             outcome = self.crash_detector.record_failure_to_connect(
@@ -147,6 +147,8 @@
             elif outcome is crashes.ProbeResult.UNREACHABLE:
                 self.state.record_silence(endpoint, 'connect timed out')
             return None
+        self.state.silences.record_success(started_at)
+        return conn
 
     def is_answered_by(self, facts: edges_lib.AnswerFacts) -> bool:
         """Returns whether an answer belongs to this request.
