Keep silences apart from other doubts, and prefer a silent engine to none

A silence during a short doubt of another cause lasted for 4 s whatever the endpoint answered. And after a silence of all holders of a layer, streams were refused for 4 s though the engines were back, since nobody asked them.

Change: each kind of doubt has its own end. If no path is left without them, engines that were only silent are used.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -71,6 +71,7 @@
         with trio.move_on_after(wait_s):
             while True:
                 path = self._search(self.excluded_ids)
+                path = path or self._search_among_silent()
                 if path is not None:
                     self._state.try_take_from_limit(path[0].endpoint)
                     self._count_crossings(path)
@@ -185,11 +186,7 @@
 
     def _search(self, excluded_ids: set[str]) -> paths_lib.Path | None:
         service = self._exchange.admitted.service
-        now = trio.current_time()
-        pausing_ids = {
-            name for name, r in self._refusals.items() if r.until > now
-        }
-        excluded_ids = excluded_ids | pausing_ids
+        excluded_ids = excluded_ids | self._list_pausing()
         if not service.has_layers:
             return self._find_single_endpoint(excluded_ids)
         assert service.engine is not None
@@ -204,6 +201,31 @@
             avoid_first=self._state.list_over_limit(service.name),
         )
 
+    def _search_among_silent(self) -> paths_lib.Path | None:
+        """Returns a path over engines that get nothing new for a silence.
+
+        They may have ended it meanwhile: a silent engine is better than none.
+        """
+        state = self._state
+        service = self._exchange.admitted.service
+        now = clocks.now()
+        usable = state.endpoints.list_usable_or_silent(service.name, now)
+        has_silent = any(state.endpoints.is_silent(e, now) for e in usable)
+        if not has_silent or service.engine is None or self._is_connected():
+            return None
+        if not service.has_layers:
+            return None
+        finder = paths_lib.PathFinder(service.engine, usable, state.loads())
+        return finder.find(
+            self.tokens,
+            avoid=self.excluded_ids | self._list_pausing(),
+            avoid_first=state.list_over_limit(service.name),
+        )
+
+    def _list_pausing(self) -> set[str]:
+        now = trio.current_time()
+        return {name for name, r in self._refusals.items() if r.until > now}
+
     def _find_single_endpoint(
         self, excluded_ids: typing.Collection[str]
     ) -> paths_lib.Path | None:
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -81,16 +81,12 @@
 
 
 class _Cooldown(typing.NamedTuple):
-    """Time during which an unhealthy endpoint gets no new work.
-
-    If it was only silent (`is_silent`), an answer after `began_at` ends it.
-    """
+    """Time during which an unhealthy endpoint gets no new work."""
 
+    began_at: float
     until: float
     duration_s: float
     reason: str
-    began_at: float
-    is_silent: bool
 
 
 class _Contact(typing.NamedTuple):
@@ -111,6 +107,7 @@
         self._endpoints: dict[str, Endpoint] = {}
         self._leaving: dict[tuple[str, int], bool] = {}
         self._cooldowns: dict[tuple[str, int], _Cooldown] = {}
+        self._silences: dict[tuple[str, int], _Cooldown] = {}
         self._backoffs: dict[tuple[str, int], float] = {}
         self._contacts: dict[str, _Contact] = {}
         self.revision = 0
@@ -166,12 +163,20 @@
 
     def list_usable(self, service: str, now: float) -> list[Endpoint]:
         """Returns a service's endpoints that may get new work."""
+        return [
+            e
+            for e in self.list_usable_or_silent(service, now)
+            if not self.is_silent(e, now)
+        ]
+
+    def list_usable_or_silent(self, service: str, now: float) -> list[Endpoint]:
+        """Returns those that may get new work, or would but for a silence."""
         return [
             e
             for e in self._endpoints.values()
             if e.service == service
             and not e.is_draining
-            and not self.is_unhealthy(e, now)
+            and not self._is_cooling_down(e, now)
             and not self.is_backing_off(e, now)
         ]
 
@@ -208,18 +213,14 @@
             The cooldown that is left, in seconds.
         """
         self._contacts.pop(endpoint.endpoint_id, None)
-        last = self._cooldowns.get(endpoint.incarnation)
+        # Each kind has an end of its own, so that neither hides the other.
+        cooldowns = self._silences if is_silent else self._cooldowns
+        last = cooldowns.get(endpoint.incarnation)
         if last is not None and last.until > now:
-            is_longer = now + first_cooldown_s > last.until
-            # A silence must not make another cause forgotten.
-            if is_longer or (last.is_silent and not is_silent):
+            if now + first_cooldown_s > last.until:
                 # Stronger evidence extends the current cooldown.
-                self._cooldowns[endpoint.incarnation] = _Cooldown(
-                    max(now + first_cooldown_s, last.until),
-                    last.duration_s,
-                    reason,
-                    now,
-                    is_silent and last.is_silent,
+                cooldowns[endpoint.incarnation] = _Cooldown(
+                    now, now + first_cooldown_s, last.duration_s, reason
                 )
                 self.revision += 1
             return max(first_cooldown_s, last.until - now)
@@ -228,16 +229,17 @@
             duration_s = max(
                 duration_s, min(MAX_COOLDOWN_S, last.duration_s * 2)
             )
-        self._cooldowns[endpoint.incarnation] = _Cooldown(
-            now + duration_s, duration_s, reason, now, is_silent
+        cooldowns[endpoint.incarnation] = _Cooldown(
+            now, now + duration_s, duration_s, reason
         )
         self.revision += 1
         return duration_s
 
     def mark_healthy(self, endpoint: Endpoint) -> None:
-        """Ends the cooldown of an endpoint that has served a request."""
-        if self._cooldowns.pop(endpoint.incarnation, None) is not None:
-            self.revision += 1
+        """Ends the cooldowns of an endpoint that has served a request."""
+        for cooldowns in (self._cooldowns, self._silences):
+            if cooldowns.pop(endpoint.incarnation, None) is not None:
+                self.revision += 1
 
     def record_contact(self, endpoint: Endpoint, at: float) -> None:
         """Records that an endpoint has answered this host.
@@ -254,13 +256,10 @@
         last = self._contacts.get(endpoint.endpoint_id)
         if last is None or last.born != endpoint.born or last.at < at:
             self._contacts[endpoint.endpoint_id] = _Contact(endpoint.born, at)
-        cooldown = self._cooldowns.get(endpoint.incarnation)
-        if (
-            cooldown is not None
-            and cooldown.is_silent
-            and cooldown.began_at <= at < cooldown.until
-        ):
-            self.mark_healthy(endpoint)
+        silence = self._silences.get(endpoint.incarnation)
+        if silence is not None and silence.began_at <= at:
+            del self._silences[endpoint.incarnation]
+            self.revision += 1
 
     def has_recent_contact(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint has just answered, undoubted since."""
@@ -302,5 +301,15 @@
 
     def is_unhealthy(self, endpoint: Endpoint, now: float) -> bool:
         """Returns whether an endpoint is unhealthy, that is, cooling down."""
+        return self._is_cooling_down(endpoint, now) or self.is_silent(
+            endpoint, now
+        )
+
+    def _is_cooling_down(self, endpoint: Endpoint, now: float) -> bool:
         cooldown = self._cooldowns.get(endpoint.incarnation)
         return cooldown is not None and cooldown.until > now
+
+    def is_silent(self, endpoint: Endpoint, now: float) -> bool:
+        """Returns whether an endpoint is cooling down for a silence."""
+        silence = self._silences.get(endpoint.incarnation)
+        return silence is not None and silence.until > now
