Count a lookup's attempts that are still connecting

Cause: whether a hedge is allowed was asked when the wait for it began. The first attempt was connecting then, and the ledger knows only of those that are sent.

Change: no hedge or retry begins while an attempt connects, and the ledger is asked when the wait is over.

Tests that failed before: test_hedges_keep_to_the_attempts_of_the_route, test_a_request_that_still_connects_gets_no_unpaid_hedge.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -18,6 +18,8 @@
 # Share of the time left after which a repeatable request that has no answer yet
 # is sent to another endpoint as well.
 HEDGE_AFTER_SHARE: typing.Final = 0.35
+# Interval at which a hedge that is due waits for an attempt to connect.
+CONNECT_POLL_S: typing.Final = 0.02
 SUPERSEDED: typing.Final = 'another endpoint has answered'
 
 
@@ -36,6 +38,8 @@
         self._exchange = exchange
         self._state = exchange.state
         self._unreached_ids: set[str] = set()
+        # Endpoints to which an attempt is connecting; it isn't sent yet.
+        self._connecting_ids: set[str] = set()
         self._running = 0
         self._results: collections.deque[_Result] = collections.deque()
         self._result_added = trio.Event()
@@ -74,7 +78,10 @@
                 result.end, self._exchange.time_left_s()
             )
             if step is forwarding.Step.RETRY:
-                step = self._begin_retry(nursery, result.end)
+                # An attempt that is connecting is the retry.
+                step = None
+                if not self._connecting_ids:
+                    step = self._begin_retry(nursery, result.end)
         return step
 
     def _begin_retry(
@@ -126,6 +133,7 @@
     ) -> None:
         self._state.try_take_from_limit(endpoint)
         self._running += 1
+        self._connecting_ids.add(endpoint.endpoint_id)
         nursery.start_soon(self._run_attempt, endpoint)
 
     async def _run_attempt(self, endpoint: endpoints_lib.Endpoint) -> None:
@@ -142,12 +150,19 @@
             wait_s = max(
                 route.target_s, exchange.time_left_s() * HEDGE_AFTER_SHARE
             )
-        with self._state.host_clock.move_on_after(wait_s):
-            while not self._results:
-                self._result_added = trio.Event()
-                await self._result_added.wait()
-            return self._results.popleft()
-        return None
+        while True:
+            with self._state.host_clock.move_on_after(wait_s):
+                while not self._results:
+                    self._result_added = trio.Event()
+                    await self._result_added.wait()
+                return self._results.popleft()
+            if self._connecting_ids:
+                # The ledger doesn't know of an attempt before it is sent.
+                wait_s = CONNECT_POLL_S
+            elif exchange.ledger.can_send():
+                return None
+            else:
+                wait_s = float('inf')
 
     def _give_up_step(
         self, reply: exchange_lib.Reply | None
@@ -187,7 +202,10 @@
         self, endpoint: endpoints_lib.Endpoint
     ) -> tuple[forwarding.End, str, exchange_lib.Reply | None]:
         exchange = self._exchange
-        conn = await exchange.connect(endpoint)
+        try:
+            conn = await exchange.connect(endpoint)
+        finally:
+            self._connecting_ids.discard(endpoint.endpoint_id)
         if conn is None or not exchange.may_send(endpoint):
             self._unreached_ids.add(endpoint.endpoint_id)
             if conn is not None:
