End a hedged stream once, with all of its events

While a caller didn't take the end of its answer a hedge could begin and end it a second time, which reset the connection. Events without an id that a hedge had sent were dropped if the end came next.

Change: an answer that has its end gets no hedge, and its flush counts as waiting for the caller; held events are sent before the end.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -1,5 +1,7 @@
 """One attempt of a stream: forwards complete events in order."""
 
+import collections.abc
+import contextlib
 import typing
 
 import trio
@@ -216,9 +218,12 @@
             return
         if not self._take_lead():
             return
+        if self._held_events:
+            await self._write(b''.join(e.data for e in self._held_events))
         self._end = forwarding.End.ANSWERED
         self._exchange.ending.record_answered('200')
-        await self._exchange.out.finish()
+        with self._waiting_for_caller():
+            await self._exchange.out.finish()
         self._state.endpoints.mark_healthy(self.first_endpoint)
 
     async def _forward_events_of_leader(
@@ -231,7 +236,8 @@
             headers = self._state.edges.requests.make_answer_headers(
                 response.headers
             )
-            await out.start(200, headers)
+            with self._waiting_for_caller():
+                await out.start(200, headers)
             self._state.metrics.record_time(
                 'first_event', self._exchange.took_s()
             )
@@ -282,8 +288,14 @@
             last = event.event_id
 
     async def _write(self, data: bytes) -> None:
+        with self._waiting_for_caller():
+            await self._exchange.out.write(data)
+
+    @contextlib.contextmanager
+    def _waiting_for_caller(self) -> collections.abc.Iterator[None]:
+        """Marks that the caller, not the engine, holds the stream up."""
         self._progress.is_waiting_for_caller = True
         try:
-            await self._exchange.out.write(data)
+            yield
         finally:
             self._progress.is_waiting_for_caller = False
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -78,6 +78,8 @@
 
     def take_lead(self, attempt: object, resume_after: bytes | None) -> bool:
         """See `Rivals.take_lead`."""
+        if self._exchange.out.is_ended:
+            return False
         if self._position.leader is not attempt:
             if self._position.last_id != resume_after:
                 return False
@@ -93,7 +95,8 @@
 
     def find_hedge_path(self, path: paths_lib.Path) -> paths_lib.Path | None:
         """See `Rivals.find_hedge_path`."""
-        if len(self._running) + self._opening_hedges >= MAX_AT_ONCE:
+        is_full = len(self._running) + self._opening_hedges >= MAX_AT_ONCE
+        if is_full or self._exchange.out.is_ended:
             return None
         return self._paths.find_hedge(path, self._refused_ids)
 
@@ -111,7 +114,10 @@
             if conn is None:
                 self._refused_ids.add(first_id)
                 return
-            is_outdated = self._position.last_id != resume_after
+            is_outdated = (
+                self._exchange.out.is_ended
+                or self._position.last_id != resume_after
+            )
             if is_outdated or not self._paths.try_take_hedge(path):
                 await conn.close()
                 return
@@ -208,7 +214,7 @@
         first = attempt.first_endpoint
         if self._running:
             # The remaining attempt goes on with the stream.
-            (self._position.leader,) = self._running
+            self._position.leader = next(iter(self._running))
             self._refused_ids.add(first.endpoint_id)
         self._paths.excluded_ids |= progress.failed_ids
         if end is not forwarding.End.NOT_RUN:
