Count no silence towards an event without an end

An engine that fell silent within an event was taken for one that sends an endless event, and its stream was ended.

Change: only the time in which bytes of the event arrive counts.

Test that failed before: test_a_stream_outlives_a_silence_within_an_event[False].

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -46,6 +46,7 @@
         self.longest_wait_s = 0.0
         self.has_received_event = False
         self.partial_event_since: float | None = None
+        self._partial_event_at = self.last_progress_at
         self.is_waiting_for_caller = False
         self.failed_ids: set[str] = set()
         self.reason = ''
@@ -65,14 +66,19 @@
         """Records how many bytes of an incomplete event are buffered."""
         if not partial_event_bytes:
             self.partial_event_since = None
-        elif self.partial_event_since is None:
-            self.partial_event_since = self._clock.now()
+            return
+        self._partial_event_at = self._clock.now()
+        if self.partial_event_since is None:
+            self.partial_event_since = self._partial_event_at
 
     def partial_event_s(self) -> float:
-        """Returns the age of the incomplete event; 0 if there is none."""
+        """Returns for how long bytes of an incomplete event have arrived.
+
+        A silence after them doesn't count. 0 if there are none.
+        """
         if self.partial_event_since is None:
             return 0.0
-        return self._clock.now() - self.partial_event_since
+        return self._partial_event_at - self.partial_event_since
 
     def record_event(self) -> None:
         """Records a received event.
