Tell an unanswered report from one that this host couldn't ask for

All engines were doubted for reports while the host's own link was busy; an answer that wasn't a report counted as silence; and a 421 to a report, whoever sent it, marked the engine as leaving for good.

Change: a missing report has a reason: silent, unknown or invalid. Only silence withholds new work. A 421 shows another endpoint only if it names one.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -1,7 +1,9 @@
 """Calls that the gateway itself makes to endpoints: reports and orders."""
 
+import enum
 import typing
 
+import result
 import trio
 
 from sardinebend_gateway import clocks
@@ -30,6 +32,24 @@
 MAX_REPLY_BYTES: typing.Final = 256 * 1024
 
 
+class NoReport(enum.Enum):
+    """Why there is no report of an endpoint.
+
+    Attributes:
+        SILENT: It didn't answer in time, or its connection failed.
+        UNKNOWN: This host's own delay or link is the likely cause, or the
+            endpoint has asked for a pause.
+        INVALID: It answered, but not with a report.
+    """
+
+    SILENT = 'silent'
+    UNKNOWN = 'unknown'
+    INVALID = 'invalid'
+
+
+ReportResult = result.Result[edges_lib.Report, NoReport]
+
+
 class EngineCalls:
     """Requests reports from endpoints and sends orders to them."""
 
@@ -38,15 +58,11 @@
     ) -> None:
         self._state = state
         self._crash_detector = crash_detector
-        self._cached_reports: dict[
-            str, tuple[float, edges_lib.Report | None]
-        ] = {}
+        self._cached_reports: dict[str, tuple[float, ReportResult]] = {}
         self._pending_reports: dict[str, trio.Event] = {}
 
-    async def report(
-        self, endpoint: endpoints_lib.Endpoint
-    ) -> edges_lib.Report | None:
-        """Returns an endpoint's report, or `None` if it doesn't answer.
+    async def report(self, endpoint: endpoints_lib.Endpoint) -> ReportResult:
+        """Returns an endpoint's report, or why there is none.
 
         A new connection is always used, because an unresponsive connection
         doesn't show that the endpoint has failed.
@@ -54,11 +70,9 @@
         name = endpoint.endpoint_id
         while name in self._pending_reports:
             await self._pending_reports[name].wait()
-        received_at, report = self._cached_reports.get(
-            name, (state_lib.NEVER, None)
-        )
-        if clocks.now() - received_at < REPORT_CACHE_S:
-            return report
+        cached = self._cached_reports.get(name)
+        if cached is not None and clocks.now() - cached[0] < REPORT_CACHE_S:
+            return cached[1]
         self._pending_reports[name] = trio.Event()
         try:
             report = await self._fetch_report(endpoint)
@@ -69,18 +83,20 @@
 
     async def _fetch_report(
         self, endpoint: endpoints_lib.Endpoint
-    ) -> edges_lib.Report | None:
+    ) -> ReportResult:
         codec = self._state.edges.engines
-        reply = await self._call(endpoint, codec.report(), REPORT_TIMEOUT_S)
-        if reply is None or reply.status != 200:
-            return None
+        answer = await self._call(endpoint, codec.report(), REPORT_TIMEOUT_S)
+        if isinstance(answer, result.Err):
+            return answer
+        if answer.ok_value.status != 200:
+            return result.Err(NoReport.INVALID)
         try:
-            return codec.decode_report(reply.body)
+            return result.Ok(codec.decode_report(answer.ok_value.body))
         except errors.Malformed as exc:
             row_guard.log_skipped(
                 self._state, 'report', endpoint.endpoint_id, str(exc)
             )
-            return None
+            return result.Err(NoReport.INVALID)
 
     async def place(
         self, endpoint: endpoints_lib.Endpoint, span: endpoints_lib.Span
@@ -95,14 +111,15 @@
             wasn't answered.
         """
         codec = self._state.edges.engines
-        report = await self.report(endpoint)
-        if report is None or report.is_busy:
+        answer = await self.report(endpoint)
+        if isinstance(answer, result.Err) or answer.ok_value.is_busy:
             return None
+        report = answer.ok_value
         if not self._state.is_usable(endpoint):
             return None
         call = codec.place(span, report.orders_begun)
         reply = await self._call(endpoint, call, ORDER_TIMEOUT_S)
-        status = reply.status if reply else None
+        status = reply.ok_value.status if isinstance(reply, result.Ok) else None
         self._state.audit.log(
             events.ORDER_SENT,
             endpoint=endpoint.endpoint_id,
@@ -117,16 +134,17 @@
     ) -> connections.Reply | None:
         """Orders a request's first endpoint to continue it along a path."""
         call = self._state.edges.engines.repath(request_id, path)
-        return await self._call(path[0].endpoint, call, REPORT_TIMEOUT_S)
+        reply = await self._call(path[0].endpoint, call, REPORT_TIMEOUT_S)
+        return reply.ok()
 
     async def _call(
         self,
         endpoint: endpoints_lib.Endpoint,
         call: edges_lib.Call,
         timeout_s: float,
-    ) -> connections.Reply | None:
+    ) -> result.Result[connections.Reply, NoReport]:
         if self._state.endpoints.is_backing_off(endpoint, clocks.now()):
-            return None
+            return result.Err(NoReport.UNKNOWN)
         clock = self._state.host_clock
         started_at = trio.current_time()
         origin = connections.Origin(
@@ -146,11 +164,13 @@
                 max_bytes=MAX_REPLY_BYTES,
             )
         except store_errors.ConnectFailed as exc:
-            self._crash_detector.record_failure_to_connect(
+            outcome = self._crash_detector.record_failure_to_connect(
                 endpoint, exc, started_at
             )
             self._state.metrics.count('endpoint_calls_unconnected')
-            return None
+            return result.Err(
+                NoReport.SILENT if outcome.shows_failure else NoReport.UNKNOWN
+            )
         except store_errors.PlatformError:
             self._crash_detector.record_probe(
                 endpoint, crashes.ProbeResult.LISTENS
@@ -158,10 +178,13 @@
             # A missing answer isn't an error here: what it means depends on the
             # caller of this method.
             self._state.metrics.count('endpoint_calls_unanswered')
-            return None
+            is_on_time = clock.was_on_time_since(started_at)
+            return result.Err(
+                NoReport.SILENT if is_on_time else NoReport.UNKNOWN
+            )
         else:
             self._apply_answer_facts(endpoint, reply)
-            return reply
+            return result.Ok(reply)
         finally:
             await origin.close()
 
@@ -174,5 +197,5 @@
         ]
         facts = self._state.edges.requests.decode_answer(reply.status, headers)
         self._state.apply_answer_facts(endpoint, facts)
-        if reply.status == MISDIRECTED:
+        if reply.status == MISDIRECTED and facts.is_from_another(endpoint):
             self._state.record_reused_address(endpoint)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -9,6 +9,7 @@
 import enum
 import typing
 
+import result
 import trio
 
 from sardinebend_gateway import calls as calls_lib
@@ -156,26 +157,30 @@
             if self._state.endpoints.is_unhealthy(p.endpoint, clocks.now())
         }
         if not failed_ids:
-            asked_at = trio.current_time()
-            report = await self._calls.report(self._progress.path[0].endpoint)
-            if report is None:
-                self._evidence = 'no answer to a report request'
-                if not self._state.host_clock.was_on_time_since(asked_at):
-                    return StallAction.WAIT
-                self._state.record_silence(
-                    self._progress.path[0].endpoint, 'report request unanswered'
-                )
-                return self._begin_hedge()
-            failed_ids = await self._mark_stalled_parts(report)
+            answer = await self._calls.report(first.endpoint)
+            if isinstance(answer, result.Err):
+                return self._handle_missing_report(answer.err_value, idle_s)
+            failed_ids = await self._mark_stalled_parts(answer.ok_value)
             self._evidence = 'report of the first engine'
         else:
             self._evidence = 'engine doubted before'
         if not failed_ids:
             self._evidence = UNEXPLAINED
             return self._handle_unexplained_stall(idle_s)
-        self._progress.failed_ids |= failed_ids
         return await self._repair(failed_ids)
 
+    def _handle_missing_report(
+        self, reason: calls_lib.NoReport, idle_s: float
+    ) -> StallAction:
+        first = self._progress.path[0].endpoint
+        if reason is calls_lib.NoReport.INVALID:
+            return self._handle_unexplained_stall(idle_s)
+        self._evidence = 'no answer to a report request'
+        if reason is calls_lib.NoReport.UNKNOWN:
+            return StallAction.WAIT
+        self._state.record_silence(first, 'report request unanswered')
+        return self._begin_hedge()
+
     def _handle_unexplained_stall(self, idle_s: float) -> StallAction:
         progress = self._progress
         first = progress.path[0].endpoint
