Let a silent attempt of a draft go on unless its successor is certain

A stream is probed 0.5 s after its last token. A probe without an answer within 1 s ended the attempt, even if a token had arrived meanwhile. So did a probe that was answered: an engine that goes on after a silence answers it before it sends the next token. Budget, attempt and route of the successor were looked at after the attempt had been closed, the route only after the backoff.

Evidence: with stand-ins that are silent for 0.6, 0.9, 1.3 and 1.6 s, the only attempt ended in all of them, also where no other was allowed.

Change: a silent attempt is ended only after 2 s, and only if the session then has a route, an attempt and a retry for the next one; it waits on otherwise, to the request's deadline. A refused connection, another incarnation or a broken connection still end an attempt at once.

Why it works: the decision and the taking of route, attempt and retry are one step of the session, and silence alone leads to no other end.

--- a/packages/sardinebend-policy/src/sardinebend_policy/attempts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/attempts.py
@@ -64,9 +64,20 @@
         run_id = f'{self._request.request_id}/{self.number}'
         return quarantine_lib.Run(self._request.fingerprint, run_id)
 
-    def open(self, now: float) -> routes.PipelineRoute | None:
-        """Starts an attempt; returns its route, or `None` if there is none."""
-        route = self._choose(now)
+    def find_route(self, now: float) -> routes.PipelineRoute | None:
+        """Returns a route for the next attempt, or `None` if there is none."""
+        return self._choose(now)
+
+    def open(
+        self, now: float, route: routes.PipelineRoute | None = None
+    ) -> routes.PipelineRoute | None:
+        """Starts an attempt; returns its route, or `None` if there is none.
+
+        Args:
+            now: Current time.
+            route: A route that `find_route` has just returned, if any.
+        """
+        route = route or self._choose(now)
         if route is None:
             return None
         self.number += 1
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -10,6 +10,8 @@
   produced it.
 * The outcome is `NotRun` only if certainly no endpoint ran any part of the
   request: none received it, or each that did states that it ran nothing.
+* Silence alone ends an attempt only if the route, the attempt and the retry of
+  its successor are certain.
 * No action follows `End`.
 """
 
@@ -139,10 +141,12 @@
         self._retry_after_s = until - now
         return True
 
-    def _start_attempt(self, now: float) -> list[msg.Action]:
+    def _start_attempt(
+        self, now: float, route: routes.PipelineRoute | None = None
+    ) -> list[msg.Action]:
         if now >= self.request.deadline:
             return self._end_without_answer(outcomes.Reason.DEADLINE)
-        route = self._attempts.open(now)
+        route = self._attempts.open(now, route)
         if route is None:
             self._retry_after_s = NO_ROUTE_RETRY_S
             return self._end_without_answer(outcomes.Reason.NO_ROUTE)
@@ -189,6 +193,7 @@
         if not self._attempts.is_usable(now):
             return self._fail_attempt(now)
         self._state = _State.STREAMING
+        self._is_probing_stall = False
         self._attempts.may_have_run.add(self.attempt)
         order = msg.SendOrder(
             self.attempt,
@@ -293,21 +298,15 @@
     def _on_probed(self, event: msg.Probed, now: float) -> list[msg.Action]:
         if self._state is _State.PREFLIGHT:
             return self._on_preflight_probed(event, now)
-        if self._state is _State.STREAMING and not event.dead:
-            if not self._is_probing_stall:
-                # A token arrived while the stages were being probed, so the
-                # stream isn't stalled.
-                return []
-            check_at = self._watch.on_probes_answered(now)
-            if check_at is not None:
-                return [msg.SetTimer(msg.Timer('stall'), check_at)]
         if self._state not in (_State.STREAMING, _State.PROBING):
             return []
+        crashed = [item for item in event.dead if item.crashed]
+        dead = [item.endpoint_id for item in event.dead]
+        if self._state is _State.STREAMING and not crashed:
+            return self._on_silence_probed(dead, now)
         # If no endpoint is dead, only the connection failed, and no endpoint
         # is marked unhealthy.
-        dead = [item.endpoint_id for item in event.dead]
         self._attempts.mark_dead(dead, now)
-        crashed = [item for item in event.dead if item.crashed]
         if not crashed:
             return self._fail_attempt(now)
         # One attempt counts as one crash, however many of its stages crashed:
@@ -327,6 +326,40 @@
             msg.SetTimer(msg.Timer('notify'), notify_until),
         ]
 
+    def _on_silence_probed(
+        self, silent: list[str], now: float
+    ) -> list[msg.Action]:
+        """Handles probes of a silent stream that show no crash."""
+        if not self._is_probing_stall:
+            # A token arrived while the stages were being probed, so the
+            # stream isn't stalled.
+            return []
+        self._attempts.mark_dead(silent, now)
+        if silent:
+            check_at = self._watch.on_probes_unanswered(now)
+        else:
+            check_at = self._watch.on_probes_answered(now)
+        if check_at is None or check_at >= self.request.deadline:
+            return self._move(now)
+        return [msg.SetTimer(msg.Timer('stall'), check_at)]
+
+    def _move(self, now: float) -> list[msg.Action]:
+        """Continues a silent stream elsewhere, or waits if that can fail."""
+        if len(self._delivered) == self.request.max_tokens:
+            return self._answer(now)
+        route = None
+        if self._attempts.counted_attempts < self._cfg.max_attempts:
+            route = self._attempts.find_route(now)
+        budget = self._shared.budgets.get(self.request.customer)
+        if (
+            route is None
+            or self._is_quarantined(now)
+            or not budget.try_spend(now)
+        ):
+            check_at = self._watch.wait_on(now)
+            return [msg.SetTimer(msg.Timer('stall'), check_at)]
+        return [*self._close_attempt(), *self._start_attempt(now, route)]
+
     def _on_crashes_reported(
         self, event: msg.CrashesReported, now: float
     ) -> list[msg.Action]:
@@ -376,7 +409,10 @@
         if name == 'deadline':
             return self._end_without_answer(outcomes.Reason.DEADLINE)
         if name == 'stall' and self._state is _State.STREAMING:
+            if self._is_probing_stall and self._watch.is_over(now):
+                return self._move(now)
             self._is_probing_stall = True
+            self._watch.on_probe(now)
             return self._probe()
         if name == 'notify' and self._state is _State.NOTIFYING:
             return self._continue_after_crash(now)
--- a/packages/sardinebend-policy/src/sardinebend_policy/stream_watch.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/stream_watch.py
@@ -6,6 +6,10 @@
 
 # Multiple of the floor between tokens that is the floor for the first token.
 FIRST_TOKEN_FLOOR_FACTOR: typing.Final = 2.0
+# A sound endpoint may be silent for a second or so and then go on.
+SILENCE_S: typing.Final = 2.0
+# Time between two probes of a stream that can't be moved elsewhere.
+WAIT_S: typing.Final = 0.5
 
 
 class Gaps(typing.NamedTuple):
@@ -38,6 +42,7 @@
         self._began_at = 0.0
         self._last_at: float | None = None
         self._probes = 0
+        self._silent_since: float | None = None
 
     @property
     def has_token(self) -> bool:
@@ -49,6 +54,7 @@
         self._began_at = now
         self._last_at = None
         self._probes = 0
+        self._silent_since = None
         return self._next_first_token_probe(now)
 
     def on_token(self, now: float) -> float:
@@ -58,21 +64,53 @@
         else:
             self._gaps.between.record(now - self._last_at)
         self._last_at = now
+        self._silent_since = None
         bound_s = self._gaps.between.bound_s(self._floor_s, self._ceiling_s)
         return now + bound_s
 
+    def on_probe(self, now: float) -> None:
+        """Records that a probe of all stages begins."""
+        if self._silent_since is None:
+            self._silent_since = now if self._last_at is None else self._last_at
+
     def on_probes_answered(self, now: float) -> float | None:
         """Records that all stages have answered a probe.
 
         Returns:
-            When to probe again, or `None` if the wait is over: the stages are
+            When to check again, or `None` if the wait is over: the stages are
             live, so the connection must have failed.
         """
-        if self.has_token or now - self._began_at >= self._first_s:
+        if self.has_token:
+            # The probe may have been answered just before the next token.
+            return self.on_probes_unanswered(now)
+        self._silent_since = None
+        if now - self._began_at >= self._first_s:
             return None
         self._probes += 1
         return self._next_first_token_probe(now)
 
+    def on_probes_unanswered(self, now: float) -> float | None:
+        """Records that a stage hasn't answered a probe.
+
+        Returns:
+            When to check again, or `None` if the wait is over.
+        """
+        return None if self.is_over(now) else self._silent_until()
+
+    def is_over(self, now: float) -> bool:
+        """Returns whether a stage has been silent for too long."""
+        return now >= self._silent_until()
+
+    def wait_on(self, now: float) -> float:
+        """Returns when to probe a stream that can't be moved elsewhere."""
+        self._silent_since = None
+        return now + WAIT_S
+
+    def _silent_until(self) -> float:
+        if self._silent_since is None:
+            return float('inf')
+        return self._silent_since + min(SILENCE_S, self._ceiling_s)
+
     def _next_first_token_probe(self, now: float) -> float:
         """Returns when to probe next: a wait that doubles, up to the limit."""
         floor_s = self._floor_s * FIRST_TOKEN_FLOOR_FACTOR
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from sardinebend_policy import attempts
 from sardinebend_policy import draft_messages as msg
@@ -398,3 +399,110 @@
     session.handle(msg.Chunk(1, 1, 't'), 0.75)
     assert session.handle(msg.Probed(1, ()), 0.8) == []
     assert session.attempt == 1
+
+
+# Silent endpoints.
+
+
+def advance_to_silence(session, now):
+    """Lets a stream stall half a second after its first token."""
+    advance_to_streaming(session, now)
+    session.handle(msg.Chunk(1, 0, 't'), now)
+    [probe] = session.handle(msg.TimerDue(msg.Timer('stall')), now + 0.5)
+    assert isinstance(probe, msg.ProbeStages)
+
+
+def get_silent(session):
+    """Returns the first stage of a session's route, as one that is silent."""
+    return (msg.DeadEndpoint(session.route.endpoint_ids[0], 'i', False),)
+
+
+def run_until(session, until, now, silent=()):
+    """Runs the stall timer until a time; each probe takes a second."""
+    actions = []
+    while now < until:
+        due = session.handle(msg.TimerDue(msg.Timer('stall')), now)
+        actions += due
+        if any(isinstance(action, msg.ProbeStages) for action in due):
+            now += 1.0
+            due = session.handle(msg.Probed(session.attempt, silent), now)
+            actions += due
+        timers = [a for a in due if isinstance(a, msg.SetTimer)]
+        if not timers:
+            break
+        now = timers[-1].at
+    return actions
+
+
+# Guards against streams that end because a sound server is silent for a second.
+def test_a_stage_that_is_silent_for_a_second_or_so_keeps_its_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    silent = get_silent(session)
+    [timer] = session.handle(msg.Probed(1, silent), 1.5)
+    assert timer.at > 1.6
+    [deliver, _] = session.handle(msg.Chunk(1, 1, 't'), 1.6)
+    assert deliver == msg.Deliver(1, 't')
+
+
+# Guards against streams that end because a server that was silent answers the
+# probe before it sends the next token.
+def test_an_answer_to_a_probe_just_before_the_next_token_ends_no_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    [timer] = session.handle(msg.Probed(1, ()), 0.9)
+    assert timer.at > 1.6
+    [deliver, _] = session.handle(msg.Chunk(1, 1, 't'), 0.91)
+    assert deliver == msg.Deliver(1, 't')
+
+
+# Guards against streams that end while their tokens arrive.
+def test_a_token_that_arrives_during_an_unanswered_probe_keeps_its_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    session.handle(msg.Chunk(1, 1, 't'), 1.4)
+    assert session.handle(msg.Probed(1, get_silent(session)), 1.5) == []
+    assert session.attempt == 1
+
+
+# Guards against attempts that end before the first token though they were
+# silent only for the time of one probe.
+def test_an_attempt_without_a_token_outlasts_one_unanswered_probe():
+    session = make_session()
+    advance_to_streaming(session)
+    session.handle(msg.TimerDue(msg.Timer('stall')), 1.0)
+    [timer] = session.handle(msg.Probed(1, get_silent(session)), 2.0)
+    assert timer.at > 2.6
+    [deliver, _] = session.handle(msg.Chunk(1, 0, 't'), 2.6)
+    assert deliver == msg.Deliver(0, 't')
+
+
+# Guards against silent attempts that end though nothing can succeed them.
+@pytest.mark.parametrize('lack', ['budget', 'route', 'attempt'])
+def test_a_silent_stream_without_a_successor_goes_on(lack):
+    shared = make_shared_state(budget_floor=0 if lack == 'budget' else 10)
+    if lack == 'route':
+        for name in ('e0a', 'e0b', 'e0c'):
+            shared.fleet.mark_leaving(name, 'i')
+    session = make_session(shared, max_attempts=1 if lack == 'attempt' else 3)
+    if lack == 'route':
+        shared.fleet.record_incarnation('e0a', 'i2')
+    advance_to_silence(session, 0.0)
+    [timer] = session.handle(msg.Probed(1, get_silent(session)), 1.5)
+    actions = run_until(session, 9.0, timer.at, get_silent(session))
+    assert not any(isinstance(a, msg.CloseAttempt | msg.End) for a in actions)
+    for index in range(1, MAX_TOKENS):
+        session.handle(msg.Chunk(1, index, 't'), 9.5)
+    session.handle(msg.Finished(1, MAX_TOKENS), 9.6)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_stream_that_stays_silent_is_continued_elsewhere():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    [silent] = get_silent(session)
+    [timer] = session.handle(msg.Probed(1, (silent,)), 1.5)
+    actions = session.handle(msg.TimerDue(timer.timer), timer.at)
+    probes = [a for a in actions if isinstance(a, msg.ProbeStages)]
+    assert [probe.attempt for probe in probes] == [2]
+    assert silent.endpoint_id not in probes[0].endpoint_ids
--- a/packages/sardinebend-router/tests/cover/test_drafting.py
+++ b/packages/sardinebend-router/tests/cover/test_drafting.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 import trio
 
 from sardinebend_policy import draft_messages as msg
@@ -19,6 +20,7 @@
 SPEC = routes.ModelSpec('tide', '1', LAYERS)
 REQUEST = msg.DraftRequest('r', 'vanua', 'f', SPEC, 'p', 4, 100.0)
 SUSPICION_WAIT_S = 0.5
+TOKEN_S = 0.02
 
 
 class CrashingPipeline(engines.OpenPipeline):
@@ -118,3 +120,78 @@
     outcome = await run_crashing_draft(peers)
     assert outcome.reason is outcomes.Reason.QUARANTINED
     assert (peers.reported, peers.answered) == (2, 2)
+
+
+class SuspendedEngines(engines.PipelineDriver):
+    """Engines that all are suspended at once, and then go on."""
+
+    def __init__(self, from_s, until_s):
+        self._from_s = from_s
+        self._until_s = until_s
+        self.orders = 0
+
+    async def wait_while_suspended(self):
+        if self._from_s <= trio.current_time() < self._until_s:
+            await trio.sleep_until(self._until_s)
+
+    async def connect(self, route, timeout_s):
+        return SuspendedPipeline(self)
+
+    async def probe(self, endpoint_id, timeout_s):
+        with trio.move_on_after(timeout_s):
+            await self.wait_while_suspended()
+            return {'incarnation': ''}
+        return platform_errors.ExchangeFailed('TooSlowError')
+
+    async def cancel(self, endpoint_id, request_id, attempt):
+        return True
+
+    async def _unused(self, *args):
+        raise NotImplementedError
+
+    fetch_load = order = _unused
+
+    async def close(self):
+        pass
+
+
+class SuspendedPipeline(engines.OpenPipeline):
+    """A connection to engines that are suspended and go on."""
+
+    def __init__(self, driver):
+        self._driver = driver
+
+    async def run(self, order, post):
+        self._driver.orders += 1
+        attempt = order.send.attempt
+        for index in range(order.send.start_index, REQUEST.max_tokens):
+            # A server that goes on answers a probe before the next token.
+            await self._driver.wait_while_suspended()
+            await trio.sleep(TOKEN_S)
+            post(msg.Chunk(attempt, index, 't'))
+        post(msg.Finished(attempt, REQUEST.max_tokens))
+
+    async def close(self):
+        pass
+
+
+# Guards against answers that end early while sound engines are silent, whether
+# or not another attempt is allowed.
+@pytest.mark.parametrize('max_attempts', [1, 3])
+@pytest.mark.parametrize('silent_s', [0.6, 0.9, 1.3, 1.6])
+@pytest.mark.parametrize('from_s', [0.01, 0.05])
+async def test_a_draft_at_engines_that_fall_silent_and_go_on_is_answered(
+    from_s, silent_s, max_attempts, autojump_clock
+):
+    state = make_state()
+    start = trio.current_time()
+    driver = SuspendedEngines(start + from_s, start + from_s + silent_s)
+    cfg = msg.DraftConfig(max_attempts=max_attempts)
+    request = REQUEST._replace(deadline=start + REQUEST.deadline)
+    session = drafts.DraftSession(request, cfg, state.drafts)
+    runner = drafting.DraftSessionRunner(
+        session, state, driver, Peers().report, (1.0, 1.0)
+    )
+    await runner.run(msg.Started())
+    assert runner.answer.outcome == outcomes.Answered(tokens=REQUEST.max_tokens)
+    assert driver.orders == 1
