Let a silent attempt of a draft go on beside its successor

Cause: a session ran one attempt at a time, so a silent one was closed before its successor had accepted the order, and a second retry was needed if that one failed.

Change: the successor is probed, connected and sent its order beside the silent attempt. The first of the two that delivers a token goes on alone; the other is closed and cancelled. A retry taken for a successor that was sent nothing serves the next one. A successor takes the first one's place if that breaks, or if neither delivers a token for draft.first_token_s. Silence withholds new work from an engine until it answers a probe, and no longer for the whole request. A crash under a successor is recorded and reported; while a crash of the first attempt is probed and reported, the events of its successor wait.

The test of random orders of events also starts from each step towards a second attempt.

Why it works: an attempt ends only by its own connection, a crash, the deadline, the caller, or a successor that has delivered a token or been waited for longer than a silence lasts.

--- a/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/draft_messages.py
@@ -47,7 +47,7 @@
 class Timer(typing.NamedTuple):
     """A timer of the session; setting it again replaces it."""
 
-    name: typing.Literal['stall', 'retry', 'notify', 'deadline']
+    name: typing.Literal['stall', 'hedge', 'retry', 'notify', 'deadline']
 
 
 # Events.
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -10,8 +10,8 @@
   produced it.
 * The outcome is `NotRun` only if certainly no endpoint ran any part of the
   request: none received it, or each that did states that it ran nothing.
-* Silence alone ends an attempt only if the route, the attempt and the retry of
-  its successor are certain.
+* A silent attempt goes on beside a second one, the hedge, until one of them
+  delivers a token or the hedge has waited for its first one for too long.
 * No action follows `End`.
 """
 
@@ -19,6 +19,7 @@
 import typing
 
 from sardinebend_policy import attempts
+from sardinebend_policy import draft_hedges
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import errors
 from sardinebend_policy import outcomes
@@ -45,6 +46,14 @@
     ENDED = enum.auto()
 
 
+_STATES: typing.Final = {
+    draft_hedges.HedgeState.PREFLIGHT: _State.PREFLIGHT,
+    draft_hedges.HedgeState.CONNECTING: _State.CONNECTING,
+    draft_hedges.HedgeState.STREAMING: _State.STREAMING,
+    draft_hedges.HedgeState.PROBING: _State.PROBING,
+}
+
+
 class DraftSession:
     """Runs one draft, a streamed model answer, to its one outcome.
 
@@ -69,6 +78,11 @@
         self._shared = shared
         self._state = _State.IDLE
         self._attempts = attempts.Attempts(request, cfg.failure_domain, shared)
+        self._hedge = draft_hedges.Hedge(
+            request, self._attempts, cfg.first_token_s
+        )
+        self._has_retry = False
+        self._deferred: list[msg.Event] = []
         self._crashes: tuple[quarantine.Crash, ...] = ()
         self._delivered: list[str] = []
         self._failed_preflights = 0
@@ -116,6 +130,9 @@
         """Handles an event and returns the actions to perform."""
         if self._state is _State.ENDED:
             return []
+        hedge = self._attempts.hedge
+        if hedge and getattr(event, 'attempt', 0) == hedge.number:
+            return self._on_hedge_event(event, now)
         stale = getattr(event, 'attempt', self.attempt) != self.attempt
         if stale:
             return []
@@ -141,12 +158,12 @@
         self._retry_after_s = until - now
         return True
 
-    def _start_attempt(
-        self, now: float, route: routes.PipelineRoute | None = None
-    ) -> list[msg.Action]:
+    def _start_attempt(self, now: float) -> list[msg.Action]:
         if now >= self.request.deadline:
             return self._end_without_answer(outcomes.Reason.DEADLINE)
-        route = self._attempts.open(now, route)
+        if self._hedge.is_running:
+            return self._lead_with_hedge(now)
+        route = self._attempts.open(now)
         if route is None:
             self._retry_after_s = NO_ROUTE_RETRY_S
             return self._end_without_answer(outcomes.Reason.NO_ROUTE)
@@ -261,6 +278,7 @@
         self._is_probing_stall = False
         check_at = self._watch.on_token(now)
         return [
+            *self._drop_hedge(),
             msg.Deliver(event.token_index, event.text),
             msg.SetTimer(msg.Timer('stall'), check_at),
         ]
@@ -334,32 +352,15 @@
             # A token arrived while the stages were being probed, so the
             # stream isn't stalled.
             return []
-        self._attempts.mark_dead(silent, now)
+        self._attempts.mark_silent(silent, now)
         if silent:
             check_at = self._watch.on_probes_unanswered(now)
         else:
             check_at = self._watch.on_probes_answered(now)
         if check_at is None or check_at >= self.request.deadline:
-            return self._move(now)
+            return self._begin_hedge(now)
         return [msg.SetTimer(msg.Timer('stall'), check_at)]
 
-    def _move(self, now: float) -> list[msg.Action]:
-        """Continues a silent stream elsewhere, or waits if that can fail."""
-        if len(self._delivered) == self.request.max_tokens:
-            return self._answer(now)
-        route = None
-        if self._attempts.counted_attempts < self._cfg.max_attempts:
-            route = self._attempts.find_route(now)
-        budget = self._shared.budgets.get(self.request.customer)
-        if (
-            route is None
-            or self._is_quarantined(now)
-            or not budget.try_spend(now)
-        ):
-            check_at = self._watch.wait_on(now)
-            return [msg.SetTimer(msg.Timer('stall'), check_at)]
-        return [*self._close_attempt(), *self._start_attempt(now, route)]
-
     def _on_crashes_reported(
         self, event: msg.CrashesReported, now: float
     ) -> list[msg.Action]:
@@ -383,13 +384,15 @@
             # All requested tokens were delivered; only the final marker is
             # missing, so the answer is complete.
             return self._answer(now)
+        if self._hedge.is_running:
+            return self._lead_with_hedge(now)
         if self._attempts.counted_attempts >= self._cfg.max_attempts:
             return self._end_without_answer(reason)
         if self._is_quarantined(now):
             return self._end_without_answer(outcomes.Reason.QUARANTINED)
-        budget = self._shared.budgets.get(self.request.customer)
-        if not budget.try_spend(now):
+        if not self._take_retry(now):
             return self._end_without_answer(outcomes.Reason.RETRY_BUDGET)
+        self._has_retry = False
         if self._attempts.counted_attempts <= 1:
             # The first retry has no backoff, because any delay here lengthens
             # every recovery; the retry budget bounds the number of such
@@ -408,9 +411,12 @@
         name = event.timer.name
         if name == 'deadline':
             return self._end_without_answer(outcomes.Reason.DEADLINE)
+        if self._hedge.is_running and self._state is _State.STREAMING:
+            is_due = name == 'hedge' and self._hedge.is_overdue(now)
+            return self._lead_with_hedge(now) if is_due else []
         if name == 'stall' and self._state is _State.STREAMING:
             if self._is_probing_stall and self._watch.is_over(now):
-                return self._move(now)
+                return self._begin_hedge(now)
             self._is_probing_stall = True
             self._watch.on_probe(now)
             return self._probe()
@@ -420,6 +426,77 @@
             return self._start_attempt(now)
         return []
 
+    # A second attempt beside a silent one.
+
+    def _begin_hedge(self, now: float) -> list[msg.Action]:
+        """Begins a hedge if there may be one; otherwise waits."""
+        if len(self._delivered) == self.request.max_tokens:
+            return self._answer(now)
+        if self._hedge.is_running:
+            return []
+        route = None
+        if self._attempts.counted_attempts < self._cfg.max_attempts:
+            route = self._attempts.find_route(now)
+        if (
+            route is None
+            or self._is_quarantined(now)
+            or not self._take_retry(now)
+        ):
+            check_at = self._watch.wait_on(now)
+            return [msg.SetTimer(msg.Timer('stall'), check_at)]
+        return self._hedge.begin(route)
+
+    def _take_retry(self, now: float) -> bool:
+        """Takes a retry unless one was taken for a hedge that wasn't sent."""
+        budget = self._shared.budgets.get(self.request.customer)
+        self._has_retry = self._has_retry or budget.try_spend(now)
+        return self._has_retry
+
+    def _on_hedge_event(self, event: msg.Event, now: float) -> list[msg.Action]:
+        if self._state in (_State.PROBING, _State.NOTIFYING):
+            # Evidence of a crash of the first attempt comes before anything
+            # else: the request may have caused it.
+            self._deferred.append(event)
+            return []
+        step = self._hedge.handle(event, self._delivered, now)
+        if step.verdict is draft_hedges.Verdict.GOES_ON:
+            return step.actions
+        if step.verdict is draft_hedges.Verdict.LEADS:
+            return [*self._lead_with_hedge(now), *self.handle(event, now)]
+        if step.verdict is draft_hedges.Verdict.ENDED_UNSENT:
+            return [*step.actions, *self._begin_hedge(now)]
+        self._has_retry = False
+        actions = step.actions
+        if isinstance(event, msg.Refused):
+            self._retry_after_s = event.retry_after_s
+        check_at = self._watch.wait_on(now)
+        if step.crash is not None:
+            self._crashes += (step.crash,)
+            report = msg.ReportCrashes(self.attempt, self._crashes)
+            actions = [*actions, report]
+            check_at = max(check_at, now + self._cfg.suspicion_wait_s)
+        return [*actions, msg.SetTimer(msg.Timer('stall'), check_at)]
+
+    def _lead_with_hedge(self, now: float) -> list[msg.Action]:
+        """Ends the current attempt; the hedge takes its place."""
+        actions = self._close_attempt()
+        self._has_retry = False
+        self._is_probing_stall = False
+        self._state = _STATES[self._hedge.promote()]
+        if self._state is _State.STREAMING:
+            check_at = self._watch.begin(self._hedge.sent_at)
+            actions.append(msg.SetTimer(msg.Timer('stall'), check_at))
+        deferred, self._deferred = self._deferred, []
+        for event in deferred:
+            actions += self.handle(event, now)
+        return actions
+
+    def _drop_hedge(self) -> list[msg.Action]:
+        if self._hedge.is_sent:
+            self._has_retry = False
+        self._deferred.clear()
+        return self._hedge.drop()
+
     # End of the session.
 
     def _on_caller_left(
@@ -468,7 +545,8 @@
     def _end(
         self, outcome: outcomes.Outcome, must_cancel: bool = True
     ) -> list[msg.Action]:
-        actions = self._close_attempt(must_cancel)
+        actions = self._drop_hedge()
+        actions += self._close_attempt(must_cancel)
         self._state = _State.ENDED
         self.outcome = outcome
         return [*actions, msg.End(outcome)]
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -86,18 +86,33 @@
     st.builds(msg.CrashesReported, ATTEMPTS),
     st.builds(
         lambda name: msg.TimerDue(msg.Timer(name)),
-        st.sampled_from(['stall', 'retry', 'notify', 'deadline']),
+        st.sampled_from(['stall', 'hedge', 'retry', 'notify', 'deadline']),
     ),
     st.just(msg.CallerLeft()),
     st.just(msg.HostStopping()),
 )
+# Events, each with the time before it, after which a second attempt has been
+# sent beside the first one, which is silent.
+TO_HEDGE = (
+    (msg.Connected(1), 0.0),
+    (msg.Chunk(1, 0, 't'), 0.0),
+    (msg.TimerDue(msg.Timer('stall')), 0.5),
+    (msg.Probed(1, ()), 1.0),
+    (msg.TimerDue(msg.Timer('stall')), 0.5),
+    (msg.Probed(2, ()), 0.1),
+    (msg.Connected(2), 0.1),
+)
 
 
 @hypothesis.settings(
     derandomize=True, max_examples=600, deadline=None, database=None
 )
-@hypothesis.given(st.lists(st.tuples(EVENTS, st.floats(0, 20)), max_size=30))
-def test_invariants_hold_for_any_order_of_events(timed_events):
+@hypothesis.given(
+    st.lists(st.tuples(EVENTS, st.floats(0, 20)), max_size=30),
+    st.sampled_from(range(len(TO_HEDGE) + 1)),
+)
+def test_invariants_hold_for_any_order_of_events(timed_events, steps_to_hedge):
+    timed_events = [*TO_HEDGE[:steps_to_hedge], *timed_events]
     shared = make_shared_state()
     session = make_session(shared)
     now, reported, expected = 0.0, [], 0
@@ -506,3 +521,139 @@
     probes = [a for a in actions if isinstance(a, msg.ProbeStages)]
     assert [probe.attempt for probe in probes] == [2]
     assert silent.endpoint_id not in probes[0].endpoint_ids
+
+
+# A second attempt beside a silent one.
+
+
+def advance_to_hedge(session, steps=None):
+    """Performs the first steps towards a hedge that was sent."""
+    session.handle(msg.Started(), 0.0)
+    now, actions = 0.0, []
+    for event, delay_s in TO_HEDGE[:steps]:
+        now += delay_s
+        actions = session.handle(event, now)
+    return actions
+
+
+def finish(session, attempt, now, first=1):
+    """Delivers the rest of the answer from an attempt."""
+    actions = []
+    for index in range(first, MAX_TOKENS):
+        actions += session.handle(msg.Chunk(attempt, index, 't'), now)
+    return actions + session.handle(msg.Finished(attempt, MAX_TOKENS), now)
+
+
+def find(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+# Guards against answers that end because a successor took a silent engine's
+# place and then failed.
+@pytest.mark.parametrize(
+    'failure',
+    [
+        msg.Refused(2, 'e0a', 1.0),
+        msg.StageRefused(2, 'e2a', True),
+        msg.Chunk(2, 3, 't'),
+        msg.Finished(2, 3),
+    ],
+)
+def test_a_silent_attempt_goes_on_after_its_successor_has_failed(failure):
+    session = make_session(make_shared_state(budget_floor=1), max_attempts=2)
+    actions = advance_to_hedge(session)
+    assert find(actions, msg.SendOrder)
+    assert not find(actions, msg.CloseAttempt)
+    actions = session.handle(failure, 2.3)
+    assert [a.attempt for a in find(actions, msg.CloseAttempt)] == [2]
+    finish(session, 1, 3.0)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+# Guards against answers that end because every successor is silent as well.
+def test_a_silent_attempt_goes_on_while_its_successors_do_not_answer_probes():
+    shared = make_shared_state(budget_floor=1)
+    session = make_session(shared)
+    [probe] = advance_to_hedge(session, 5)
+    while isinstance(probe, msg.ProbeStages):
+        dead = tuple(
+            msg.DeadEndpoint(name, 'i', False) for name in probe.endpoint_ids
+        )
+        [*_, probe] = session.handle(msg.Probed(probe.attempt, dead), 3.0)
+    assert isinstance(probe, msg.SetTimer)
+    assert not shared.budgets.get('vanua').can_spend(3.2)
+    finish(session, 1, 3.2)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_retry_that_sent_no_order_is_used_for_the_next_successor():
+    session = make_session(make_shared_state(budget_floor=1))
+    [probe] = advance_to_hedge(session, 5)
+    dead = msg.DeadEndpoint(probe.endpoint_ids[0], 'i', False)
+    [_, again] = session.handle(msg.Probed(2, (dead,)), 3.0)
+    assert again.attempt == 3
+    assert dead.endpoint_id not in again.endpoint_ids
+
+
+def test_the_first_of_two_attempts_that_goes_on_delivers_alone():
+    for first, other in ((1, 2), (2, 1)):
+        session = make_session()
+        advance_to_hedge(session)
+        actions = session.handle(msg.Chunk(first, 1, 't'), 2.3)
+        assert find(actions, msg.Deliver) == [msg.Deliver(1, 't')]
+        [close] = find(actions, msg.CloseAttempt)
+        [cancel] = find(actions, msg.CancelAttempt)
+        assert (close.attempt, cancel.attempt) == (other, other)
+        assert session.handle(msg.Chunk(other, 2, 't'), 2.4) == []
+        finish(session, first, 2.5, 2)
+        assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_successor_takes_the_place_of_an_attempt_that_breaks():
+    for steps in (5, 6, 7):
+        session = make_session(make_shared_state(budget_floor=1))
+        advance_to_hedge(session, steps)
+        session.handle(msg.StreamBroken(1), 2.3)
+        session.handle(msg.Probed(1, ()), 2.4)
+        for event, _ in TO_HEDGE[steps:]:
+            session.handle(event, 2.5)
+        finish(session, 2, 2.6)
+        assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_crash_is_reported_before_the_successor_delivers():
+    session = make_session()
+    advance_to_hedge(session)
+    session.handle(msg.StreamBroken(1), 2.3)
+    assert session.handle(msg.Chunk(2, 1, 't'), 2.4) == []
+    dead = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    actions = session.handle(msg.Probed(1, (dead,)), 2.5)
+    assert find(actions, msg.ReportCrashes)
+    actions = session.handle(msg.CrashesReported(1), 2.6)
+    assert find(actions, msg.Deliver) == [msg.Deliver(1, 't')]
+
+
+def test_a_crash_under_a_successor_counts_and_the_first_attempt_goes_on():
+    shared = make_shared_state()
+    session = make_session(shared)
+    advance_to_hedge(session)
+    session.handle(msg.StreamBroken(2), 2.3)
+    dead = msg.DeadEndpoint('e0b', 'i', crashed=True)
+    actions = session.handle(msg.Probed(2, (dead,)), 2.4)
+    assert find(actions, msg.ReportCrashes)
+    assert shared.quarantine.is_suspect('f')
+    session.handle(msg.StreamBroken(1), 2.5)
+    dead = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    session.handle(msg.Probed(1, (dead,)), 2.6)
+    session.handle(msg.CrashesReported(1), 2.7)
+    assert session.outcome.reason is outcomes.Reason.QUARANTINED
+
+
+def test_a_successor_leads_when_both_attempts_stay_silent():
+    session = make_session()
+    actions = advance_to_hedge(session)
+    [timer] = find(actions, msg.SetTimer)
+    actions = session.handle(msg.TimerDue(timer.timer), timer.at)
+    assert [a.attempt for a in find(actions, msg.CloseAttempt)] == [1]
+    assert session.attempt == 2
+    assert find(actions, msg.SetTimer)
--- a/packages/sardinebend-router/src/sardinebend_router/drafting.py
+++ b/packages/sardinebend-router/src/sardinebend_router/drafting.py
@@ -84,7 +84,9 @@
         self._report_crashes = report_crashes
         self._connect_s, self._probe_s = timeouts_s
         self._attempts: dict[int, _Attempt] = {}
+        # The last known one of each endpoint, and that of each attempt.
         self._incarnations: dict[str, str] = {}
+        self._sent_to: dict[tuple[int, str], str] = {}
         self._handlers: dict[type, typing.Callable[..., None]] = {
             msg.Connect: self._connect,
             msg.SendOrder: self._send_order,
@@ -119,6 +121,7 @@
             endpoint = self._state.fleet.get(endpoint_id)
             incarnation = endpoint.incarnation if endpoint else ''
             self._incarnations[endpoint_id] = incarnation
+            self._sent_to[action.attempt, endpoint_id] = incarnation
         attempt = _Attempt()
         self._attempts[action.attempt] = attempt
         self.start_task(self._open_pipeline, action, attempt)
@@ -178,7 +181,9 @@
         dead: list[msg.DeadEndpoint] = []
 
         async def probe_one(endpoint_id: str) -> None:
-            known_incarnation = incarnations.get(endpoint_id, '')
+            known_incarnation = self._sent_to.get(
+                (action.attempt, endpoint_id), incarnations.get(endpoint_id, '')
+            )
             answer = await probing.probe(
                 self._driver, endpoint_id, self._probe_s
             )
--- a/packages/sardinebend-router/tests/cover/test_drafting.py
+++ b/packages/sardinebend-router/tests/cover/test_drafting.py
@@ -125,8 +125,9 @@
 class SuspendedEngines(engines.PipelineDriver):
     """Engines that all are suspended at once, and then go on."""
 
-    def __init__(self, from_s, until_s):
+    def __init__(self, from_s, until_s, max_connects=9):
         self._from_s = from_s
+        self._connects_left = max_connects
         self._until_s = until_s
         self.orders = 0
 
@@ -135,6 +136,9 @@
             await trio.sleep_until(self._until_s)
 
     async def connect(self, route, timeout_s):
+        if not self._connects_left:
+            raise platform_errors.ConnectFailed('closed', refused=True)
+        self._connects_left -= 1
         return SuspendedPipeline(self)
 
     async def probe(self, endpoint_id, timeout_s):
@@ -175,6 +179,21 @@
         pass
 
 
+async def run_suspended_draft(from_s, silent_s, max_connects=9, **cfg):
+    """Runs a draft; all engines are silent for a while after its start."""
+    state = make_state()
+    start = trio.current_time()
+    until = start + from_s + silent_s
+    driver = SuspendedEngines(start + from_s, until, max_connects)
+    request = REQUEST._replace(deadline=start + REQUEST.deadline)
+    session = drafts.DraftSession(request, msg.DraftConfig(**cfg), state.drafts)
+    runner = drafting.DraftSessionRunner(
+        session, state, driver, Peers().report, (1.0, 1.0)
+    )
+    await runner.run(msg.Started())
+    return driver, runner.answer.outcome
+
+
 # Guards against answers that end early while sound engines are silent, whether
 # or not another attempt is allowed.
 @pytest.mark.parametrize('max_attempts', [1, 3])
@@ -183,15 +202,18 @@
 async def test_a_draft_at_engines_that_fall_silent_and_go_on_is_answered(
     from_s, silent_s, max_attempts, autojump_clock
 ):
-    state = make_state()
-    start = trio.current_time()
-    driver = SuspendedEngines(start + from_s, start + from_s + silent_s)
-    cfg = msg.DraftConfig(max_attempts=max_attempts)
-    request = REQUEST._replace(deadline=start + REQUEST.deadline)
-    session = drafts.DraftSession(request, cfg, state.drafts)
-    runner = drafting.DraftSessionRunner(
-        session, state, driver, Peers().report, (1.0, 1.0)
+    driver, outcome = await run_suspended_draft(
+        from_s, silent_s, max_attempts=max_attempts
     )
-    await runner.run(msg.Started())
-    assert runner.answer.outcome == outcomes.Answered(tokens=REQUEST.max_tokens)
+    assert outcome == outcomes.Answered(tokens=REQUEST.max_tokens)
     assert driver.orders == 1
+
+
+# Guards against an answer that ends because its successor took its place, and
+# then couldn't be reached.
+@pytest.mark.parametrize('max_connects', [1, 9])
+async def test_a_draft_at_engines_that_are_silent_for_longer_is_answered(
+    max_connects, autojump_clock
+):
+    _, outcome = await run_suspended_draft(0.05, 4.0, max_connects)
+    assert outcome == outcomes.Answered(tokens=REQUEST.max_tokens)
