--- a/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
@@ -24,6 +24,12 @@
 from sardinebend_policy import errors
 from sardinebend_policy import outcomes
 
+# A sound host may be silent for a second or so and then go on.
+CLAIMANT_SILENCE_S: typing.Final = 2.0
+# A timer that is later than this shows that the process was suspended. It then
+# has as long to read a reply that was received meanwhile.
+LATE_TIMER_S: typing.Final = 0.1
+
 
 class _State(enum.Enum):
     IDLE = enum.auto()
@@ -76,6 +82,9 @@
         self._claim_may_exist = False
         self._had_unclear_write = False
         self._other_claim: claims.ClaimRow | None = None
+        self._claimant_heard_at = 0.0
+        self._reply_until = 0.0
+        self._is_claimant_silent = False
         self._pending_outcome: tuple[
             claims.RowState, outcomes.Answered | None
         ] = (
@@ -181,8 +190,9 @@
             return self._end_not_run(outcomes.Reason.NO_ROUTE, 1.0)
         self._state = _State.SENT
         self.is_sent = True
-        timeout_at = now + self._cfg.reply_wait_s
-        return [msg.Send(), msg.SetTimer(msg.Timer('reply'), timeout_at)]
+        self._reply_until = now + self._cfg.reply_wait_s
+        timer = msg.SetTimer(msg.Timer('reply'), self._reply_until)
+        return [msg.Send(), timer]
 
     def _on_claim_unclear(
         self, event: msg.ClaimUnclear, now: float
@@ -237,6 +247,7 @@
             return self._end_with_unknown_outcome(outcomes.Reason.REPLY_LOST)
         self._other_claim = row
         self._expected_version = version
+        self._claimant_heard_at = now
         return self._query_claimant()
 
     # The claim is held by another request.
@@ -256,6 +267,8 @@
         if not self._is_querying(event.nonce):
             return []
         state = event.answer.state
+        self._claimant_heard_at = now
+        self._is_claimant_silent = False
         if state is claims.ClaimantState.RUNNING:
             query_at = now + self._cfg.ask_interval_s
             return [msg.SetTimer(msg.Timer('ask'), query_at)]
@@ -271,6 +284,7 @@
     ) -> list[msg.Action]:
         if not self._is_querying(event.nonce):
             return []
+        self._is_claimant_silent = True
         return self._reread_row()
 
     def _is_querying(self, nonce: str) -> bool:
@@ -293,6 +307,16 @@
             and row['nonce'] == self._other_claim['nonce']
             and row['state'] == claims.RowState.CLAIMED
         )
+        waited_s = now - self._claimant_heard_at
+        if (
+            row is not None
+            and is_unresolved
+            and self._is_claimant_silent
+            and waited_s < CLAIMANT_SILENCE_S
+        ):
+            self._state = _State.QUERYING
+            query_at = now + self._cfg.ask_interval_s
+            return [msg.SetTimer(msg.Timer('ask'), query_at)]
         if row is None or is_unresolved:
             return self._end_with_unknown_outcome(outcomes.Reason.CLAIMANT_LOST)
         return self._handle_existing_row(row, event.version, now)
@@ -413,11 +437,19 @@
         if name == 'record' and self._state is _State.RECORDING:
             return [msg.WriteOutcome(*self._pending_outcome)]
         if name == 'reply' and self._state is _State.SENT:
-            return self._end_sent_as_unknown(outcomes.Reason.REPLY_LOST)
+            return self._on_reply_timer(now)
         if name == 'deadline':
             return self._on_deadline()
         return []
 
+    def _on_reply_timer(self, now: float) -> list[msg.Action]:
+        if now - self._reply_until > LATE_TIMER_S:
+            # Only once, as a process without enough time is always late.
+            self._reply_until = float('inf')
+            grace_until = now + LATE_TIMER_S
+            return [msg.SetTimer(msg.Timer('reply'), grace_until)]
+        return self._end_sent_as_unknown(outcomes.Reason.REPLY_LOST)
+
     def _on_deadline(self) -> list[msg.Action]:
         if self._state in (_State.QUERYING, _State.REREADING):
             return self._end_with_unknown_outcome(outcomes.Reason.CLAIM_HELD)
--- a/packages/sardinebend-policy/tests/cover/test_bookings.py
+++ b/packages/sardinebend-policy/tests/cover/test_bookings.py
@@ -201,3 +201,66 @@
     ]
     actions = session.handle(msg.RowRead(make_row(state='done'), 2), 0.2)
     assert any(isinstance(action, msg.ReplayAnswer) for action in actions)
+
+
+# Guards against an unknown outcome of a repeat that a silent host, which holds
+# the claim, would have answered a second later.
+def test_a_repeat_waits_for_a_claimant_that_is_silent_for_a_second_or_so():
+    session = make_session()
+    advance_to_claiming(session)
+    session.handle(msg.ClaimConflict(make_row(), 1), 0.0)
+    for now in (0.1, 1.3, 1.6):
+        [read] = session.handle(msg.ClaimantUnreachable('other'), now)
+        assert isinstance(read, msg.ReadRow)
+        [timer] = session.handle(msg.RowRead(make_row(), 1), now)
+        [query] = session.handle(msg.TimerDue(timer.timer), timer.at)
+        assert isinstance(query, msg.QueryClaimant)
+    answer = outcomes.Answered(0, 200, 't', b'C1')
+    done = claims.ClaimantAnswer(claims.ClaimantState.DONE, answer)
+    session.handle(msg.ClaimantAnswered('other', done), 1.9)
+    assert session.outcome == answer
+    assert not session.is_sent
+
+
+def test_a_repeat_ends_as_unknown_when_its_claimant_stays_silent():
+    session = make_session()
+    advance_to_claiming(session)
+    session.handle(msg.ClaimConflict(make_row(), 1), 0.0)
+    session.handle(msg.ClaimantUnreachable('other'), 2.5)
+    session.handle(msg.RowRead(make_row(), 1), 2.5)
+    reason = outcomes.Reason.CLAIMANT_LOST
+    assert session.outcome == outcomes.OutcomeUnknown(reason)
+    assert not session.is_sent
+
+
+def test_a_repeat_ends_at_once_when_its_claimant_has_restarted():
+    session = make_session()
+    advance_to_claiming(session)
+    session.handle(msg.ClaimConflict(make_row(), 1), 0.0)
+    unknown = claims.ClaimantAnswer(claims.ClaimantState.UNKNOWN)
+    session.handle(msg.ClaimantAnswered('other', unknown), 0.1)
+    session.handle(msg.RowRead(make_row(), 1), 0.1)
+    reason = outcomes.Reason.CLAIMANT_LOST
+    assert session.outcome == outcomes.OutcomeUnknown(reason)
+
+
+# Guards against an unknown outcome of a booking whose reply was received while
+# its host was suspended.
+def test_a_reply_that_a_suspended_host_has_received_is_not_lost():
+    session = make_session()
+    advance_to_claiming(session)
+    [_, timer] = session.handle(msg.ClaimWritten(1), 0.0)
+    [again] = session.handle(msg.TimerDue(timer.timer), timer.at + 1.0)
+    assert again.at <= timer.at + 1.2
+    session.handle(msg.Replied(200, 't', b'C1'), timer.at + 1.01)
+    assert session.outcome == outcomes.Answered(0, 200, 't', b'C1')
+
+
+def test_a_reply_is_lost_when_none_is_read_after_a_late_timer():
+    session = make_session()
+    advance_to_claiming(session)
+    [_, timer] = session.handle(msg.ClaimWritten(1), 0.0)
+    [again] = session.handle(msg.TimerDue(timer.timer), timer.at + 1.0)
+    session.handle(msg.TimerDue(again.timer), again.at + 1.0)
+    reason = outcomes.Reason.REPLY_LOST
+    assert session.outcome == outcomes.OutcomeUnknown(reason)
--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 
 from sardinebend_policy import attempts
 from sardinebend_policy import draft_messages as msg
@@ -85,18 +86,33 @@
     st.builds(msg.CrashesReported, ATTEMPTS),
     st.builds(
         lambda name: msg.TimerDue(msg.Timer(name)),
-        st.sampled_from(['stall', 'retry', 'notify', 'deadline']),
+        st.sampled_from(['stall', 'hedge', 'retry', 'notify', 'deadline']),
     ),
     st.just(msg.CallerLeft()),
     st.just(msg.HostStopping()),
 )
+# Events, each with the time before it, after which a second attempt has been
+# sent beside the first one, which is silent.
+TO_HEDGE = (
+    (msg.Connected(1), 0.0),
+    (msg.Chunk(1, 0, 't'), 0.0),
+    (msg.TimerDue(msg.Timer('stall')), 0.5),
+    (msg.Probed(1, ()), 1.0),
+    (msg.TimerDue(msg.Timer('stall')), 0.5),
+    (msg.Probed(2, ()), 0.1),
+    (msg.Connected(2), 0.1),
+)
 
 
 @hypothesis.settings(
     derandomize=True, max_examples=600, deadline=None, database=None
 )
-@hypothesis.given(st.lists(st.tuples(EVENTS, st.floats(0, 20)), max_size=30))
-def test_invariants_hold_for_any_order_of_events(timed_events):
+@hypothesis.given(
+    st.lists(st.tuples(EVENTS, st.floats(0, 20)), max_size=30),
+    st.sampled_from(range(len(TO_HEDGE) + 1)),
+)
+def test_invariants_hold_for_any_order_of_events(timed_events, steps_to_hedge):
+    timed_events = [*TO_HEDGE[:steps_to_hedge], *timed_events]
     shared = make_shared_state()
     session = make_session(shared)
     now, reported, expected = 0.0, [], 0
@@ -398,3 +414,246 @@
     session.handle(msg.Chunk(1, 1, 't'), 0.75)
     assert session.handle(msg.Probed(1, ()), 0.8) == []
     assert session.attempt == 1
+
+
+# Silent endpoints.
+
+
+def advance_to_silence(session, now):
+    """Lets a stream stall half a second after its first token."""
+    advance_to_streaming(session, now)
+    session.handle(msg.Chunk(1, 0, 't'), now)
+    [probe] = session.handle(msg.TimerDue(msg.Timer('stall')), now + 0.5)
+    assert isinstance(probe, msg.ProbeStages)
+
+
+def get_silent(session):
+    """Returns the first stage of a session's route, as one that is silent."""
+    return (msg.DeadEndpoint(session.route.endpoint_ids[0], 'i', False),)
+
+
+def run_until(session, until, now, silent=()):
+    """Runs the stall timer until a time; each probe takes a second."""
+    actions = []
+    while now < until:
+        due = session.handle(msg.TimerDue(msg.Timer('stall')), now)
+        actions += due
+        if any(isinstance(action, msg.ProbeStages) for action in due):
+            now += 1.0
+            due = session.handle(msg.Probed(session.attempt, silent), now)
+            actions += due
+        timers = [a for a in due if isinstance(a, msg.SetTimer)]
+        if not timers:
+            break
+        now = timers[-1].at
+    return actions
+
+
+# Guards against streams that end because a sound server is silent for a second.
+def test_a_stage_that_is_silent_for_a_second_or_so_keeps_its_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    silent = get_silent(session)
+    [timer] = session.handle(msg.Probed(1, silent), 1.5)
+    assert timer.at > 1.6
+    [deliver, _] = session.handle(msg.Chunk(1, 1, 't'), 1.6)
+    assert deliver == msg.Deliver(1, 't')
+
+
+# Guards against streams that end because a server that was silent answers the
+# probe before it sends the next token.
+def test_an_answer_to_a_probe_just_before_the_next_token_ends_no_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    [timer] = session.handle(msg.Probed(1, ()), 0.9)
+    assert timer.at > 1.6
+    [deliver, _] = session.handle(msg.Chunk(1, 1, 't'), 0.91)
+    assert deliver == msg.Deliver(1, 't')
+
+
+# Guards against streams that end while their tokens arrive.
+def test_a_token_that_arrives_during_an_unanswered_probe_keeps_its_stream():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    session.handle(msg.Chunk(1, 1, 't'), 1.4)
+    assert session.handle(msg.Probed(1, get_silent(session)), 1.5) == []
+    assert session.attempt == 1
+
+
+# Guards against attempts that end before the first token though they were
+# silent only for the time of one probe.
+def test_an_attempt_without_a_token_outlasts_one_unanswered_probe():
+    session = make_session()
+    advance_to_streaming(session)
+    session.handle(msg.TimerDue(msg.Timer('stall')), 1.0)
+    [timer] = session.handle(msg.Probed(1, get_silent(session)), 2.0)
+    assert timer.at > 2.6
+    [deliver, _] = session.handle(msg.Chunk(1, 0, 't'), 2.6)
+    assert deliver == msg.Deliver(0, 't')
+
+
+# Guards against silent attempts that end though nothing can succeed them.
+@pytest.mark.parametrize('lack', ['budget', 'route', 'attempt'])
+def test_a_silent_stream_without_a_successor_goes_on(lack):
+    shared = make_shared_state(budget_floor=0 if lack == 'budget' else 10)
+    if lack == 'route':
+        for name in ('e0a', 'e0b', 'e0c'):
+            shared.fleet.mark_leaving(name, 'i')
+    session = make_session(shared, max_attempts=1 if lack == 'attempt' else 3)
+    if lack == 'route':
+        shared.fleet.record_incarnation('e0a', 'i2')
+    advance_to_silence(session, 0.0)
+    [timer] = session.handle(msg.Probed(1, get_silent(session)), 1.5)
+    actions = run_until(session, 9.0, timer.at, get_silent(session))
+    assert not any(isinstance(a, msg.CloseAttempt | msg.End) for a in actions)
+    for index in range(1, MAX_TOKENS):
+        session.handle(msg.Chunk(1, index, 't'), 9.5)
+    session.handle(msg.Finished(1, MAX_TOKENS), 9.6)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_stream_that_stays_silent_is_continued_elsewhere():
+    session = make_session()
+    advance_to_silence(session, 0.0)
+    [silent] = get_silent(session)
+    [timer] = session.handle(msg.Probed(1, (silent,)), 1.5)
+    actions = session.handle(msg.TimerDue(timer.timer), timer.at)
+    probes = [a for a in actions if isinstance(a, msg.ProbeStages)]
+    assert [probe.attempt for probe in probes] == [2]
+    assert silent.endpoint_id not in probes[0].endpoint_ids
+
+
+# A second attempt beside a silent one.
+
+
+def advance_to_hedge(session, steps=None):
+    """Performs the first steps towards a hedge that was sent."""
+    session.handle(msg.Started(), 0.0)
+    now, actions = 0.0, []
+    for event, delay_s in TO_HEDGE[:steps]:
+        now += delay_s
+        actions = session.handle(event, now)
+    return actions
+
+
+def finish(session, attempt, now, first=1):
+    """Delivers the rest of the answer from an attempt."""
+    actions = []
+    for index in range(first, MAX_TOKENS):
+        actions += session.handle(msg.Chunk(attempt, index, 't'), now)
+    return actions + session.handle(msg.Finished(attempt, MAX_TOKENS), now)
+
+
+def find(actions, kind):
+    return [action for action in actions if isinstance(action, kind)]
+
+
+# Guards against answers that end because a successor took a silent engine's
+# place and then failed.
+@pytest.mark.parametrize(
+    'failure',
+    [
+        msg.Refused(2, 'e0a', 1.0),
+        msg.StageRefused(2, 'e2a', True),
+        msg.Chunk(2, 3, 't'),
+        msg.Finished(2, 3),
+    ],
+)
+def test_a_silent_attempt_goes_on_after_its_successor_has_failed(failure):
+    session = make_session(make_shared_state(budget_floor=1), max_attempts=2)
+    actions = advance_to_hedge(session)
+    assert find(actions, msg.SendOrder)
+    assert not find(actions, msg.CloseAttempt)
+    actions = session.handle(failure, 2.3)
+    assert [a.attempt for a in find(actions, msg.CloseAttempt)] == [2]
+    finish(session, 1, 3.0)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+# Guards against answers that end because every successor is silent as well.
+def test_a_silent_attempt_goes_on_while_its_successors_do_not_answer_probes():
+    shared = make_shared_state(budget_floor=1)
+    session = make_session(shared)
+    [probe] = advance_to_hedge(session, 5)
+    while isinstance(probe, msg.ProbeStages):
+        dead = tuple(
+            msg.DeadEndpoint(name, 'i', False) for name in probe.endpoint_ids
+        )
+        [*_, probe] = session.handle(msg.Probed(probe.attempt, dead), 3.0)
+    assert isinstance(probe, msg.SetTimer)
+    assert not shared.budgets.get('vanua').can_spend(3.2)
+    finish(session, 1, 3.2)
+    assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_retry_that_sent_no_order_is_used_for_the_next_successor():
+    session = make_session(make_shared_state(budget_floor=1))
+    [probe] = advance_to_hedge(session, 5)
+    dead = msg.DeadEndpoint(probe.endpoint_ids[0], 'i', False)
+    [_, again] = session.handle(msg.Probed(2, (dead,)), 3.0)
+    assert again.attempt == 3
+    assert dead.endpoint_id not in again.endpoint_ids
+
+
+def test_the_first_of_two_attempts_that_goes_on_delivers_alone():
+    for first, other in ((1, 2), (2, 1)):
+        session = make_session()
+        advance_to_hedge(session)
+        actions = session.handle(msg.Chunk(first, 1, 't'), 2.3)
+        assert find(actions, msg.Deliver) == [msg.Deliver(1, 't')]
+        [close] = find(actions, msg.CloseAttempt)
+        [cancel] = find(actions, msg.CancelAttempt)
+        assert (close.attempt, cancel.attempt) == (other, other)
+        assert session.handle(msg.Chunk(other, 2, 't'), 2.4) == []
+        finish(session, first, 2.5, 2)
+        assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_successor_takes_the_place_of_an_attempt_that_breaks():
+    for steps in (5, 6, 7):
+        session = make_session(make_shared_state(budget_floor=1))
+        advance_to_hedge(session, steps)
+        session.handle(msg.StreamBroken(1), 2.3)
+        session.handle(msg.Probed(1, ()), 2.4)
+        for event, _ in TO_HEDGE[steps:]:
+            session.handle(event, 2.5)
+        finish(session, 2, 2.6)
+        assert session.outcome == outcomes.Answered(tokens=MAX_TOKENS)
+
+
+def test_a_crash_is_reported_before_the_successor_delivers():
+    session = make_session()
+    advance_to_hedge(session)
+    session.handle(msg.StreamBroken(1), 2.3)
+    assert session.handle(msg.Chunk(2, 1, 't'), 2.4) == []
+    dead = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    actions = session.handle(msg.Probed(1, (dead,)), 2.5)
+    assert find(actions, msg.ReportCrashes)
+    actions = session.handle(msg.CrashesReported(1), 2.6)
+    assert find(actions, msg.Deliver) == [msg.Deliver(1, 't')]
+
+
+def test_a_crash_under_a_successor_counts_and_the_first_attempt_goes_on():
+    shared = make_shared_state()
+    session = make_session(shared)
+    advance_to_hedge(session)
+    session.handle(msg.StreamBroken(2), 2.3)
+    dead = msg.DeadEndpoint('e0b', 'i', crashed=True)
+    actions = session.handle(msg.Probed(2, (dead,)), 2.4)
+    assert find(actions, msg.ReportCrashes)
+    assert shared.quarantine.is_suspect('f')
+    session.handle(msg.StreamBroken(1), 2.5)
+    dead = msg.DeadEndpoint('e0a', 'i', crashed=True)
+    session.handle(msg.Probed(1, (dead,)), 2.6)
+    session.handle(msg.CrashesReported(1), 2.7)
+    assert session.outcome.reason is outcomes.Reason.QUARANTINED
+
+
+def test_a_successor_leads_when_both_attempts_stay_silent():
+    session = make_session()
+    actions = advance_to_hedge(session)
+    [timer] = find(actions, msg.SetTimer)
+    actions = session.handle(msg.TimerDue(timer.timer), timer.at)
+    assert [a.attempt for a in find(actions, msg.CloseAttempt)] == [1]
+    assert session.attempt == 2
+    assert find(actions, msg.SetTimer)
