Count interim responses by the parser, not by the text of the bytes

Callers saw: a sound answer whose first bytes hold `HTTP/1.1 1` more than eight times became a 502, though it had run. A server that sent interim responses without end, as HTTP/1.0 or in pieces shorter than their line, occupied the host until the request's time was over. Cause: the text was counted in each block of bytes, bodies included. Change: the connection counts the parser's events. Failed before: test_a_body_that_holds_status_lines_is_an_ordinary_body, test_endless_interim_responses_of_any_version_are_cut_off[1.0, 1.9], test_endless_interim_responses_in_pieces_are_cut_off.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -16,7 +16,7 @@
 import trio
 
 from sardinebend_store import errors
-from sardinebend_store import interim_limits
+from sardinebend_store import reply_heads
 
 MAX_IDLE_CONNECTIONS: typing.Final = 8
 MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
@@ -56,7 +56,7 @@
         self,
         origin: 'Origin',
         conn: httpcore.AsyncHTTP11Connection,
-        stream: interim_limits.InterimLimitStream,
+        stream: httpcore.AsyncNetworkStream,
     ) -> None:
         self._origin = origin
         self._conn = conn
@@ -89,13 +89,10 @@
             headers=[*default_headers, *headers],
             content=body,
         )
-        self._stream.start_count()
         try:
             response = await self._conn.handle_async_request(req)
         except _CONNECTION_ERRORS as exc:
             raise _make_failure(exc) from exc
-        finally:
-            self._stream.stop_count()
         try:
             yield response
         except _CONNECTION_ERRORS as exc:
@@ -268,9 +265,8 @@
         origin = httpcore.Origin(
             scheme.encode(), self._host.encode(), self._port
         )
-        limited_stream = interim_limits.InterimLimitStream(stream)
-        conn = httpcore.AsyncHTTP11Connection(origin, limited_stream)
-        return Connection(self, conn, limited_stream)
+        conn = reply_heads.LimitedConnection(origin, stream)
+        return Connection(self, conn, stream)
 
     async def acquire(self, timeout_s: float) -> Connection:
         """Returns an idle connection, or opens a new one."""
