Read all replies within one budget of memory

Callers saw: nothing yet here; elsewhere a host ran out of memory and ended with the requests of other clients. Here the replies of the store, the host list, and the product's services and engines could have 64 MB each and were read beside each other without a common limit: eight endless ones took 538 MB, on hosts of 200 to 300 MB. Tiny chunks took 20 times their bytes. Cause: a limit for each reply only, and a list of chunks. Change: all replies that are read whole share 32 MB, the largest is dropped beyond it; one reply has at most 16 MB, the size of what peers relay; its bytes are kept as one buffer, its chunks are limited, and other tasks may run between them. Failed before: test_many_endless_replies_share_one_limit, test_a_reply_of_tiny_chunks_takes_little_more_than_its_bytes.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -16,10 +16,12 @@
 import trio
 
 from sardinebend_store import errors
+from sardinebend_store import held_replies
 from sardinebend_store import reply_heads
 
 MAX_IDLE_CONNECTIONS: typing.Final = 8
-MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
+# A table's change may hold a configuration, of which peers relay up to 16 MB.
+MAX_REPLY_BYTES: typing.Final = 16 * 1024 * 1024
 MAX_QUOTED_CHARS: typing.Final = 80
 IDLE_TIMEOUT_S: typing.Final = 20.0
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
@@ -114,25 +116,21 @@
         """Sends a request once and returns the complete reply.
 
         Raises:
-            errors.ReplyTooLarge: The reply's body is larger than `max_bytes`.
+            errors.ReplyTooLarge: The reply's body is larger than `max_bytes`,
+                or was dropped to free memory.
             errors.ExchangeFailed: The connection failed; the request may have
                 been received.
         """
         async with self.stream(method, path, headers, body) as response:
-            chunks = []
-            size = 0
-            async for chunk in response.aiter_stream():
-                size += len(chunk)
-                if size > max_bytes:
-                    raise errors.ReplyTooLarge(
-                        'the reply is larger than allowed'
-                    )
-                chunks.append(chunk)
+            with held_replies.REPLIES.open(max_bytes) as held:
+                async for chunk in response.aiter_stream():
+                    await held.add(chunk)
+                reply_body = held.complete()
             header_values = {
                 name.decode('latin-1').lower(): value.decode('latin-1')
                 for name, value in response.headers
             }
-            return Reply(response.status, header_values, b''.join(chunks))
+            return Reply(response.status, header_values, reply_body)
 
     def is_reusable(self) -> bool:
         """Returns whether another request can be sent on this connection.
--- a/tests/cover/test_endless_replies.py
+++ b/tests/cover/test_endless_replies.py
@@ -1,6 +1,7 @@
 """Replies without end, read by the HTTP client that all parts share."""
 
 import contextlib
+import tracemalloc
 
 import pytest
 import trio
@@ -9,7 +10,11 @@
 from sardinebend_store import errors
 from tests.common import gateway_world as world_lib
 
+MB = 1024 * 1024
 PIECE_PAUSE_S = 0.002
+OK_HEAD = b'HTTP/1.1 200 OK\r\n'
+CHUNKED_HEAD = OK_HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+UNFRAMED_HEAD = OK_HEAD + b'Connection: close\r\n\r\n'
 
 
 async def flood(stream, block):
@@ -84,3 +89,123 @@
     async with serving(serve) as url:
         with pytest.raises(errors.ExchangeFailed, match='interim'):
             await fetch(url)
+
+
+# Guards against tiny chunks that take far more memory than their bytes.
+async def test_a_reply_of_tiny_chunks_takes_little_more_than_its_bytes():
+    block = b'2\r\nxy\r\n' * 1000
+    async with serving(endless(CHUNKED_HEAD, block)) as url:
+        tracemalloc.start()
+        try:
+            with pytest.raises(errors.ReplyTooLarge):
+                await fetch(url, max_bytes=MB // 2)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak < 4 * MB
+
+
+# Guards against a limit for each reply but none for all of them.
+async def test_many_endless_replies_share_one_limit():
+    async with serving(endless(UNFRAMED_HEAD, b'x' * 65536)) as url:
+        failures = []
+
+        async def fetch_endless():
+            try:
+                await fetch(url)
+            except errors.ExchangeFailed as exc:
+                failures.append(exc)
+
+        tracemalloc.start()
+        try:
+            async with trio.open_nursery() as nursery:
+                for _ in range(8):
+                    nursery.start_soon(fetch_endless)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert len(failures) == 8
+    assert peak < 64 * MB
+
+
+# Guards against a small reply that is dropped since others are endless.
+async def test_a_small_reply_is_read_while_others_are_endless():
+    body = b'g' * 200_000
+
+    async def serve(stream):
+        await stream.send_all(world_lib.head(200, [], body=body)[:1000])
+        await trio.sleep(0.3)
+        await stream.send_all(world_lib.head(200, [], body=body)[1000:])
+
+    replies = []
+    async with (
+        serving(endless(UNFRAMED_HEAD, b'x' * 65536)) as endless_url,
+        serving(serve) as url,
+        trio.open_nursery() as nursery,
+    ):
+
+        async def fetch_endless():
+            with pytest.raises(errors.ExchangeFailed):
+                await fetch(endless_url)
+
+        for _ in range(4):
+            nursery.start_soon(fetch_endless)
+        replies.append(await fetch(url))
+    assert replies[0].body == body
+
+
+ENDLESS_LINES = {
+    'a status line': b'HTTP/1.1 200 ',
+    'a status code': b'HTTP/1.1 2',
+    'a field name': OK_HEAD + b'X',
+    'a field value': OK_HEAD + b'X: ',
+    'a chunk size': CHUNKED_HEAD + b'1',
+    'a chunk extension': CHUNKED_HEAD + b'1;',
+    'a trailer': CHUNKED_HEAD + b'0\r\nX: ',
+}
+
+
+# Guards against a line that is kept until it ends.
+@pytest.mark.parametrize('kind', ENDLESS_LINES)
+async def test_an_endless_line_is_cut_off_after_little_memory(kind):
+    async with serving(endless(ENDLESS_LINES[kind], b'1' * 4096)) as url:
+        tracemalloc.start()
+        try:
+            with pytest.raises(errors.ExchangeFailed):
+                await fetch(url)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak < 2 * MB
+
+
+# Guards against lines that end, but of which there is no last one.
+@pytest.mark.parametrize('head', [OK_HEAD, CHUNKED_HEAD + b'0\r\n'])
+async def test_endless_short_lines_are_cut_off_after_little_memory(head):
+    async with serving(endless(head, b'a: b\r\n' * 1000)) as url:
+        tracemalloc.start()
+        try:
+            with pytest.raises(errors.ExchangeFailed):
+                await fetch(url)
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+    assert peak < 2 * MB
+
+
+# Guards against reading what follows a reply for ever.
+async def test_of_endless_bytes_after_a_reply_only_one_block_is_kept():
+    reply = world_lib.head(200, [], body=b'yes')
+    async with serving(endless(reply, b'x' * 65536)) as url:
+        origin = connections.Origin(url)
+        conn = await origin.connect(1.0)
+        tracemalloc.start()
+        try:
+            assert (await conn.exchange('GET', '/')).body == b'yes'
+            assert await conn.has_further_bytes(0.1)
+            assert not conn.is_reusable()
+            _, peak = tracemalloc.get_traced_memory()
+        finally:
+            tracemalloc.stop()
+        await conn.close()
+    assert peak < MB
