Give up a table of the store whose pages never end

A store that says with each page that more follow was read for ever, and all rows were kept until the host ran out of memory. Cause: no limit for the pages of one table. Failed before: test_a_table_whose_pages_never_end_is_given_up.

--- a/tests/cover/test_endless_replies.py
+++ b/tests/cover/test_endless_replies.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from sardinebend_adapter import store_client
 from sardinebend_store import connections
 from sardinebend_store import errors
 from tests.common import gateway_world as world_lib
@@ -209,3 +210,30 @@
             tracemalloc.stop()
         await conn.close()
     assert peak < MB
+
+
+# Guards against a table of the store whose pages never end.
+async def test_a_table_whose_pages_never_end_is_given_up(monkeypatch):
+    monkeypatch.setattr(store_client, 'MAX_TABLE_BYTES', 50_000, raising=False)
+    number = 0
+
+    async def serve(stream):
+        nonlocal number
+        while True:
+            number += 1
+            row = b'{"key":"%09d","value":"%s","row_version":4}' % (
+                number,
+                b'QUFB' * 1000,
+            )
+            body = b'{"rows":[%s],"row_version":9,"has_more":true}' % row
+            await stream.send_all(world_lib.head(200, [], body=body))
+            if not await stream.receive_some(65536):
+                return
+
+    async with serving(serve) as url:
+        client = store_client.StoreClient(url)
+        with trio.fail_after(5):
+            answer = await client.read_all('t')
+        await client.close()
+    assert isinstance(answer.err_value, errors.Unavailable)
+    assert 10 < number < 40
