Refuse heads of very many fields

A server whose heads have 13,000 tiny fields and whose bodies never end took 1.2 MB for each request that met it, beside the budget for bodies: 13 requests, 15 MB. Cause: a head was limited to 100 kB of bytes, not in its number of fields, each of which takes some 100 bytes more; heads are kept with their bodies. Change: a head has at most 256 fields and 64 KB.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -24,7 +24,6 @@
 MAX_REPLY_BYTES: typing.Final = 16 * 1024 * 1024
 MAX_QUOTED_CHARS: typing.Final = 80
 IDLE_TIMEOUT_S: typing.Final = 20.0
-STATUS_HEAD_TOO_LARGE: typing.Final = 431
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 # Raises `trio.TooSlowError` if its block takes longer than a number of seconds.
@@ -345,7 +344,7 @@
     """Returns the error for a reply whose head couldn't be read."""
     # The parser sets this hint when a head exceeds the size of its buffer.
     hint = getattr(exc.__cause__, 'error_status_hint', None)
-    if hint == STATUS_HEAD_TOO_LARGE:
+    if hint == reply_heads.STATUS_HEAD_TOO_LARGE:
         return errors.ReplyTooLarge(format_exception(exc))
     return errors.ExchangeFailed(format_exception(exc))
 
--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -7,16 +7,26 @@
 
 # A server usually sends at most one, while a request takes long.
 MAX_INTERIM_RESPONSES: typing.Final = 8
+# Servers send some ten fields. Each takes some 100 bytes besides its own, and
+# heads are kept while their bodies arrive.
+MAX_FIELDS: typing.Final = 256
+MAX_HEAD_BYTES: typing.Final = 64 * 1024
+STATUS_HEAD_TOO_LARGE: typing.Final = 431
 
 
 class LimitedConnection(httpcore.AsyncHTTP11Connection):
     """An HTTP/1.1 connection that fails at a head beyond the limits.
 
+    A head is too large with more than `MAX_FIELDS` fields or `MAX_HEAD_BYTES`.
     More than `MAX_INTERIM_RESPONSES` responses with status 1xx are an error.
     `httpcore` reads them without a limit, and thousands of them without
     letting another task run.
     """
 
+    # Limit for each part of a reply that has no end yet: a head, the line of a
+    # chunk's size, trailers.
+    MAX_INCOMPLETE_EVENT_SIZE = MAX_HEAD_BYTES
+
     _interim_count = 0
 
     # `httpcore` has no public way to see interim responses. Counting them in
@@ -31,4 +41,23 @@
                 raise httpcore.RemoteProtocolError('too many interim responses')
         elif isinstance(event, h11.Response):
             self._interim_count = 0
+            if _is_too_large(event):
+                # The error would keep it for as long as its traceback.
+                del event
+                raise _make_error()
         return event
+
+
+def _is_too_large(response: h11.Response) -> bool:
+    headers = response.headers
+    size = sum(len(name) + len(value) + 4 for name, value in headers)
+    return len(headers) > MAX_FIELDS or size > MAX_HEAD_BYTES
+
+
+def _make_error() -> httpcore.RemoteProtocolError:
+    """Returns the error that the parser has for a head that is too large."""
+    error = httpcore.RemoteProtocolError('head too large')
+    error.__cause__ = h11.RemoteProtocolError(
+        'head too large', error_status_hint=STATUS_HEAD_TOO_LARGE
+    )
+    return error
--- a/tests/cover/test_endless_replies.py
+++ b/tests/cover/test_endless_replies.py
@@ -155,6 +155,17 @@
     assert replies[0].body == body
 
 
+# Guards against a head whose fields take far more memory than its bytes.
+async def test_a_head_of_very_many_fields_is_refused():
+    fields = b'a:\r\n' * 15_000
+    async with serving(endless(OK_HEAD + fields + b'\r\n', b'x')) as url:
+        conn = await connections.Origin(url).connect(1.0)
+        with pytest.raises(errors.ReplyTooLarge):
+            async with conn.stream('GET', '/'):
+                pass
+        await conn.close()
+
+
 ENDLESS_LINES = {
     'a status line': b'HTTP/1.1 200 ',
     'a status code': b'HTTP/1.1 2',
