Find the ends of all events in one go

Callers saw: nothing yet here. Blank events or comments without end kept a host busy: for each event the search for its end went over all other bytes of the block, 600 MB for a block of 60 kB. Cause: each of the two terminators was looked for up to the end of the buffer. Change: one pass over the block. Failed before: test_the_end_of_an_event_is_not_looked_for_beyond_a_nearer_one.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/event_stream.py
@@ -1,9 +1,10 @@
 """Splits a server-sent event stream into complete events."""
 
+import itertools
 import re
 import typing
 
-TERMINATORS: typing.Final = (b'\n\n', b'\r\n\r\n')
+_TERMINATOR_RE: typing.Final = re.compile(rb'\n\n|\r\n\r\n')
 MAX_TERMINATOR_BYTES: typing.Final = 4
 # An event holds a few tokens; a much larger one is taken to be endless.
 MAX_EVENT_BYTES: typing.Final = 256 * 1024
@@ -59,11 +60,20 @@
         The caller must bound the size of an incomplete event.
         """
         self._buffer += data
-        events = []
-        while (end := _find_end(self._buffer, self._search_start)) > 0:
-            events.append(_make_event(bytes(self._buffer[:end])))
-            del self._buffer[:end]
-            self._search_start = 0
+        # All ends are found in one go: a search for each event would go over
+        # the rest of the bytes for each of many blank ones.
+        ends = [
+            match.end()
+            for match in _TERMINATOR_RE.finditer(
+                self._buffer, self._search_start
+            )
+        ]
+        events = [
+            _make_event(bytes(self._buffer[start:end]))
+            for start, end in itertools.pairwise((0, *ends))
+        ]
+        if ends:
+            del self._buffer[: ends[-1]]
         # The last bytes may be the beginning of a terminator.
         self._search_start = max(
             0, len(self._buffer) - MAX_TERMINATOR_BYTES + 1
@@ -71,16 +81,6 @@
         return events
 
 
-def _find_end(data: bytearray, start: int) -> int:
-    """Returns where the first event ends, or 0 if no terminator is found."""
-    ends = [
-        at + len(terminator)
-        for terminator in TERMINATORS
-        if (at := data.find(terminator, start)) >= 0
-    ]
-    return min(ends, default=0)
-
-
 def _make_event(data: bytes) -> StreamEvent:
     event_id = None
     has_standard_field = False
