Refuse large frames of peers that haven't shown the secret

Callers saw: nothing yet here. Anybody who reaches the port for peers could make a host keep 16 MB on each of 1,024 connections, for 3 s each. Cause: the limit for frames was the same before and after authentication. Change: a nonce and a proof have at most their own 32 bytes. Failed before: test_a_large_frame_before_authentication_is_refused.

--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -51,15 +51,18 @@
         async with self._send_lock:
             await self._stream.send_all(_LENGTH.pack(len(data)) + data)
 
-    async def receive(self) -> bytes:
+    async def receive(self, max_bytes: int = codec.MAX_FRAME_BYTES) -> bytes:
         """Returns the next frame.
 
+        Args:
+            max_bytes: Largest size of the frame.
+
         Raises:
             errors.MalformedFrame: The length prefix exceeds the limit, or the
                 peer ended the stream.
         """
         (length,) = _LENGTH.unpack(await self._read(_LENGTH.size))
-        if length > codec.MAX_FRAME_BYTES:
+        if length > max_bytes:
             raise errors.MalformedFrame(f'a frame of {length} bytes')
         return await self._read(length)
 
@@ -84,17 +87,19 @@
     """Authenticates both ends to each other by a shared secret.
 
     Each end's proof covers both nonces and its own role, so that neither a
-    replayed proof nor one reflected to its sender is accepted.
+    replayed proof nor one reflected to its sender is accepted. Larger frames
+    are refused, since anybody can send them.
     """
     own_nonce = secrets.token_bytes(NONCE_BYTES)
     await frames.send(own_nonce)
-    peer_nonce = await frames.receive()
+    peer_nonce = await frames.receive(NONCE_BYTES)
     if len(peer_nonce) != NONCE_BYTES:
         raise errors.PeerNotAuthentic('nonce has the wrong length')
     roles = (b'client', b'server') if is_client else (b'server', b'client')
     await frames.send(_make_proof(secret, roles[0], own_nonce, peer_nonce))
     expected = _make_proof(secret, roles[1], peer_nonce, own_nonce)
-    if not hmac.compare_digest(expected, await frames.receive()):
+    proof = await frames.receive(len(expected))
+    if not hmac.compare_digest(expected, proof):
         raise errors.PeerNotAuthentic('proof does not match the shared secret')
 
 
--- a/packages/sardinebend-peers/tests/cover/test_links.py
+++ b/packages/sardinebend-peers/tests/cover/test_links.py
@@ -4,6 +4,7 @@
 
 import pytest
 import trio
+import trio.testing
 import trustme
 
 from sardinebend_peers import errors
@@ -105,3 +106,14 @@
         plain = links.PeerLink(address, SECRET, nursery)
         with pytest.raises(errors.PeerUnreachable):
             await plain.call(QUESTION, 1)
+
+
+# Guards against megabytes that are kept for a stranger, on each connection.
+@pytest.mark.parametrize('is_client', [True, False])
+async def test_a_large_frame_before_authentication_is_refused(is_client):
+    ends = trio.testing.memory_stream_pair()
+    length = 1024 * 1024
+    await ends[1].send_all(length.to_bytes(4, 'big') + b'x' * 1000)
+    frames = links.FrameStream(ends[0])
+    with pytest.raises(errors.MalformedFrame), trio.fail_after(1):
+        await links.authenticate(frames, SECRET, is_client)
