Count what events that are held back really take

Callers saw: nothing yet here. Blank events or comments without end, before the first event of an attempt, took 130 bytes each for their 2 or 3: four streams 12 to 19 MB, beside the budget for answers, and a whole block of them was split without letting another task run. Cause: only the events' own bytes were counted, and only at the next block; reading them wasn't paced. Change: each counts 128 bytes more, at once; chunks are split 8 KB at a time, and reading is paced as for other incomplete answers. Failed before: test_endless_blank_events_take_little_memory.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -20,6 +20,11 @@
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
 
+# Memory that an event takes in addition to its bytes.
+HELD_EVENT_OVERHEAD_BYTES: typing.Final = 128
+# Bytes that are split into events at a time. A blank event has two.
+PIECE_BYTES: typing.Final = 8 * 1024
+
 
 class StreamAttempt:
     """Sends a streamed request along a path and forwards its events.
@@ -188,26 +193,10 @@
         self, response: typing.Any, buffer: answer_buffers.AnswerBuffer
     ) -> None:
         async for chunk in response.aiter_stream():
-            new_events = self._splitter.feed(chunk)
-            buffer.resize(
-                self._splitter.partial_event_bytes + self._held_bytes()
-            )
-            if not new_events:
-                self._progress.record_partial_event(
-                    self._splitter.partial_event_bytes
-                )
-                await buffer.throttle(len(chunk))
-                continue
-            if self._is_superseded():
-                return
-            self._check_events(new_events)
-            has_progress = any(event.is_progress for event in new_events)
-            if has_progress and not self._take_lead():
-                return
-            if self._position.leader is not self:
-                self._held_events += new_events
-                continue
-            await self._forward_events_of_leader(response, new_events)
+            for start in range(0, len(chunk), PIECE_BYTES):
+                piece = chunk[start : start + PIECE_BYTES]
+                if not await self._forward_piece(response, buffer, piece):
+                    return
         if self._splitter.has_partial_event:
             self._progress.reason = 'ended within an event'
             return
@@ -221,6 +210,41 @@
         await self._exchange.out.finish()
         self._state.endpoints.mark_healthy(self.first_endpoint)
 
+    async def _forward_piece(
+        self,
+        response: typing.Any,
+        buffer: answer_buffers.AnswerBuffer,
+        piece: bytes,
+    ) -> bool:
+        """Forwards or holds the events that a piece of a chunk completes.
+
+        Returns:
+            Whether the attempt goes on; it doesn't if another one is ahead.
+        """
+        new_events = self._splitter.feed(piece)
+        buffer.resize(self._splitter.partial_event_bytes + self._held_bytes())
+        if not new_events:
+            self._progress.record_partial_event(
+                self._splitter.partial_event_bytes
+            )
+            await buffer.throttle(len(piece))
+            return True
+        if self._is_superseded():
+            return False
+        self._check_events(new_events)
+        has_progress = any(event.is_progress for event in new_events)
+        if has_progress and not self._take_lead():
+            return False
+        if self._position.leader is not self:
+            self._held_events += new_events
+            buffer.resize(
+                self._splitter.partial_event_bytes + self._held_bytes()
+            )
+            await buffer.throttle(len(piece))
+            return True
+        await self._forward_events_of_leader(response, new_events)
+        return True
+
     async def _forward_events_of_leader(
         self,
         response: typing.Any,
@@ -256,7 +280,10 @@
             self._progress.record_progress()
 
     def _held_bytes(self) -> int:
-        return sum(len(event.data) for event in self._held_events)
+        return sum(
+            len(event.data) + HELD_EVENT_OVERHEAD_BYTES
+            for event in self._held_events
+        )
 
     def _is_superseded(self) -> bool:
         """Returns whether another attempt has delivered events since."""
