Don't copy an engine's line at each chunk of it

Callers saw: nothing yet here. At the product's own interface an engine that sends a line in tiny chunks occupied its host: the line, up to 256 KB, was copied at each chunk, and no other task ran meanwhile. Cause: bytes were joined and split for each chunk. Change: the line is extended in place and split at line ends only; other tasks may run every eight chunks. Failed before: test_a_line_in_tiny_pieces_is_not_copied_again_for_each_piece, test_other_tasks_run_while_tiny_pieces_arrive.

--- a/packages/sardinebend-router/src/sardinebend_router/engines.py
+++ b/packages/sardinebend-router/src/sardinebend_router/engines.py
@@ -19,6 +19,8 @@
 
 CANCEL_TIMEOUT_S: typing.Final = 2.0
 MAX_LINE_BYTES: typing.Final = 256 * 1024
+# Number of chunks of a stream after which other tasks may run.
+CHUNKS_PER_CHECKPOINT: typing.Final = 8
 STATUS_MODEL_NOT_LOADED: typing.Final = 409
 STATUS_BUSY: typing.Final = 429
 
@@ -165,9 +167,18 @@
         order: DraftOrder,
         post: typing.Callable[[msg.Event], None],
     ) -> None:
-        buffer = b''
+        buffer = bytearray()
+        chunk_count = 0
         async for chunk in response.aiter_stream():
-            *lines, buffer = (buffer + chunk).split(b'\n')
+            chunk_count += 1
+            if chunk_count % CHUNKS_PER_CHECKPOINT == 0:
+                await trio.lowlevel.checkpoint()
+            buffer.extend(chunk)
+            lines: list[bytes] = []
+            # Splitting copies the buffer, so it isn't done for each chunk.
+            if b'\n' in chunk:
+                *lines, rest = bytes(buffer).split(b'\n')
+                buffer = bytearray(rest)
             if len(buffer) > MAX_LINE_BYTES:
                 return
             for line in lines:
--- a/packages/sardinebend-router/tests/cover/test_engines.py
+++ b/packages/sardinebend-router/tests/cover/test_engines.py
@@ -1,6 +1,7 @@
 """Tests how valid, malformed and truncated engine streams are decoded."""
 
 import pytest
+import trio
 
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import fleet as fleet_lib
@@ -95,3 +96,34 @@
 )
 async def test_only_statuses_409_and_429_are_refusals(status, event):
     assert (await run([], status))[0] == event
+
+
+# Guards against a line in tiny pieces that is copied at each of them.
+async def test_a_line_in_tiny_pieces_is_not_copied_again_for_each_piece():
+    copied_bytes = 0
+
+    class Piece(bytes):
+        def __radd__(self, other):
+            nonlocal copied_bytes
+            copied_bytes += len(other)
+            return bytes(other) + bytes(self)
+
+    assert await run([Piece(b'xy')] * 150_000) == [msg.StreamBroken(2)]
+    assert copied_bytes < 10 * engines.MAX_LINE_BYTES
+
+
+# Guards against an engine whose tiny pieces keep the host from all else.
+async def test_other_tasks_run_while_tiny_pieces_arrive():
+    turns = 0
+
+    async def count_turns():
+        nonlocal turns
+        while True:
+            turns += 1
+            await trio.lowlevel.checkpoint()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(count_turns)
+        await run([b'xy'] * 10_000)
+        nursery.cancel_scope.cancel()
+    assert turns > 100
