--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -16,13 +16,14 @@
 import trio
 
 from sardinebend_store import errors
-from sardinebend_store import interim_limits
+from sardinebend_store import held_replies
+from sardinebend_store import reply_heads
 
 MAX_IDLE_CONNECTIONS: typing.Final = 8
-MAX_REPLY_BYTES: typing.Final = 64 * 1024 * 1024
+# A table's change may hold a configuration, of which peers relay up to 16 MB.
+MAX_REPLY_BYTES: typing.Final = 16 * 1024 * 1024
 MAX_QUOTED_CHARS: typing.Final = 80
 IDLE_TIMEOUT_S: typing.Final = 20.0
-STATUS_HEAD_TOO_LARGE: typing.Final = 431
 
 Headers = typing.Sequence[tuple[bytes, bytes]]
 # Raises `trio.TooSlowError` if its block takes longer than a number of seconds.
@@ -56,7 +57,7 @@
         self,
         origin: 'Origin',
         conn: httpcore.AsyncHTTP11Connection,
-        stream: interim_limits.InterimLimitStream,
+        stream: httpcore.AsyncNetworkStream,
     ) -> None:
         self._origin = origin
         self._conn = conn
@@ -89,13 +90,10 @@
             headers=[*default_headers, *headers],
             content=body,
         )
-        self._stream.start_count()
         try:
             response = await self._conn.handle_async_request(req)
         except _CONNECTION_ERRORS as exc:
             raise _make_failure(exc) from exc
-        finally:
-            self._stream.stop_count()
         try:
             yield response
         except _CONNECTION_ERRORS as exc:
@@ -117,25 +115,21 @@
         """Sends a request once and returns the complete reply.
 
         Raises:
-            errors.ReplyTooLarge: The reply's body is larger than `max_bytes`.
+            errors.ReplyTooLarge: The reply's body is larger than `max_bytes`,
+                or was dropped to free memory.
             errors.ExchangeFailed: The connection failed; the request may have
                 been received.
         """
         async with self.stream(method, path, headers, body) as response:
-            chunks = []
-            size = 0
-            async for chunk in response.aiter_stream():
-                size += len(chunk)
-                if size > max_bytes:
-                    raise errors.ReplyTooLarge(
-                        'the reply is larger than allowed'
-                    )
-                chunks.append(chunk)
+            with held_replies.REPLIES.open(max_bytes) as held:
+                async for chunk in response.aiter_stream():
+                    await held.add(chunk)
+                reply_body = held.complete()
             header_values = {
                 name.decode('latin-1').lower(): value.decode('latin-1')
                 for name, value in response.headers
             }
-            return Reply(response.status, header_values, b''.join(chunks))
+            return Reply(response.status, header_values, reply_body)
 
     def is_reusable(self) -> bool:
         """Returns whether another request can be sent on this connection.
@@ -268,9 +262,8 @@
         origin = httpcore.Origin(
             scheme.encode(), self._host.encode(), self._port
         )
-        limited_stream = interim_limits.InterimLimitStream(stream)
-        conn = httpcore.AsyncHTTP11Connection(origin, limited_stream)
-        return Connection(self, conn, limited_stream)
+        conn = reply_heads.LimitedConnection(origin, stream)
+        return Connection(self, conn, stream)
 
     async def acquire(self, timeout_s: float) -> Connection:
         """Returns an idle connection, or opens a new one."""
@@ -351,7 +344,7 @@
     """Returns the error for a reply whose head couldn't be read."""
     # The parser sets this hint when a head exceeds the size of its buffer.
     hint = getattr(exc.__cause__, 'error_status_hint', None)
-    if hint == STATUS_HEAD_TOO_LARGE:
+    if hint == reply_heads.STATUS_HEAD_TOO_LARGE:
         return errors.ReplyTooLarge(format_exception(exc))
     return errors.ExchangeFailed(format_exception(exc))
 
