Refuse request bodies that a host has no memory for, before reading them

Cause: each body was kept whole until the end of its answer, since a stream may have to be sent again, and nothing bounded the sum of them.

Change: the bodies of a host share a budget that follows from its memory (`memory_mb` of the settings, 256 MB where unknown): what is left after 100 MB for the process and its answers, or a quarter if that is more. A body takes its room by its Content-Length before it is read; one of unknown length as it grows. What doesn't fit is answered 503 with Retry-After, is never sent on, and is counted and logged as no_memory_for_body. The rest of such a body is read and thrown away, within the limits for bodies, so that the caller gets its answer and may go on with the connection; a caller that waits for "100 Continue" is closed. An eighth of the budget is for bodies of up to 64 KB alone. Bodies are kept and sent in pieces of 64 KB, never joined, and dropped when the answer is there. Parts of http_server.py are in a module of their own now.

Test that failed before: test_bodies_take_no_more_memory_than_the_host_has_for_them (26.0 MB allocated, 12 MB allowed). Those on small bodies, slow callers, callers that wait and callers that leave are new with the budget and weren't seen red.

Why it works: at 300 MB the budget is 200 MB, taken before a byte is kept, so that neither the rate nor the order of requests can raise the sum.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
@@ -6,7 +6,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
-from sardinebend_gateway import http_server
+from sardinebend_gateway import request_reader
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
 
@@ -16,6 +16,8 @@
 # that the request takes to reach an endpoint.
 EVIDENCE_MARGIN_S: typing.Final = 0.3
 DEFAULT_RETRY_AFTER_S: typing.Final = 0.5
+# Memory gets free as answers end; another host may have some at once.
+NO_MEMORY_RETRY_AFTER_S: typing.Final = 0.5
 
 
 class Refusal(typing.NamedTuple):
@@ -70,7 +72,7 @@
 
 def admit(
     state: state_lib.State,
-    req: http_server.Request,
+    req: request_reader.Request,
     facts: edges_lib.RequestFacts,
 ) -> Admitted | Refusal:
     """Returns the request with its route and customer, or a refusal.
@@ -129,6 +131,15 @@
     return Refusal(503, 'host_stopping', STOPPING_RETRY_AFTER_S)
 
 
+def admit_body(
+    admitted: Admitted, req: request_reader.Request
+) -> Admitted | Refusal:
+    """Returns an admitted request, or a refusal if its body has no room."""
+    if req.content.is_refused:
+        return Refusal(503, 'no_memory_for_body', NO_MEMORY_RETRY_AFTER_S)
+    return admitted
+
+
 def can_trust_keys(state: state_lib.State) -> bool:
     """Returns whether the configuration is recent enough to check keys.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -7,7 +7,7 @@
 
 from sardinebend_gateway import admission
 from sardinebend_gateway import events
-from sardinebend_gateway import http_server
+from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -37,7 +37,7 @@
     def __init__(
         self,
         state: state_lib.State,
-        req: http_server.Request,
+        req: request_reader.Request,
         admitted: admission.Admitted,
         out: responder.Responder,
     ) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -10,7 +10,7 @@
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import endings
 from sardinebend_gateway import events
-from sardinebend_gateway import http_server
+from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -74,7 +74,7 @@
     def __init__(
         self,
         state: state_lib.State,
-        req: http_server.Request,
+        req: request_reader.Request,
         admitted: admission.Admitted,
         out: responder.Responder,
         crash_detector: crashes.CrashDetector,
@@ -290,6 +290,7 @@
 
     async def send_reply(self, reply: Reply) -> None:
         """Sends a complete answer of an endpoint to the caller."""
+        self.req.content.release()
         codec = self.state.edges.requests
         headers = codec.make_answer_headers(reply.headers)
         self.ending.record_answered(str(reply.status))
@@ -302,6 +303,7 @@
         retry_after_s: float = RETRY_AFTER_S,
     ) -> None:
         """Ends the request with an error response made by the gateway."""
+        self.req.content.release()
         codec = self.state.edges.requests
         headers = codec.make_own_headers(self.admitted.facts.request_id)
         if step is forwarding.Step.REFUSE:
@@ -314,7 +316,7 @@
 
 
 def make_content_fingerprint(
-    req: http_server.Request, admitted: admission.Admitted
+    req: request_reader.Request, admitted: admission.Admitted
 ) -> str:
     """Returns a fingerprint of a request's content and its customer.
 
@@ -326,5 +328,8 @@
         (req.method, admitted.facts.host.encode('latin-1'), req.target)
     )
     return quarantine.make_fingerprint(
-        b'', customer, request_line.decode('latin-1'), req.body
+        b'',
+        customer,
+        request_line.decode('latin-1'),
+        req.content.pieces,
     )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -9,8 +9,8 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
-from sardinebend_gateway import http_server
 from sardinebend_gateway import plain
+from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_gateway import streams
@@ -36,7 +36,7 @@
         self._crash_detector = crash_detector
 
     async def serve(
-        self, req: http_server.Request, out: responder.Responder
+        self, req: request_reader.Request, out: responder.Responder
     ) -> None:
         """Serves one request."""
         codec = self._state.edges.requests
@@ -49,6 +49,8 @@
         admitted = admission.admit(self._state, req, facts)
         if isinstance(admitted, admission.Admitted):
             admitted = admission.admit_while_stopping(self._state, admitted)
+        if isinstance(admitted, admission.Admitted):
+            admitted = admission.admit_body(admitted, req)
         if isinstance(admitted, admission.Refusal):
             await self._refuse(facts, admitted, out)
             return
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -17,6 +17,8 @@
 from sardinebend_gateway import caller_sockets
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
+from sardinebend_gateway import request_bodies
+from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder as responder_lib
 from sardinebend_policy import catalog
 
@@ -34,30 +36,14 @@
 # After the last answer on a connection, the caller has this long to receive it
 # and to close.
 LINGER_S: typing.Final = 1.0
+# Budget for the request bodies of a server that shares none.
+MAX_BODIES_BYTES: typing.Final = 32 * 1024 * 1024
 
 _AUDIT = audit.Audit()
 
 
-class Request(typing.NamedTuple):
-    """A request that has been received completely.
-
-    Attributes:
-        method: HTTP method.
-        target: Path and query as sent.
-        headers: Names in lower case, with values, in order.
-        body: The body without its framing.
-        arrived_at: When the headers were complete, by trio's clock.
-    """
-
-    method: bytes
-    target: bytes
-    headers: responder_lib.Pairs
-    body: bytes
-    arrived_at: float
-
-
 Handler = typing.Callable[
-    [Request, responder_lib.Responder],
+    [request_reader.Request, responder_lib.Responder],
     typing.Coroutine[typing.Any, typing.Any, None],
 ]
 
@@ -169,16 +155,27 @@
             return False
         arrived_at = trio.current_time()
         self._server.in_flight += 1
+        body = request_bodies.Body(self._server.bodies)
         try:
-            body = await self._read_body(head)
+            await self._read_body(head, body)
             headers = list(head.headers)
-            req = Request(head.method, head.target, headers, body, arrived_at)
+            req = request_reader.Request(
+                head.method, head.target, headers, body, arrived_at
+            )
             responder = responder_lib.Responder(self._conn, self._stream)
-            responder.closes_connection = self._server.is_stopping
+            # A caller that waits with its body may send it or not, so what
+            # comes next would be ambiguous.
+            responder.closes_connection = (
+                self._server.is_stopping
+                or self._conn.they_are_waiting_for_100_continue
+            )
             self._log_fields = responder.log_fields
             self._responder = responder
             await self._handle(req, responder)
+            if body.is_refused and responder.is_finished:
+                await self._discard_body()
         finally:
+            body.release()
             self._server.in_flight -= 1
         if not responder.is_finished:
             raise errors.ConnectionAborted('answer aborted before its end')
@@ -189,7 +186,7 @@
         )
 
     async def _handle(
-        self, req: Request, responder: responder_lib.Responder
+        self, req: request_reader.Request, responder: responder_lib.Responder
     ) -> None:
         """Runs the handler; cancels it if the caller disconnects."""
         async with trio.open_nursery() as nursery:
@@ -240,33 +237,38 @@
         with wait_limit(limits.header_timeout_s):
             event = await self._next_event()
             if isinstance(event, h11.Request):
-                _check_head(event, limits.max_header_bytes)
+                request_reader.check_head(event, limits.max_header_bytes)
                 return event
             return None
         raise errors.BadRequest(408, 'timeout while reading headers')
 
-    async def _read_body(self, head: h11.Request) -> bytes:
+    async def _read_body(
+        self, head: h11.Request, body: request_bodies.Body
+    ) -> None:
         limits = self._server.limits()
-        chunks: list[bytes] = []
-        size = 0
-        if self._conn.they_are_waiting_for_100_continue:
+        length = request_reader.get_content_length(head)
+        if length <= limits.max_body_bytes:
+            body.reserve(length)
+        if self._conn.they_are_waiting_for_100_continue and not body.is_refused:
             interim = h11.InformationalResponse(status_code=100, headers=[])
             await self._stream.send_all(self._conn.send(interim) or b'')
         with self._server.wait_limit(limits.idle_timeout_s):
-            while True:
-                event = await self._next_event()
-                if isinstance(event, h11.EndOfMessage):
-                    return b''.join(chunks)
-                if not isinstance(event, h11.Data):
-                    raise errors.ConnectionAborted(
-                        'connection closed within the request body'
-                    )
-                size += len(event.data)
-                if size > limits.max_body_bytes:
-                    raise errors.BadRequest(413, 'request body too large')
-                chunks.append(bytes(event.data))
+            await request_reader.read_body(
+                body, self._next_event, limits.max_body_bytes
+            )
+            return
         raise errors.BadRequest(408, 'timeout while reading the request body')
 
+    async def _discard_body(self) -> None:
+        """Lets a caller send its refused body, so that it gets the answer."""
+        if self._conn.they_are_waiting_for_100_continue:
+            return
+        limits = self._server.limits()
+        with self._server.wait_limit(limits.idle_timeout_s):
+            await request_reader.discard_body(
+                self._next_event, limits.max_body_bytes
+            )
+
     async def _next_event(self) -> typing.Any:
         while True:
             try:
@@ -323,20 +325,6 @@
             return
 
 
-def _check_head(req: h11.Request, max_bytes: int) -> None:
-    """Raises if headers are too large or leave the message length ambiguous."""
-    size = len(req.method) + len(req.target)
-    size += sum(len(name) + len(value) + 4 for name, value in req.headers)
-    if size > max_bytes:
-        raise errors.BadRequest(431, 'request headers too large')
-    names = [name for name, _ in req.headers]
-    has_length = b'content-length' in names
-    if has_length and b'transfer-encoding' in names:
-        raise errors.BadRequest(
-            400, 'both content-length and transfer-encoding are given'
-        )
-
-
 class Server:
     """HTTP server on one address.
 
@@ -347,6 +335,7 @@
         limits: Returns the current limits for requests.
         wait_limit: Cancels a wait for a caller that takes longer than a number
             of seconds.
+        bodies: The bodies of the requests.
     """
 
     def __init__(
@@ -354,12 +343,16 @@
         handler: Handler,
         limits: typing.Callable[[], catalog.Limits] = catalog.Limits,
         wait_limit: WaitLimit = trio.move_on_after,
+        bodies: request_bodies.RequestBodies | None = None,
     ) -> None:
         self.in_flight = 0
         self.is_stopping = False
         self.handler = handler
         self.limits = limits
         self.wait_limit = wait_limit
+        self.bodies = bodies or request_bodies.RequestBodies(
+            lambda: MAX_BODIES_BYTES
+        )
         self._callers: set[_CallerConnection] = set()
         self._connection_ended = trio.Event()
         self._is_closing = False
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -247,7 +247,7 @@
         with trio.move_on_after(max(0.0, left_s)):
             try:
                 async with conn.stream(
-                    req.method, req.target, headers, req.body
+                    req.method, req.target, headers, req.content
                 ) as response:
                     facts = replies.decode_answer(exchange, endpoint, response)
                     reply = await replies.read_reply(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -79,6 +79,8 @@
         retry_window_s: Time window in which retries are counted.
         answer_life_s: How long callers may cache an address.
         link_mbps: Capacity of the host's link, in Mbit/s; 0 if unknown.
+        memory_mb: Memory limit of the process, in MB. Where it is unknown, the
+            default is less than hosts usually have.
     """
 
     name: str
@@ -93,6 +95,7 @@
     retry_window_s: float = 10.0
     answer_life_s: float = 1.0
     link_mbps: float = 0.0
+    memory_mb: float = 256.0
 
     def check(self) -> 'HostSettings':
         """Returns the settings if all values are in range.
@@ -122,6 +125,10 @@
             raise errors.InvalidSettings(
                 f'link_mbps={self.link_mbps}; expected 0 or more'
             )
+        if not 0 < self.memory_mb < math.inf:
+            raise errors.InvalidSettings(
+                f'memory_mb={self.memory_mb}; expected more than 0'
+            )
         if not 0 <= self.retry_ratio <= 1:
             raise errors.InvalidSettings(
                 f'retry_ratio={self.retry_ratio}; expected 0 to 1'
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -13,6 +13,7 @@
 from sardinebend_gateway import gossip
 from sardinebend_gateway import host_clock
 from sardinebend_gateway import metrics as metrics_lib
+from sardinebend_gateway import request_bodies
 from sardinebend_gateway import settings as settings_lib
 from sardinebend_policy import balancing
 from sardinebend_policy import catalog as catalog_lib
@@ -78,6 +79,7 @@
         endpoint_limits: Limits that endpoints state on what they take.
         stream_gaps: History of the gaps between events of streams, by engine.
         answer_buffers: The buffered parts of incomplete answers.
+        request_bodies: The bodies of the requests in progress.
         leaving: Incarnations of endpoints that announced that they leave, to
             gossip to other hosts.
         unreachable: Incarnations of endpoints that this host couldn't connect
@@ -121,6 +123,10 @@
         self.inflight = inflight_lib.InFlight()
         self.stream_gaps = stream_gaps.StreamGapHistory()
         self.answer_buffers = answer_buffers.AnswerBuffers()
+        self.request_bodies = request_bodies.RequestBodies(
+            lambda: request_bodies.make_limit(self.cfg.memory_mb)
+        )
+        self.request_bodies.register_gauges(self.metrics)
         self.unreachable: gossip.GossipItems[tuple[str, int]] = (
             gossip.GossipItems(UNREACHABLE_GOSSIP_S)
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -107,7 +107,7 @@
         headers = codec.make_request_headers(req.headers, dispatch)
         try:
             async with conn.stream(
-                req.method, req.target, headers, req.body
+                req.method, req.target, headers, req.content
             ) as response:
                 await self._read_response(conn, response)
         except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
@@ -218,6 +218,7 @@
             return
         self._end = forwarding.End.ANSWERED
         self._exchange.ending.record_answered('200')
+        self._exchange.req.content.release()
         await self._exchange.out.finish()
         self._state.endpoints.mark_healthy(self.first_endpoint)
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/quarantine.py
@@ -220,15 +220,26 @@
 
 
 def make_fingerprint(
-    secret: bytes, customer: str, kind: str, body: bytes
+    secret: bytes,
+    customer: str,
+    kind: str,
+    body: bytes | typing.Sequence[bytes],
 ) -> str:
     """Returns a keyed hash that is the same for equal requests only.
 
     Without the key, a reader of logs and peer messages can't verify a guessed
     request body against its fingerprint.
+
+    Args:
+        secret: The key.
+        customer: Name of the customer.
+        kind: What is asked for.
+        body: The request body, whole or in pieces.
     """
+    pieces = [body] if isinstance(body, bytes) else body
     mac = hmac.new(secret, digestmod=hashlib.sha256)
-    for part in (customer.encode(), kind.encode(), body):
-        mac.update(len(part).to_bytes(8, 'big'))
-        mac.update(part)
+    for parts in ([customer.encode()], [kind.encode()], pieces):
+        mac.update(sum(map(len, parts)).to_bytes(8, 'big'))
+        for part in parts:
+            mac.update(part)
     return mac.hexdigest()[:32]
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -41,6 +41,19 @@
 )
 
 
+class Content(typing.Protocol):
+    """A request body in pieces.
+
+    Attributes:
+        size: Number of bytes of all pieces.
+    """
+
+    size: int
+
+    def __aiter__(self) -> collections.abc.AsyncIterator[bytes]:
+        """Returns the pieces."""
+
+
 class Reply(typing.NamedTuple):
     """A complete HTTP reply."""
 
@@ -69,7 +82,7 @@
         method: str | bytes,
         path: str | bytes,
         headers: Headers = (),
-        body: bytes = b'',
+        body: bytes | Content = b'',
     ) -> collections.abc.AsyncGenerator[httpcore.Response, None]:
         """Sends a request and yields the response once its headers are read.
 
@@ -80,7 +93,8 @@
             errors.ExchangeFailed: The connection failed; the request may have
                 been received.
         """
-        default_headers = [(b'content-length', str(len(body)).encode())]
+        size = len(body) if isinstance(body, bytes) else body.size
+        default_headers = [(b'content-length', str(size).encode())]
         if not any(name == b'host' for name, _ in headers):
             default_headers.append((b'host', self._origin.host_header))
         req = httpcore.Request(
