Let sound servers fall silent in both soaks, and judge what ends

Callers lost streams beside servers that were only silent, and no soak found it: in one process a silent server never went on and counted as failed; over processes one server at a time was suspended, and counted as failed until 3 s after it; and an answer that ended early was judged only at a host that was being stopped.

Over processes it is SIGSTOP and SIGCONT, and pauses up to 1.6 s are no longer recorded as failures. An answer that ends early at undisturbed hosts while a server of its runs was silent is a violation, unless the server that it was at failed, left or broke off, or its time was up. Servers that others poll have room for connects while they are suspended.

With a watchdog that ends attempts at silent engines, the soak fails.

--- a/tests/cover/test_gateway_silent_servers.py
+++ b/tests/cover/test_gateway_silent_servers.py
@@ -4,6 +4,7 @@
 import trio
 
 from tests.common import gateway_world as world_lib
+from tests.common import silence
 from tests.common import silent_servers
 
 Answer = world_lib.Answer
@@ -17,7 +18,7 @@
 BEGUN_S = 0.55
 
 
-class Server(silent_servers.Silence, world_lib.Server):
+class Server(silence.Silence, world_lib.Server):
     pass
 
 
--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -8,10 +8,12 @@
 import trio
 
 from sardinebend_gateway import gateway as gateway_lib
+from sardinebend_gateway import stream_watchdog
 from sardinebend_policy import forwarding
 from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
 from sardinebend_store import feeds
+from tests.common import gateway_world as world_lib
 from tests.soak import checks
 from tests.soak import faults
 from tests.soak import fleet as fleet_lib
@@ -148,6 +150,80 @@
     assert bool(found) == is_counted
 
 
+# Guards against a check that looked at planned stops only, and excused what a
+# silent server ran. Each case: what the caller got of an answer of 8 events,
+# and whether it counts.
+@pytest.mark.parametrize(
+    ('case', 'events', 'is_counted'),
+    [
+        ('', 3, True),
+        ('', 0, True),
+        ('read after the end', 0, True),
+        ('server broke off', 3, False),
+        ('server failed', 3, False),
+        ('another server failed', 3, True),
+        ('server left', 3, False),
+        ('host disturbed', 3, False),
+        ('store disturbed', 3, True),
+        ('time limit', 3, False),
+        ('not silent', 3, False),
+        ('another server silent', 3, False),
+        ('whole', 8, False),
+        ('second server broke off', 4, False),
+        ('second server sent nothing', 3, True),
+        ('stop', 3, False),
+        ('stop of another host', 3, True),
+    ],
+)
+def test_an_answer_cut_beside_a_silence_counts_if_nothing_excuses_it(
+    case, events, is_counted
+):
+    fleet = fleet_lib.Disturbances()
+    hosts = [types.SimpleNamespace(name=f'host-{n}') for n in range(2)]
+    window = [101.0, 102.0]
+    fleet.planned_stops = []
+    if case.startswith('stop'):
+        stopped = hosts['another' in case]
+        fleet.planned_stops.append(fleet_lib.Stop(stopped, 99.0))
+    silent = 'other' if case == 'another server silent' else 'engine'
+    if case != 'not silent':
+        fleet.silences.append((silent, silent, window))
+    if case in ('host disturbed', 'store disturbed'):
+        fleet.disturbances.append(window)
+    if case == 'host disturbed':
+        fleet.host_disturbances.append(window)
+    if case.endswith('server failed'):
+        failed = 'other' if 'another' in case else 'engine'
+        fleet.server_failures.append((failed, window))
+    if case == 'server left':
+        fleet.server_absences.append(('engine', window))
+    record = fleet_lib.CallerRecord(
+        'q1',
+        'draft',
+        100.0,
+        hosts[0],
+        'key',
+        status=200,
+        body=b''.join(world_lib.event(n) for n in range(1, events + 1)),
+        sent_at=100.0,
+        ended_at=102.5,
+        ended_incomplete=case != 'whole',
+        limit_s=2.0 if case == 'time limit' else 6.0,
+    )
+    at = 103.0 if case == 'read after the end' else 100.1
+    run = fleet_lib.Run('q1', 'engine', 1, at, 'vanua', False, 106.0)
+    run.events = list(range(1, min(events, 3) + 1))
+    run.path = ['engine']
+    run.is_sound = case != 'server broke off'
+    runs = [run]
+    if case.startswith('second server'):
+        second = dataclasses.replace(run, at=102.1, after=3, is_sound=False)
+        second.events = [4] if case == 'second server broke off' else []
+        runs.append(second)
+    found = checks.find_broken_off_beside_silence(fleet, record, runs)
+    assert bool(found) == is_counted
+
+
 def test_a_soak_finds_a_booking_that_is_sent_twice():
     next_step = forwarding.AttemptLedger.next_step
 
@@ -233,3 +309,17 @@
     ):
         result = soak.run(3, DURATION_S)
     assert any('(draft): closed without' in line for line in result.violations)
+
+
+# Hosts took the silence of a sound server for its failure.
+def test_a_soak_finds_streams_ended_because_a_server_is_silent():
+    with (
+        unittest.mock.patch.object(
+            stream_watchdog.Watchdog,
+            '_begin_hedge',
+            lambda *_: stream_watchdog.StallAction.END,
+        ),
+        unittest.mock.patch.object(faults, 'KINDS', (faults.servers_silent,)),
+    ):
+        result = soak.run(3, DURATION_S)
+    assert any('silent were' in line for line in result.violations)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -51,6 +51,7 @@
             find_run_with_revoked_key,
             find_unanswered_at_planned_stop,
             find_unread_at_planned_stop,
+            find_broken_off_beside_silence,
         ):
             if not is_timed and find_violation.__name__ in TIMED:
                 continue
@@ -231,13 +232,67 @@
         return True
     if record.ended_at >= record.at + record.limit_s:
         return True
-    worked_until = last_run.ended_at or float('inf')
+    return _outlasts_stop(record, last_run, stop)
+
+
+def _outlasts_stop(record, run, stop):
+    """Returns whether the end of the grace period met a stream."""
+    worked_until = run.ended_at or float('inf')
     return (
         record.sent_at <= stop.started_at + fleet_lib.EXCUSED_S
         and worked_until >= stop.started_at + fleet_lib.LAST_SIXTH_S
     )
 
 
+def find_broken_off_beside_silence(fleet, record, runs):
+    """Checks that no answer ends sooner because a server is silent.
+
+    Checks all times at which hosts are undisturbed, also without a planned
+    stop. The silence of a sound server excuses nothing.
+    """
+    if not record.ended_incomplete or record.sent_at is None or not runs:
+        return None
+    servers = {address for run in runs for address in run.path}
+    silent = fleet.find_silent(servers, record.at, record.ended_at)
+    limit_s = min(record.limit_s, TIMEOUT_S[record.kind])
+    if not silent or record.ended_at >= record.at + limit_s:
+        return None
+    if not fleet.were_hosts_undisturbed(record.at, record.ended_at):
+        return None
+    stop = _find_stop(fleet, record)
+    for run in runs:
+        if _is_superseded(record, run, runs):
+            continue
+        if stop is not None and _outlasts_stop(record, run, stop):
+            continue
+        if _was_sound(fleet, record, run):
+            return (
+                f'broken off at {record.host.name}, sent at'
+                f' {record.sent_at:.3f} and closed at {record.ended_at:.3f};'
+                f' {run.server} was sound, silent were {", ".join(silent)}'
+            )
+    return None
+
+
+def _is_superseded(record, run, runs):
+    """Returns whether a stream went on at another server than a run's."""
+    if max(run.events, default=run.after) < record.body.count(b'id: '):
+        return True
+    return any(
+        other.events and run.at < other.at <= record.ended_at for other in runs
+    )
+
+
+def _was_sound(fleet, record, run):
+    """Returns whether a run's servers were sound until its caller lost it."""
+    times = record.at, record.ended_at
+    return (
+        run.is_sound
+        and fleet.were_servers_sound(run.path, *times)
+        and fleet.were_servers_present(run.path, *times)
+    )
+
+
 def find_runs_at_leaving_servers(fleet):
     """Returns requests sent to a server too long after it began leaving.
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -8,6 +8,14 @@
 
 # Mean time between the starts of two faults.
 MEAN_INTERVAL_S = 1.2
+# Share of the soaks in which servers fall silent all the time, and no unplanned
+# disturbance of hosts excuses cut streams.
+PLANNED_SHARE = 0.5
+# A series of silences: how often some servers fall silent, after what time the
+# next do, and what share of all does at most.
+SILENT_ROUNDS = (3, 8)
+SILENT_INTERVALS_S = (0.3, 2.5)
+SILENT_SHARE = 0.4
 # Hosts that are left running, so that requests can be sent.
 MIN_HOSTS = 2
 # Each fatal request may crash three servers, and the plain service has two.
@@ -28,6 +36,9 @@
     undisturbed times, in which the time limits can be checked.
     """
     kinds = fleet.rng.sample(KINDS, fleet.rng.randint(1, len(KINDS)))
+    if servers_silent in KINDS and fleet.rng.random() < PLANNED_SHARE:
+        kinds = [k for k in kinds if k not in (host_isolated, host_killed)]
+        fleet.nursery.start_soon(keep_silencing, fleet)
     while True:
         await trio.sleep(fleet.rng.expovariate(1 / MEAN_INTERVAL_S))
         fleet.nursery.start_soon(fleet.rng.choice(kinds), fleet)
@@ -148,6 +159,15 @@
     fleet.nursery.start_soon(host.run)
 
 
+async def host_reloads(fleet):
+    """Lets a host read its settings again, as after SIGHUP."""
+    host = _pick_host(fleet)
+    if host is not None:
+        fleet.add_log(f'{host.name} reloads its settings')
+        state = host.world.gateway.state
+        state.cfg = state.cfg._replace()
+
+
 def start_stop(fleet, host):
     """Records a stop and starts callers; returns the event that ends them."""
     host.is_stopping = True
@@ -178,6 +198,32 @@
     await _disable_worker(fleet, 'silent', is_listed=True)
 
 
+async def servers_silent(fleet):
+    """Lets several sound servers fall silent and go on, some times in turn."""
+    for _ in range(fleet.rng.randint(*SILENT_ROUNDS)):
+        if fleet.is_ending:
+            return
+        awake = [w for w in fleet.workers.values() if fleet.can_fall_silent(w)]
+        count = fleet.rng.randint(1, round(SILENT_SHARE * len(fleet.workers)))
+        for worker in fleet.rng.sample(awake, min(count, len(awake))):
+            fleet.nursery.start_soon(fall_silent, fleet, worker)
+        await trio.sleep(fleet.rng.uniform(*SILENT_INTERVALS_S))
+
+
+async def keep_silencing(fleet):
+    """Starts one series of silences after the other."""
+    while not fleet.is_ending:
+        await trio.sleep(fleet.rng.expovariate(1 / MEAN_INTERVAL_S))
+        await servers_silent(fleet)
+
+
+async def fall_silent(fleet, worker, duration_s=None):
+    duration_s = duration_s or fleet.rng.uniform(*fleet_lib.SILENCES_S)
+    fleet.add_log(f'{worker.name} is silent for {duration_s:.2f} s')
+    with fleet.silence(worker):
+        await worker.keep_silent(duration_s)
+
+
 async def _disable_worker(fleet, state, is_listed):
     worker = fleet.rng.choice(list(fleet.workers.values()))
     if worker.is_down or worker.leaving_since is not None:
@@ -223,8 +269,9 @@
     )
     await fleet.write_listing(worker)
     await trio.sleep(4.0)
-    await fleet.write_listing(worker, is_removed=True)
-    await trio.sleep(0.5)
+    with fleet.server_absence(worker):
+        await fleet.write_listing(worker, is_removed=True)
+        await trio.sleep(0.5)
     worker.born += 1
     worker.leaving_since = None
     await fleet.write_listing(worker)
@@ -317,15 +364,23 @@
         fleet.add_log(f'{old} revoked')
     fleet.keys[new] = None
     keys = list(fleet.keys)
-    await _put_config(fleet, tenants=[{**tenant, 'api_keys': keys}])
+    await put_config(fleet, tenants=[{**tenant, 'api_keys': keys}])
 
 
 async def config_changed(fleet):
     if not fleet.store.is_down:
-        await _put_config(fleet)
+        await add_route(fleet)
+
+
+async def add_route(fleet):
+    """Writes a configuration with a further route."""
+    routes = fleet.config['routes']
+    name = f'added-{len(routes)}'
+    route = {**routes[0], 'name': name, 'prefix': f'/{name}/'}
+    await put_config(fleet, routes=[*routes, route])
 
 
-async def _put_config(fleet, **changes):
+async def put_config(fleet, **changes):
     version = fleet.config['version'] + fleet.rng.randint(1, 3)
     fleet.config = {**fleet.config, **changes, 'version': version}
     fleet.add_log(f'configuration {version}')
@@ -350,4 +405,6 @@
     fatal_part,
     key_revoked,
     config_changed,
+    servers_silent,
+    host_reloads,
 )
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -17,6 +17,7 @@
 
 from sardinebend_store import feeds
 from tests.common import gateway_world as world_lib
+from tests.common import silence
 
 DOMAINS: typing.Final = ('east', 'west')
 HOSTS: typing.Final = 4
@@ -67,6 +68,10 @@
 # Time between two attempts to write a listing. The platform's servers write
 # theirs about once a second, so it is written soon after a store outage too.
 RELIST_S: typing.Final = 0.5
+# For how long a sound server may be silent, and is awake at least between two
+# silences.
+SILENCES_S: typing.Final = (0.8, 1.6)
+AWAKE_S: typing.Final = 0.5
 
 
 @dataclasses.dataclass
@@ -76,7 +81,9 @@
     Attributes:
         born: The number of the server's starts, as in its listing.
         is_sound: Whether the server did all that it should, and didn't end.
-        path: The addresses of all engines of the paths that it had.
+        after: The last event that the caller had of another run.
+        path: The addresses of the server and of all engines of the paths that
+            it had.
     """
 
     request_id: str
@@ -87,6 +94,7 @@
     has_key: bool
     ended_at: float | None = None
     is_sound: bool = True
+    after: int = 0
     events: list[int] = dataclasses.field(default_factory=list)
     path: list[str] = dataclasses.field(default_factory=list)
 
@@ -196,7 +204,7 @@
         return self._fleet.store
 
 
-class Worker(world_lib.Server):
+class Worker(silence.Silence, world_lib.Server):
     """A stand-in server that records what it runs and can be made faulty."""
 
     def __init__(self, fleet, name, service, zone):
@@ -209,6 +217,14 @@
         self.backs_off = False
         self.is_endless = False
         self.paths = {}
+        self.pauses = []
+
+    def can_fall_silent(self):
+        return not self.is_down and self.leaving_since is None
+
+    async def keep_silent(self, duration_s):
+        self.fall_silent(duration_s)
+        await self.wait_awake()
 
     def entry(self, **changes):
         state = 'ready' if self.leaving_since is None else 'draining'
@@ -242,6 +258,8 @@
             trio.current_time(),
             headers.get('tenant'),
             'authorization' in headers,
+            after=int(headers.get('last-event-id', 0)),
+            path=[self.address],
         )
         self.fleet.runs.append(run)
         try:
@@ -318,7 +336,6 @@
         path = read_path(headers['hop-count'])
         self.paths[run.request_id] = path
         run.path += [address for address, _, _ in path]
-        last_event = int(headers.get('last-event-id', 0))
         event_count = int(headers.get('x-events', EVENTS))
         if not all(self.fleet.is_up(address) for address, _, _ in path):
             return refuse_at_failed_part(self.fleet, headers, path)
@@ -329,7 +346,7 @@
         await stream.send_all(head)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(cancel_on_close, stream, nursery.cancel_scope)
-            for number in range(last_event + 1, event_count + 1):
+            for number in range(run.after + 1, event_count + 1):
                 await trio.sleep(EVENT_S)
                 if not await self._wait_for_path(run):
                     run.is_sound = False
@@ -347,8 +364,12 @@
     async def _wait_for_path(self, run):
         """Waits until all servers of the path are up; returns whether they are.
 
-        Gives up after STALL_S.
+        Gives up after STALL_S, not counting the silences of sound servers.
         """
+        for address, _, _ in self.paths[run.request_id]:
+            part = self.fleet.find_worker(address)
+            if part is not None:
+                await part.wait_awake()
         with trio.move_on_after(STALL_S):
             while not self.is_down:
                 path = self.paths[run.request_id]
@@ -464,12 +485,16 @@
             their margins.
         host_disturbances: Those of them that aren't only the store's.
         server_failures: Times at which the server at an address had failed.
+        server_absences: Times at which it had left and wasn't listed.
+        silences: Address and name of a sound server that was silent, and when.
     """
 
     def __init__(self):
         self.disturbances: list[list[float]] = []
         self.host_disturbances: list[list[float]] = []
         self.server_failures: list[tuple[str, list[float]]] = []
+        self.server_absences: list[tuple[str, list[float]]] = []
+        self.silences: list[tuple[str, str, list[float]]] = []
 
     def was_undisturbed(self, start, end):
         """Returns whether no disturbance or its margins overlap this time."""
@@ -484,6 +509,43 @@
         windows = [w for a, w in self.server_failures if a in addresses]
         return not _overlaps(windows, start, end)
 
+    def were_servers_present(self, addresses, start, end):
+        """Returns whether all of the servers were listed in this time."""
+        windows = [w for a, w in self.server_absences if a in addresses]
+        return not _overlaps(windows, start, end)
+
+    def find_silent(self, addresses, start, end):
+        """Returns the names of those servers that were silent in this time."""
+        return sorted(
+            {
+                name
+                for address, name, window in self.silences
+                if address in addresses and _overlaps([window], start, end)
+            }
+        )
+
+    def can_fall_silent(self, worker):
+        """Returns whether a server is awake and has been for a while."""
+        awake_since = max((w[1] for w in worker.pauses), default=0.0)
+        return (
+            worker.can_fall_silent()
+            and awake_since <= trio.current_time() - AWAKE_S
+        )
+
+    @contextlib.contextmanager
+    def silence(self, worker):
+        """Marks a time at which a sound server is silent.
+
+        It excuses nothing but that the server reads late.
+        """
+        window = [trio.current_time(), float('inf')]
+        worker.pauses.append(window)
+        self.silences.append((worker.address, worker.name, window))
+        try:
+            yield
+        finally:
+            window[1] = trio.current_time()
+
     @contextlib.contextmanager
     def disturbance(self, text, only_store=False):
         """Marks the time of a fault during which hosts may lack store changes.
@@ -501,6 +563,17 @@
             window[1] = trio.current_time() + DISTURBANCE_MARGIN_S
             self.add_log(f'ended: {text}')
 
+    def was_server_running(self, name, start, end):
+        """Returns whether a server wasn't suspended between two times."""
+        return not _overlaps(self.workers[name].pauses, start, end)
+
+    def running_from(self, name, at):
+        """Returns the first time from `at` on when a server isn't suspended."""
+        for started, ended in sorted(self.workers[name].pauses):
+            if started <= at < ended:
+                at = ended
+        return at
+
     @contextlib.contextmanager
     def server_failure(self, worker):
         """Marks the time of a server's failure, until others have noticed."""
@@ -511,6 +584,16 @@
         finally:
             window[1] = trio.current_time() + STALL_S
 
+    @contextlib.contextmanager
+    def server_absence(self, worker):
+        """Marks the time from a server's leaving until it is listed again."""
+        window = [trio.current_time(), float('inf')]
+        self.server_absences.append((worker.address, window))
+        try:
+            yield
+        finally:
+            window[1] = trio.current_time() + STALL_S
+
     def add_log(self, text):
         self.log.append(f'{trio.current_time():8.3f} {text}')
 
@@ -591,14 +674,6 @@
         """
         return True
 
-    def was_server_running(self, name, start, end):
-        """Returns whether a server wasn't suspended between two times."""
-        return True
-
-    def running_from(self, name, at):
-        """Returns the first time from `at` on when a server isn't suspended."""
-        return at
-
     async def start(self):
         for worker in self.workers.values():
             await worker.start(self.nursery)
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -32,6 +32,8 @@
     if fleet.rng.random() < PLANNED_SHARE:
         kinds = [k for k in kinds if k not in (host_killed, host_paused)]
         kinds.append(host_stopped)
+        if faults.servers_silent in KINDS:
+            fleet.nursery.start_soon(faults.keep_silencing, fleet)
     while True:
         await trio.sleep(fleet.rng.expovariate(1 / MEAN_INTERVAL_S))
         fleet.nursery.start_soon(fleet.rng.choice(kinds), fleet)
@@ -209,15 +211,17 @@
 
 async def worker_paused(fleet):
     worker = _pick_worker(fleet)
-    if worker is None:
+    if worker is None or not fleet.can_fall_silent(worker):
+        return
+    duration_s = fleet.rng.uniform(0.3, 3)
+    if duration_s <= fleet_lib.SILENCES_S[1]:
+        await faults.fall_silent(fleet, worker, duration_s)
         return
     fleet.add_log(f'{worker.name} paused')
     with fleet.server_failure(worker):
         pause = [trio.current_time(), float('inf')]
         worker.pauses.append(pause)
-        worker.process.send(signal.SIGSTOP)
-        await trio.sleep(fleet.rng.uniform(0.3, 3))
-        worker.process.send(signal.SIGCONT)
+        await worker.keep_silent(duration_s)
         pause[1] = trio.current_time()
 
 
@@ -233,8 +237,9 @@
     worker.process.send(signal.SIGTERM)
     while worker.process.is_up:
         await trio.sleep(0.1)
-    worker.record_process_end()
-    worker.start()
+    with fleet.server_absence(worker):
+        worker.record_process_end()
+        worker.start()
 
 
 async def worker_misbehaves(fleet):
@@ -270,4 +275,6 @@
     worker_misbehaves,
     faults.fatal_request,
     faults.fatal_part,
+    faults.add_route,
+    faults.servers_silent,
 )
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -158,6 +158,15 @@
         # By `born`.
         self.process_ends = {}
 
+    def can_fall_silent(self):
+        return self.process.is_up and not self.is_leaving
+
+    async def keep_silent(self, duration_s):
+        process = self.process
+        process.send(signal.SIGSTOP)
+        await trio.sleep(duration_s)
+        process.send(signal.SIGCONT)
+
     def kill(self):
         """Kills its process."""
         self.process.kill()
@@ -363,15 +372,6 @@
             started < end and ended > start for started, ended in host.pauses
         )
 
-    def was_server_running(self, name, start, end):
-        return self.was_running(self.workers[name], start, end)
-
-    def running_from(self, name, at):
-        for started, ended in sorted(self.workers[name].pauses):
-            if started <= at < ended:
-                at = ended
-        return at
-
     def read_records(self):
         """Reads what the workers recorded."""
         for name in self.workers:
--- a/tests/soak/worker_process.py
+++ b/tests/soak/worker_process.py
@@ -114,6 +114,10 @@
 class Worker(fleet_lib.Worker):
     """A server of the soak in a process of its own."""
 
+    # The others connect all the time to see whether it is up, also while it is
+    # suspended.
+    backlog = 1024
+
     async def crash(self):
         os.kill(os.getpid(), signal.SIGKILL)
 
