Judge a stream that a stop met by the server that it was at

The soak took the run that was begun last for the one that a stream was at when its host ended. Beside silent servers that may be a superseded attempt: a hedge that ended when the first attempt went on, or a request that its server read after the stream had gone on elsewhere.

Now a run is left out if the caller has had events since that other servers made. Streams with one run, or whose runs made no events, are judged as before.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -108,6 +108,9 @@
         ('first server worked', 'draft', 102.0, 107.4, 106.0, True),
         ('stopped before', 'draft', 102.5, 107.4, 107.4, False),
         ('whole', 'draft', 103.1, 107.4, 107.4, False),
+        ('hedge read late', 'draft', 102.1, 107.4, 107.4, False),
+        ('hedge read late', 'draft', 102.1, 107.4, 106.0, True),
+        ('hedge went on', 'draft', 102.1, 107.4, 107.4, True),
     ],
 )
 def test_a_stream_cut_at_a_planned_stop_counts_if_nothing_excuses_it(
@@ -146,6 +149,13 @@
         runs.insert(0, dataclasses.replace(run, at=run.at - 0.1))
         runs[0].is_sound = case == 'first server worked'
         runs[0].ended_at = None
+    if case.startswith('hedge'):
+        record.body = world_lib.event(1) + world_lib.event(2)
+        run.events = [1, 2]
+        runs.append(dataclasses.replace(run, at=run.at + 1, after=1))
+        runs[1].events, runs[1].ended_at = [], run.at + 1
+    if case == 'hedge went on':
+        run.events, runs[1].events = [1], [2]
     found = checks.find_unanswered_at_planned_stop(fleet, record, runs)
     assert bool(found) == is_counted
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -223,8 +223,10 @@
 
 def _is_excused(fleet, record, runs, stop):
     """Returns whether a planned stop may have cut a stream."""
-    # Earlier ones that broke off were given up by the host in time.
-    last_run = max(runs, key=lambda run: run.at)
+    # Earlier ones that broke off were given up by the host in time. A hedge
+    # may be begun later, and end when the stream goes on elsewhere.
+    kept = [run for run in runs if not _is_superseded(record, run, runs)]
+    last_run = max(kept or runs, key=lambda run: run.at)
     if not last_run.is_sound:
         return True
     path = {address for run in runs for address in run.path}
