--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -257,12 +257,12 @@
         origin = connections.Origin(
             f'http://{endpoint.address}', fail_after=clock.fail_after
         )
-        started_at = trio.current_time()
+        started_at, began_at = trio.current_time(), clocks.now()
         try:
             conn = await origin.connect(PROBE_TIMEOUT_S)
         except store_errors.ConnectFailed as exc:
             return self._classify(endpoint, exc, started_at)
-        self._state.silences.record_success(started_at)
+        self._state.silences.record_success(began_at)
         await conn.close()
         return ProbeResult.LISTENS
 
@@ -277,8 +277,9 @@
             return ProbeResult.REFUSED
         if not self._state.host_clock.was_on_time_since(since):
             return ProbeResult.UNKNOWN
-        now = trio.current_time()
-        self._state.silences.record(endpoint.endpoint_id, since, now)
+        now = clocks.now()
+        began_at = now - (trio.current_time() - since)
+        self._state.silences.record(endpoint.endpoint_id, began_at, now)
         if self._state.silences.is_own_fault_likely(now):
             return ProbeResult.UNKNOWN
         return ProbeResult.UNREACHABLE
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -131,7 +131,7 @@
         isn't lost on a connection that the endpoint has already closed.
         """
         origin = connections.Origin(f'http://{endpoint.address}')
-        started_at = trio.current_time()
+        started_at, began_at = trio.current_time(), clocks.now()
         timeout_s = min(CONNECT_TIMEOUT_S, max(0.01, self.time_left_s()))
         try:
             conn = await origin.connect(timeout_s)
@@ -147,7 +147,7 @@
             elif outcome is crashes.ProbeResult.UNREACHABLE:
                 self.state.record_silence(endpoint, 'connect timed out')
             return None
-        self.state.silences.record_success(started_at)
+        self.state.silences.record_success(began_at)
         return conn
 
     def is_answered_by(self, facts: edges_lib.AnswerFacts) -> bool:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -270,7 +270,7 @@
             endpoint=endpoint.endpoint_id,
             reason=reason,
             for_s=round(cooldown_s, 3),
-            silent_endpoints=self.silences.count(trio.current_time()),
+            silent_endpoints=self.silences.count(clocks.now()),
             unsent_bytes=self.count_unsent_bytes(),
         )
         if has_failed:
