Log what a closing connection leaves unread, and how late a host was

A connection that was closed as idle left no line, so a request that was in its socket left none either; now connection_closed_unread tells the reason, how long the connection was idle and how many bytes came. request_sent and request_refused have recent_delay_s, the sum of the host's own delays within a second, which tells a host that can't keep up from one that meets a silent endpoint.

Tests: the line is written for bytes that come during the close; delays are summed for a second.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -69,11 +69,14 @@
 ORDER_SENT = Event('order_sent', 'endpoint, span, orders_begun, status')
 PLAN_MADE = Event('plan_made', 'service, cards, ranges, uncovered layers')
 REQUEST_REFUSED = Event(
-    'request_refused', 'request, route, status, reason, evidence_age_s', True
+    'request_refused',
+    'request, route, status, reason, evidence_age_s, recent_delay_s',
+    True,
 )
 REQUEST_SENT = Event(
     'request_sent',
-    'request, route, endpoint, parts, prompt_parts, attempt, time_left_s',
+    'request, route, endpoint, parts, prompt_parts, attempt, time_left_s,'
+    ' recent_delay_s',
 )
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
@@ -105,6 +108,11 @@
     'request, reason, is_answered, unread_bytes, unacknowledged_bytes',
     True,
 )
+CONNECTION_CLOSED_UNREAD = Event(
+    'connection_closed_unread',
+    'reason, idle_s, unread_bytes that came as it was closed',
+    True,
+)
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed, is_leaving', True)
 TABLE_RELAYED = Event(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -267,6 +267,7 @@
             attempt=len(self.ledger.sent_to),
             time_left_s=round(self.time_left_s(), 3),
             after_s=self.took_s(),
+            recent_delay_s=round(self.state.host_clock.recent_delay_s(), 3),
             **inputs,
         )
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -107,6 +107,7 @@
             status=refusal.status,
             reason=refusal.reason,
             evidence_age_s=round(self._state.catalog_age_s(), 3),
+            recent_delay_s=round(self._state.host_clock.recent_delay_s(), 3),
         )
         self._state.metrics.count('requests', end=refusal.reason)
         headers = self._state.edges.requests.make_own_headers(facts.request_id)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -67,6 +67,10 @@
             return trio.current_time()
         return self._delays.on_time(trio.current_time())
 
+    def recent_delay_s(self) -> float:
+        """Returns for how long the host was held up recently, in all."""
+        return self._real_delays.recent_delay_s()
+
     def signal_late_s(self) -> float:
         """Returns how late a signal may be that is being handled, at most."""
         now = clocks.now()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -72,6 +72,7 @@
         self._early_bytes = 0
         self._is_eof = False
         self._is_idle = False
+        self._idle_since = trio.current_time()
         self._log_fields: dict[str, str] = {}
         self._responder: responder_lib.Responder | None = None
         self._confirmed_bytes = 0
@@ -225,6 +226,7 @@
         limits = self._server.limits()
         idle_wait_s = limits.idle_timeout_s
         is_idle = self._conn.trailing_data[0] == b''
+        self._idle_since = trio.current_time()
         wait_limit = self._server.wait_limit
         with wait_limit(idle_wait_s if is_idle else 0) as scope:
             if is_idle:
@@ -315,14 +317,21 @@
             or caller_sockets.count_unacknowledged_bytes(sock)
         ):
             return
-        try:
+        idle_s = trio.current_time() - self._idle_since
+        unread_bytes = 0
+        # The caller may close the connection meanwhile.
+        with contextlib.suppress(*_CONNECTION_ERRORS):
             with trio.move_on_after(LINGER_S):
                 await self._stream.send_eof()
-                while await self._receive():
-                    pass
-        except _CONNECTION_ERRORS:
-            # The caller has closed the connection.
-            return
+                while data := await self._receive():
+                    unread_bytes += len(data)
+        if self._is_idle and unread_bytes:
+            _AUDIT.log(
+                events.CONNECTION_CLOSED_UNREAD,
+                reason='host stops' if self._server.is_closing else 'idle',
+                idle_s=round(idle_s, 3),
+                unread_bytes=unread_bytes,
+            )
 
 
 class Server:
@@ -331,6 +340,7 @@
     Attributes:
         in_flight: Number of requests that are being read or served.
         is_stopping: Whether answers tell callers to close the connection.
+        is_closing: Whether connections without a request are being closed.
         handler: Serves one request.
         limits: Returns the current limits for requests.
         wait_limit: Cancels a wait for a caller that takes longer than a number
@@ -355,7 +365,7 @@
         )
         self._callers: set[_CallerConnection] = set()
         self._connection_ended = trio.Event()
-        self._is_closing = False
+        self.is_closing = False
         self._idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
@@ -407,7 +417,7 @@
         bring one request.
         """
         self.begin_stop()
-        self._is_closing = True
+        self.is_closing = True
         for scope in self._idle_scopes:
             scope.deadline = trio.current_time() + LAST_REQUEST_WAIT_S
         self._accept_scope.cancel()
@@ -432,7 +442,7 @@
         # No nursery, whose end can be cancelled: bytes that have been received
         # would be lost if the caller's time limit passed meanwhile.
         scope = trio.CancelScope()
-        if self._is_closing:
+        if self.is_closing:
             scope.deadline = trio.current_time() + LAST_REQUEST_WAIT_S
         self._idle_scopes.add(scope)
         try:
--- a/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
@@ -4,6 +4,7 @@
 messages late. The time that it measures then says nothing about their senders.
 """
 
+import collections
 import typing
 
 # Interval at which a host records that it runs.
@@ -16,6 +17,8 @@
 # A signal that was sent while the host was held up is handled this long after
 # the end of the delay, at the latest.
 SIGNAL_HANDLING_S: typing.Final = 0.1
+# Delays are summed over this time.
+RECENT_S: typing.Final = 1.0
 
 
 class HostDelays:
@@ -30,6 +33,10 @@
         self._delay_began_at = now
         self._delay_ended_at = float('-inf')
         self._held_up_until = float('-inf')
+        # When each recent delay ended, and its length.
+        self._recent: collections.deque[tuple[float, float]] = (
+            collections.deque()
+        )
 
     def record_tick(self, now: float) -> float:
         """Records that the host runs.
@@ -45,7 +52,16 @@
             self._held_up_until = now
         self._on_time_at_tick = self.on_time(now)
         self._ticked_at = now
-        return step_s - TICK_S if step_s > MAX_STEP_S else 0.0
+        delay_s = step_s - TICK_S if step_s > MAX_STEP_S else 0.0
+        if delay_s:
+            self._recent.append((now, delay_s))
+        while self._recent and now - self._recent[0][0] > RECENT_S:
+            self._recent.popleft()
+        return delay_s
+
+    def recent_delay_s(self) -> float:
+        """Returns the sum of the delays that ended within `RECENT_S`."""
+        return sum(delay_s for _, delay_s in self._recent)
 
     def on_time(self, now: float) -> float:
         """Returns the time of a clock that stands still during delays."""
--- a/packages/sardinebend-policy/tests/cover/test_host_delays.py
+++ b/packages/sardinebend-policy/tests/cover/test_host_delays.py
@@ -77,3 +77,16 @@
     assert delays.was_on_time_for(1.0, now)
     delays.record_tick(now + host_delays.HELD_UP_STEP_S + 0.01)
     assert not delays.was_on_time_for(1.0, now + 0.2)
+
+
+def test_delays_are_summed_for_a_second():
+    delays, now = make_delays()
+    assert delays.recent_delay_s() == 0
+    for _ in range(2):
+        now += 0.4
+        delays.record_tick(now)
+    assert delays.recent_delay_s() == pytest.approx(0.6)
+    delays.record_tick(now + 0.7)
+    assert delays.recent_delay_s() == pytest.approx(0.9)
+    delays.record_tick(now + 1.8)
+    assert delays.recent_delay_s() == pytest.approx(1.0)
--- /dev/null
+++ b/tests/cover/test_gateway_idle_limits.py
@@ -0,0 +1,77 @@
+"""Requests that reach a host as it closes their idle connection."""
+
+import contextlib
+import socket
+
+import trio
+
+from sardinebend_gateway import http_server
+from sardinebend_policy import catalog
+from tests.common import decision_log
+from tests.common import gateway_world as world_lib
+
+
+class Limits:
+    """Lets a test decide when the wait for a caller is over."""
+
+    def __init__(self):
+        self.scopes = []
+
+    @contextlib.contextmanager
+    def wait(self, seconds):
+        with trio.CancelScope() as scope:
+            self.scopes.append(scope)
+            try:
+                yield scope
+            finally:
+                self.scopes.remove(scope)
+
+    def end(self):
+        for scope in self.scopes:
+            scope.cancel()
+
+
+async def answer(req, out):
+    await out.answer(503 if out.closes_connection else 200, [], b'done')
+
+
+@contextlib.asynccontextmanager
+async def serving(limits):
+    """Serves; yields the server and a caller's idle, kept connection."""
+    server = http_server.Server(answer, catalog.Limits, limits.wait)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery, world_lib.IP, 0)
+        sock = socket.create_connection((world_lib.IP, server.port))
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setblocking(False)
+        conn = trio.socket.from_stdlib_socket(sock)
+        async with trio.SocketStream(conn) as stream:
+            await stream.send_all(world_lib.make_request(request_id='first'))
+            assert (await world_lib.read_answer(stream))[0] == 200
+            await trio.sleep(0.1)
+            yield server, sock, stream
+        nursery.cancel_scope.cancel()
+
+
+# Guards against requests that leave no line, since their connection was idle
+# until it was closed.
+async def test_bytes_that_come_as_an_idle_connection_is_closed_are_logged(
+    clock, monkeypatch
+):
+    limits = Limits()
+    with decision_log.collecting() as lines:
+        async with serving(limits) as (_, sock, _):
+            # As if the answer before hadn't reached its caller yet.
+            monkeypatch.setattr(
+                http_server.caller_sockets,
+                'count_unacknowledged_bytes',
+                lambda conn: 1,
+            )
+            limits.end()
+            await trio.sleep(0.01)
+            sock.sendall(b'GET')
+            await trio.sleep(0.1)
+    (fields,) = [f for n, f in lines if n == 'connection_closed_unread']
+    assert fields['unread_bytes'] == 3
+    assert fields['reason'] == 'idle'
+    assert 0.1 <= fields['idle_s'] < 0.2
