Reproduce requests that are dropped as their idle connection is closed

The tests let the time limit of an idle connection end while a request is in its socket, which is the order in which a process that was suspended finds both: its poll of the sockets is interrupted, and timers that are due come first.

--- a/tests/cover/test_gateway_idle_limits.py
+++ b/tests/cover/test_gateway_idle_limits.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 
+import pytest
 import trio
 
 from sardinebend_gateway import http_server
@@ -53,6 +54,38 @@
         nursery.cancel_scope.cancel()
 
 
+# Guards against a request that is read and dropped, since a host that was held
+# up finds the time limit of its idle connection over before it reads the
+# socket.
+@pytest.mark.parametrize('is_limit_first', [True, False])
+async def test_a_request_that_came_before_its_idle_limit_ended_is_answered(
+    clock, is_limit_first
+):
+    limits = Limits()
+    async with serving(limits) as (_, sock, stream):
+        sock.sendall(world_lib.make_request(request_id='second'))
+        if not is_limit_first:
+            # The host sees the bytes, but hasn't read them yet.
+            await trio.lowlevel.checkpoint()
+        limits.end()
+        status, _, _, is_whole = await world_lib.read_answer(stream)
+    assert (status, is_whole) == (200, True)
+
+
+# Guards against the same at the end of a planned stop.
+async def test_a_request_that_came_before_a_stop_closed_it_is_refused(clock):
+    async with serving(Limits()) as (server, sock, stream):
+        server.close()
+        await trio.sleep(http_server.LAST_REQUEST_WAIT_S - 0.01)
+        sock.sendall(world_lib.make_request(request_id='second'))
+        # The deadline is over before the host has looked at the socket.
+        for scope in server._idle_scopes:
+            scope.cancel()
+        status, headers, _, is_whole = await world_lib.read_answer(stream)
+    assert (status, is_whole) == (503, True)
+    assert headers['connection'] == 'close'
+
+
 # Guards against requests that leave no line, since their connection was idle
 # until it was closed.
 async def test_bytes_that_come_as_an_idle_connection_is_closed_are_logged(
