Look once more for a request before an idle connection is closed

Cause: the time limit of an idle connection decided although bytes had arrived. A process that goes on after a suspension finds timers due before it looks at its sockets. The connection was half-closed, the request read and thrown away. The same happened when a stop closed connections without a request.

Change: when the wait for a request ends without bytes, the socket is looked at once more; what is there is read as a request, which is served, or refused if the host stops.

It works since bytes that the kernel has accepted before the decision are now always seen; bytes that come after it cross the close, and nothing of them runs.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -224,19 +224,12 @@
 
     async def _read_head(self) -> h11.Request | None:
         limits = self._server.limits()
-        idle_wait_s = limits.idle_timeout_s
-        is_idle = self._conn.trailing_data[0] == b''
-        self._idle_since = trio.current_time()
-        wait_limit = self._server.wait_limit
-        with wait_limit(idle_wait_s if is_idle else 0) as scope:
-            if is_idle:
-                data = await self._server.receive_unless_closing(self._receive)
-                if not data:
-                    return None
-                self._conn.receive_data(data)
-        if scope.cancelled_caught and is_idle:
-            return None
-        with wait_limit(limits.header_timeout_s):
+        if self._conn.trailing_data[0] == b'':
+            data = await self._receive_first(limits.idle_timeout_s)
+            if not data:
+                return None
+            self._conn.receive_data(data)
+        with self._server.wait_limit(limits.header_timeout_s):
             event = await self._next_event()
             if isinstance(event, h11.Request):
                 request_reader.check_head(event, limits.max_header_bytes)
@@ -244,6 +237,19 @@
             return None
         raise errors.BadRequest(408, 'timeout while reading headers')
 
+    async def _receive_first(self, idle_timeout_s: float) -> bytes:
+        """Returns the first bytes of a request; empty if none comes."""
+        self._idle_since = trio.current_time()
+        with self._server.wait_limit(idle_timeout_s):
+            data = await self._server.receive_unless_closing(self._receive)
+            if data or self._is_eof:
+                return data
+        # A process that was suspended finds its limits over before it looks at
+        # its sockets.
+        if caller_sockets.count_unread_bytes(self._stream.socket):
+            return await self._receive()
+        return b''
+
     async def _read_body(
         self, head: h11.Request, body: request_bodies.Body
     ) -> None:
