Pass on all events that have arrived, not one for each pass

Cause: a body was read chunk by chunk, and each event was written by itself, with a pass through all tasks of the host for each. A host whose pass takes 0.3 s delivers three events of a stream a second, however many wait in its socket, so one that is behind falls ever further behind.

Change: a connection returns all that has arrived of a body as one piece; a lone event is passed on at once, as before.

--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -1,5 +1,6 @@
-"""Limits for the heads of replies: their sizes and interim responses."""
+"""Connections that limit the heads of replies and join what has arrived."""
 
+import collections.abc
 import typing
 
 import h11
@@ -17,6 +18,9 @@
 class LimitedConnection(httpcore.AsyncHTTP11Connection):
     """An HTTP/1.1 connection that fails at a head beyond the limits.
 
+    It returns a body in the pieces in which it arrives, not in its chunks: a
+    host that is behind catches up with all of a stream's events at a time.
+
     A head is too large with more than `MAX_FIELDS` fields or `MAX_HEAD_BYTES`.
     More than `MAX_INTERIM_RESPONSES` responses with status 1xx are an error.
     `httpcore` reads them without a limit, and thousands of them without
@@ -47,6 +51,29 @@
                 raise _make_error()
         return event
 
+    # `httpcore` yields each chunk by itself.
+    async def _receive_response_body(
+        self, request: httpcore.Request
+    ) -> collections.abc.AsyncIterator[bytes]:
+        timeout = request.extensions.get('timeout', {}).get('read', None)
+        event: h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+        event = await self._receive_event(timeout)
+        while isinstance(event, h11.Data):
+            pieces = [bytes(event.data)]
+            failure = None
+            try:
+                while isinstance(
+                    event := self._h11_state.next_event(), h11.Data
+                ):
+                    pieces.append(bytes(event.data))
+            except h11.RemoteProtocolError as exc:
+                failure = exc
+            yield b''.join(pieces)
+            if failure is not None:
+                raise httpcore.RemoteProtocolError(failure) from failure
+            if event is h11.NEED_DATA:
+                event = await self._receive_event(timeout)
+
 
 def _is_too_large(response: h11.Response) -> bool:
     headers = response.headers
