Accept all waiting connections at a time

What callers saw: requests on new connections that a host with a small share of a processor read over a second after they were sent.

Cause: one connection was accepted for each pass through all tasks. A host whose pass takes 0.3 s accepts three a second.

Change: after one connection, those that wait as well are accepted at once, as the end of a stop did before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -427,14 +427,9 @@
         for scope in self._idle_scopes:
             scope.deadline = trio.current_time() + LAST_REQUEST_WAIT_S
         self._accept_scope.cancel()
-        if self._socket is None or self._listener is None:
+        if self._listener is None:
             return
-        while True:
-            try:
-                conn, _ = self._socket.accept()
-            except OSError:
-                break
-            self._serve(trio.socket.from_stdlib_socket(conn))
+        self._accept_waiting()
         self._listener.close()
 
     async def receive_unless_closing(
@@ -476,6 +471,19 @@
                     await trio.sleep(ACCEPT_RETRY_S)
                     continue
                 self._serve(conn)
+                # One connection for each pass through all tasks would let them
+                # pile up at a host that is late.
+                self._accept_waiting()
+
+    def _accept_waiting(self) -> None:
+        """Accepts all connections that wait to be accepted."""
+        assert self._socket is not None
+        while True:
+            try:
+                conn, _ = self._socket.accept()
+            except OSError:
+                return
+            self._serve(trio.socket.from_stdlib_socket(conn))
 
     def _serve(self, conn: trio.socket.SocketType) -> None:
         assert self._nursery is not None
