Run the tests that have no processes beside each other

make test took 19 to 22 minutes, nearly all of it on one processor. Tests without processes now run on all processors, the tests of one file in one worker; those over processes follow by themselves, as they measure real time.

--- a/Makefile
+++ b/Makefile
@@ -25,8 +25,10 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src platform/sardinebend_adapter deploy standins bench
 
+# The tests over processes measure real time, so nothing runs beside them.
 test: lint
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n auto --dist loadfile packages tests/cover tests/nocover
+	$(BIN)/python -m pytest tests/processes
 
 matrix: setup
 	$(BIN)/python -m tests.common.report
