Refuse at once what an overloaded host can't begin in time

What callers saw: at a host with a small share of a processor, requests waited behind each other until their callers had given up unanswered, and ends of streams came after the process had been killed (LOST around a stop).

Cause: nothing bounds what such a host takes on. It goes on accepting while each pass through its tasks takes 0.1 to 0.5 s, and each request needs eight or so until its answer begins.

Change: a host whose tasks ran late three times in a row refuses (503, not run, Retry-After 0.1 s) what it can't begin within half of the time left and 2 s. A single pause refuses nothing.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import request_reader
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
+from sardinebend_policy import overload
 
 # A stopping host asks callers to come back at once: another host serves them.
 STOPPING_RETRY_AFTER_S: typing.Final = 0.05
@@ -16,6 +17,8 @@
 # that the request takes to reach an endpoint.
 EVIDENCE_MARGIN_S: typing.Final = 0.3
 DEFAULT_RETRY_AFTER_S: typing.Final = 0.5
+# Another host most likely serves the request at once.
+OVERLOADED_RETRY_AFTER_S: typing.Final = 0.1
 # Memory gets free as answers end; another host may have some at once.
 NO_MEMORY_RETRY_AFTER_S: typing.Final = 0.5
 
@@ -131,6 +134,16 @@
     return Refusal(503, 'host_stopping', STOPPING_RETRY_AFTER_S)
 
 
+def admit_under_load(
+    state: state_lib.State, admitted: Admitted
+) -> Admitted | Refusal:
+    """Returns an admitted request, or a refusal if the host is too busy."""
+    left_s = admitted.ends_at - trio.current_time()
+    if overload.can_begin(state.host_clock.overload_s(), left_s):
+        return admitted
+    return Refusal(503, 'host_overloaded', OVERLOADED_RETRY_AFTER_S)
+
+
 def admit_body(
     admitted: Admitted, req: request_reader.Request
 ) -> Admitted | Refusal:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -49,6 +49,8 @@
         admitted = admission.admit(self._state, req, facts)
         if isinstance(admitted, admission.Admitted):
             admitted = admission.admit_while_stopping(self._state, admitted)
+        if isinstance(admitted, admission.Admitted):
+            admitted = admission.admit_under_load(self._state, admitted)
         if isinstance(admitted, admission.Admitted):
             admitted = admission.admit_body(admitted, req)
         if isinstance(admitted, admission.Refusal):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -71,6 +71,10 @@
         """Returns for how long the host was held up recently, in all."""
         return self._real_delays.recent_delay_s()
 
+    def overload_s(self) -> float:
+        """Returns how late the tasks of an overloaded host run; else 0."""
+        return self._real_delays.overload_s()
+
     def signal_late_s(self) -> float:
         """Returns how late a signal may be that is being handled, at most."""
         now = clocks.now()
--- a/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/host_delays.py
@@ -19,6 +19,9 @@
 SIGNAL_HANDLING_S: typing.Final = 0.1
 # Delays are summed over this time.
 RECENT_S: typing.Final = 1.0
+# A host is overloaded if so many steps in a row were late. A pause of the
+# process, however long, is one.
+OVERLOAD_STEPS: typing.Final = 3
 
 
 class HostDelays:
@@ -37,6 +40,10 @@
         self._recent: collections.deque[tuple[float, float]] = (
             collections.deque()
         )
+        # Delays of the last steps, all of which were late.
+        self._late_steps: collections.deque[float] = collections.deque(
+            maxlen=OVERLOAD_STEPS
+        )
 
     def record_tick(self, now: float) -> float:
         """Records that the host runs.
@@ -55,10 +62,22 @@
         delay_s = step_s - TICK_S if step_s > MAX_STEP_S else 0.0
         if delay_s:
             self._recent.append((now, delay_s))
+            self._late_steps.append(delay_s)
+        else:
+            self._late_steps.clear()
         while self._recent and now - self._recent[0][0] > RECENT_S:
             self._recent.popleft()
         return delay_s
 
+    def overload_s(self) -> float:
+        """Returns how late the tasks of an overloaded host run on average.
+
+        It is 0 for a host that isn't overloaded.
+        """
+        if len(self._late_steps) < OVERLOAD_STEPS:
+            return 0.0
+        return sum(self._late_steps) / OVERLOAD_STEPS
+
     def recent_delay_s(self) -> float:
         """Returns the sum of the delays that ended within `RECENT_S`."""
         return sum(delay_s for _, delay_s in self._recent)
--- a/packages/sardinebend-policy/tests/cover/test_host_delays.py
+++ b/packages/sardinebend-policy/tests/cover/test_host_delays.py
@@ -1,6 +1,7 @@
 import pytest
 
 from sardinebend_policy import host_delays
+from sardinebend_policy import overload
 
 START = 100.0
 PAUSE_S = 1.3
@@ -90,3 +91,27 @@
     assert delays.recent_delay_s() == pytest.approx(0.9)
     delays.record_tick(now + 1.8)
     assert delays.recent_delay_s() == pytest.approx(1.0)
+
+
+def test_only_late_steps_in_a_row_show_an_overload():
+    delays, now = make_delays()
+    delays.record_tick(now + PAUSE_S)
+    assert delays.overload_s() == 0
+    now += PAUSE_S + host_delays.TICK_S
+    delays.record_tick(now)
+    for _ in range(host_delays.OVERLOAD_STEPS):
+        assert delays.overload_s() == 0
+        now += 0.3
+        delays.record_tick(now)
+    assert delays.overload_s() == pytest.approx(0.2)
+    delays.record_tick(now + host_delays.TICK_S)
+    assert delays.overload_s() == 0
+
+
+def test_an_overloaded_host_begins_what_it_can_answer_in_time():
+    assert overload.can_begin(0.0, 0.01)
+    assert overload.can_begin(0.05, 1.5)
+    assert not overload.can_begin(0.2, 1.5)
+    assert overload.can_begin(0.2, 20.0)
+    # A caller that waits for 20 s in all doesn't wait as long for an event.
+    assert not overload.can_begin(0.5, 20.0)
