End no wait of a begun stream by the host's own pause

What callers saw: a begun stream was broken off, though another engine had been listed, because the host was suspended while it waited for another path.

Cause: this wait (1.2 s) ran on real time. It ended in the pass after the pause, before rows that had arrived meanwhile were read.

Change: it runs on the host's clock.

Evidence: test_a_pause_of_the_host_ends_no_wait_of_a_begun_stream failed in all 12 cases (pauses of 1.2 to 3.5 s, 0 to 0.9 s after the wait began), and passes. `ask` of that file also checks the status now, as a refusal is a whole answer, too.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -1,5 +1,6 @@
 """Chooses the paths of one streamed request."""
 
+import contextlib
 import typing
 
 import trio
@@ -66,9 +67,14 @@
         """Returns a path with free capacity, or `None` after a short wait."""
         exchange = self._exchange
         wait_s = exchange.admitted.route.target_s * PATH_WAIT_SHARE
+        limit: contextlib.AbstractContextManager[object]
         if exchange.out.is_started:
             wait_s = RESUME_WAIT_S
-        with trio.move_on_after(wait_s):
+            # A path that appeared while the host was held up is to be read yet.
+            limit = self._state.host_clock.move_on_after(wait_s)
+        else:
+            limit = trio.move_on_after(wait_s)
+        with limit:
             while True:
                 path = self._search(self.excluded_ids)
                 path = path or self._search_among_silent()
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -52,7 +52,8 @@
     try:
         async with await trio.open_tcp_stream(world_lib.IP, port) as stream:
             await stream.send_all(data)
-            return (await world_lib.read_answer(stream))[3]
+            status, _, _, is_whole = await world_lib.read_answer(stream)
+            return is_whole and status == 200
     except OSError:
         return False
 
@@ -256,3 +257,46 @@
             await stream.send_all(data[sent_before:])
             status, _, _, is_whole = await world_lib.read_answer(stream)
     assert (status, is_whole) == (200, True)
+
+
+# Guards against begun streams that are broken off because the wait for another
+# path passed while the host was suspended.
+@pytest.mark.parametrize('pause_s', [1.2, 1.5, 3.5])
+@pytest.mark.parametrize('wait_s', [0.0, 0.03, 0.08, 0.9])
+async def test_a_pause_of_the_host_ends_no_wait_of_a_begun_stream(
+    wait_s, pause_s, clock
+):
+    has_failed = trio.Event()
+
+    async def fail_after_five(headers, stream):
+        fixed = [
+            ('Request-Id', headers['request-id']),
+            ('Content-Type', 'text/event-stream'),
+            world_lib.SEAL,
+        ]
+        await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+        for number in range(1, 6):
+            await trio.sleep(EVENT_S)
+            await stream.send_all(world_lib.chunk(world_lib.event(number)))
+        has_failed.set()
+        return world_lib.Answer(ends='reset')
+
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    first = world_lib.Server('llm-0', 'llm', fail_after_five)
+    other = world_lib.Server('llm-1', 'llm', send_stream)
+    is_whole = []
+
+    async def ask_one(world):
+        is_whole.append(await ask(world, 'r1', limit_s=19.0))
+
+    async with world_lib.running(first, config=config) as world:
+        await other.start(world.nursery)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_one, world)
+            await has_failed.wait()
+            # Until the host has read the reset.
+            await trio.sleep(0.02 + wait_s)
+            clock.jump(pause_s)
+            await world.list_server(other)
+    assert is_whole == [True]
