Ask a reader again that a late host gave up

What hosts saw: a host that was held up while it asked its reader left it alone for 3 s and counted a silence of it; all its tables asked the store meanwhile.

Cause: any failed call began the cooldown, also one whose time passed in a delay of the host itself or within the second after it, when its backlog is due.

Change: no cooldown and no count then, as for all verdicts (`was_on_time_since`). The store is asked after each such call as before, so nothing is asked in a loop.

Evidence: test_a_reader_that_a_late_host_gave_up_is_asked_again failed (the second question wasn't sent), and passes; a silent reader of a host that is on time is still left alone for 3 s (second test, green before and after).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -202,8 +202,11 @@
                 store_errors.Unavailable('no reader is available')
             )
         question = _make_question(table, after, wait_s)
+        asked_at = trio.current_time()
         answer = await self._call(address, question, wait_s + FOLLOW_SLACK_S)
-        if isinstance(answer, result.Err):
+        # Otherwise the delay of this host may be the cause.
+        was_on_time = self._state.host_clock.was_on_time_since(asked_at)
+        if isinstance(answer, result.Err) and was_on_time:
             self._reader_cooldown_until = clocks.now() + READER_COOLDOWN_S
             self._state.metrics.count('readers_unanswered')
         return answer
