Wait longer after each refused order to an engine

What engines saw: one that refuses orders to place layers (412) got a new one, and a request for its report, every 0.25 s without end, each over new connections, and the holder wrote plan_made as often.

Cause: a refusal forgets the last order, so that the next check, 0.25 s later, plans it again.

Change: the next order follows after 0.25 s as before, later ones after twice the time each, up to 4 s; an accepted one begins anew. A plan of which no engine may get an order yet isn't logged.

A return of the store isn't a cause of such refusals by itself: these orders name the engine's own count of orders, not the number of the lease.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -42,6 +42,11 @@
 # An unanswered order may be carried out seconds later, so the engine gets no
 # other order until this time has passed.
 UNANSWERED_ORDER_S: typing.Final = 3.0
+# An engine that has refused an order gets no other for this long, twice as long
+# after each further refusal, up to a limit: the first may have been a matter of
+# two orders at a time, but the cause may also last.
+REFUSAL_PAUSE_S: typing.Final = 0.25
+MAX_REFUSAL_PAUSE_S: typing.Final = 4.0
 # Interval between moves that give a failure domain layers it lacks. Each is
 # planned as if the orders already sent had been carried out, so it doesn't
 # supply layers that an earlier move already supplies.
@@ -64,6 +69,18 @@
     until: float
 
 
+class _Refusal(typing.NamedTuple):
+    """The last refusal of an order by an engine.
+
+    Attributes:
+        pause_s: Time for which the engine gets no order.
+        until: When that ends.
+    """
+
+    pause_s: float
+    until: float
+
+
 class PlacementController:
     """Acquires the lease when it is free; sends orders while it holds it."""
 
@@ -80,6 +97,8 @@
         self._held_lease_before = False
         self._started_at = clocks.now()
         self._last_orders: dict[tuple[str, int], _LastOrder] = {}
+        # Refusals since the last accepted order.
+        self._refusals: dict[tuple[str, int], _Refusal] = {}
         self._last_new_engine_at = clocks.now()
         self._known_names: set[str] = set()
         self._next_move_at = float('-inf')
@@ -257,7 +276,10 @@
         plan = placement.make_plan(model.layers, candidates)
         if not plan and not repeated and now >= self._next_move_at:
             plan = self._plan_move(model.layers, candidates, now)
-        if plan:
+        # A plan whose engines must wait is made again.
+        if any(
+            e.endpoint_id in plan and self._may_order(e, now) for e in engines
+        ):
             self._state.audit.log(
                 events.PLAN_MADE,
                 service=service.name,
@@ -280,7 +302,10 @@
 
     def _may_order(self, endpoint: endpoints_lib.Endpoint, now: float) -> bool:
         last_order = self._last_orders.get(endpoint.incarnation)
-        return last_order is None or now >= last_order.until
+        refusal = self._refusals.get(endpoint.incarnation)
+        return (last_order is None or now >= last_order.until) and (
+            refusal is None or now >= refusal.until
+        )
 
     async def _send_order(
         self, endpoint: endpoints_lib.Endpoint, span: endpoints_lib.Span
@@ -291,6 +316,7 @@
         last_order = self._last_orders[endpoint.incarnation]
         now = clocks.now()
         if status in calls_lib.ACCEPTED_STATUSES:
+            self._refusals.pop(endpoint.incarnation, None)
             wait_s = LISTING_DELAY_S + self._loading_time_s(endpoint, span)
             self._last_orders[endpoint.incarnation] = last_order._replace(
                 until=now + wait_s
@@ -299,6 +325,16 @@
             # The engine refused the order because its layers or its count of
             # orders have changed; its listing will show them.
             del self._last_orders[endpoint.incarnation]
+            self._record_refusal(endpoint, now)
+
+    def _record_refusal(
+        self, endpoint: endpoints_lib.Endpoint, now: float
+    ) -> None:
+        last = self._refusals.get(endpoint.incarnation)
+        pause_s = REFUSAL_PAUSE_S
+        if last is not None:
+            pause_s = min(MAX_REFUSAL_PAUSE_S, 2 * last.pause_s)
+        self._refusals[endpoint.incarnation] = _Refusal(pause_s, now + pause_s)
 
     def _loading_time_s(
         self, endpoint: endpoints_lib.Endpoint, span: endpoints_lib.Span
--- /dev/null
+++ b/tests/cover/test_gateway_orders_after_return.py
@@ -0,0 +1,116 @@
+"""Orders to engines while the store comes back from an older copy."""
+
+import contextlib
+
+import trio
+
+from tests.common import decision_log
+from tests.common import gateway_world as world_lib
+
+ENGINES = 3
+LOAD_S = 1.0
+HEARTBEAT_S = 1.0
+# A lease that is lost, the next one, and a load.
+PLACED_S = 20.0
+
+
+class Loader(world_lib.Server):
+    """An engine that loads layers, and refuses orders that come too late.
+
+    Attributes:
+        refuses: Whether it refuses all orders.
+        refused: When it refused an order.
+        began: When it began an order.
+    """
+
+    def __init__(self, number):
+        super().__init__(f'engine-{number}', 'llm')
+        self.world = None
+        self.refuses = False
+        self.refused = []
+        self.began = []
+
+    def take_order(self, order):
+        if self.refuses or order['expected'] != len(self.orders):
+            self.refused.append(trio.current_time())
+            return 412
+        self.began.append(trio.current_time())
+        self.world.nursery.start_soon(self.load, order)
+        return super().take_order(order)
+
+    async def load(self, order):
+        await trio.sleep(LOAD_S)
+        self.span = (order['from'], order['target'])
+
+    async def keep_listed(self):
+        while True:
+            await self.world.list_server(self)
+            await trio.sleep(HEARTBEAT_S)
+
+
+@contextlib.asynccontextmanager
+async def placing(hosts=1, engines=ENGINES):
+    """Yields hosts and empty engines, before the first order."""
+    loaders = [Loader(number) for number in range(engines)]
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, loaders)
+        others = [
+            world_lib.World(
+                nursery, (), store=world.store, name=f'host-{number}'
+            )
+            for number in range(2, hosts + 1)
+        ]
+        for loader in loaders:
+            loader.world = world
+        await world.start()
+        for other in others:
+            await other.start_gateway()
+        for loader in loaders:
+            nursery.start_soon(loader.keep_listed)
+        yield [world, *others], loaders
+        nursery.cancel_scope.cancel()
+
+
+async def wait_until(is_reached):
+    with trio.fail_after(PLACED_S):
+        while not is_reached():
+            await trio.sleep(0.02)
+
+
+def count_writes(store):
+    return len(store._history)
+
+
+def is_covered(loaders):
+    layers = set()
+    for loader in loaders:
+        if loader.span:
+            layers |= set(range(*loader.span))
+    return layers == set(range(world_lib.LAYERS))
+
+
+# Guards against a holder that sends orders to an engine without end, or none
+# any more, after the engine has refused some that came after a return.
+async def test_an_engine_that_refuses_orders_after_a_return_gets_layers_later(
+    clock,
+):
+    with decision_log.collecting() as lines:
+        async with placing() as ((world,), loaders):
+            before = count_writes(world.store)
+            for loader in loaders:
+                loader.refuses = True
+            await wait_until(lambda: all(x.refused for x in loaders))
+            world.store.return_from_copy(count_writes(world.store) - before)
+            returned_at = trio.current_time()
+            await trio.sleep(30.0)
+            assert not any(loader.span for loader in loaders)
+            for loader in loaders:
+                refused = [at for at in loader.refused if at > returned_at]
+                assert 5 <= len(refused) <= 25
+                loader.refuses = False
+            ended_at = trio.current_time()
+            await wait_until(lambda: all(x.span for x in loaders))
+            assert trio.current_time() - ended_at < LOAD_S + 4.0
+            assert is_covered(loaders)
+    plans = [fields for name, fields in lines if name == 'plan_made']
+    assert len(plans) <= 20
