Send no orders by listings that a return made older

What engines saw: after the store had come back from an older copy, engines that had just loaded layers got the same order again, and began it.

Cause: the copy lists them as they were before, without layers. Until their next heartbeat the holder of the lease took them for empty; it repeats orders to empty engines, whose own count of orders fits.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -80,7 +80,10 @@
         )
         self._calls = calls.EngineCalls(self.state, self._crashes)
         self.placement_controller = placement_controller.PlacementController(
-            self.state, self._calls, self.incarnation
+            self.state,
+            self._calls,
+            self.incarnation,
+            lambda: self._endpoints.may_be_outdated(),
         )
         self._forwarder = forwarder.Forwarder(
             self.state, self._calls, self._crashes
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -7,6 +7,7 @@
 is already in force.
 """
 
+import collections.abc
 import typing
 
 import result
@@ -89,9 +90,20 @@
         state: state_lib.State,
         engine_calls: calls_lib.EngineCalls,
         incarnation: str,
+        are_listings_outdated: collections.abc.Callable[[], bool],
     ) -> None:
+        """Creates a controller that doesn't hold the lease.
+
+        Args:
+            state: The host's state.
+            engine_calls: Requests reports and sends orders.
+            incarnation: The name of this host's process.
+            are_listings_outdated: Returns whether engines may hold other layers
+                than their listings say.
+        """
         self._state = state
         self._calls = engine_calls
+        self._are_listings_outdated = are_listings_outdated
         self._lease = lease_lib.Lease(incarnation, LEASE_S)
         self._version = 0
         self._held_lease_before = False
@@ -205,6 +217,9 @@
             catalog = self._state.catalog
             if not self.holds_lease or catalog is None:
                 continue
+            if self._are_listings_outdated():
+                # Engines that hold layers may be listed as empty.
+                continue
             for service in catalog.services.values():
                 if service.has_layers:
                     self._place_service(service, nursery)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -146,6 +146,15 @@
             nursery.start_soon(self.follower.run)
             nursery.start_soon(self._run_due_removals)
 
+    def may_be_outdated(self) -> bool:
+        """Returns whether listings may be older than what servers have written.
+
+        That is so after the store has come back from an older copy, until
+        servers have had time to write their listings again.
+        """
+        age_s = clocks.now() - self.follower.era_changed_at
+        return age_s < follower_lib.RELIST_WAIT_S
+
     def _apply_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         changed = False
         for row in rows:
--- a/tests/cover/test_gateway_orders_after_return.py
+++ b/tests/cover/test_gateway_orders_after_return.py
@@ -2,6 +2,7 @@
 
 import contextlib
 
+import pytest
 import trio
 
 from tests.common import decision_log
@@ -52,6 +53,9 @@
 async def placing(hosts=1, engines=ENGINES):
     """Yields hosts and empty engines, before the first order."""
     loaders = [Loader(number) for number in range(engines)]
+    config = world_lib.make_config()
+    # Each engine holds half of the model.
+    config['services'][1]['engine']['layer_mb'] = 300.0
     async with trio.open_nursery() as nursery:
         world = world_lib.World(nursery, loaders)
         others = [
@@ -62,7 +66,7 @@
         ]
         for loader in loaders:
             loader.world = world
-        await world.start()
+        await world.start(config)
         for other in others:
             await other.start_gateway()
         for loader in loaders:
@@ -114,3 +118,37 @@
             assert is_covered(loaders)
     plans = [fields for name, fields in lines if name == 'plan_made']
     assert len(plans) <= 20
+
+
+# Guards against engines that stay without layers, or load twice, because a
+# return took the listings, and perhaps the lease, of a rollout under way.
+@pytest.mark.parametrize('after_s', [0.0, 0.5, 1.2, 3.0, 3.5])
+@pytest.mark.parametrize('hosts', [1, 3])
+@pytest.mark.parametrize('is_lease_lost', [True, False])
+async def test_a_rollout_goes_on_across_a_return(
+    is_lease_lost, hosts, after_s, clock
+):
+    async with placing(hosts) as (worlds, loaders):
+        store = worlds[0].store
+        before = count_writes(store)
+
+        def find_holders():
+            controllers = [w.gateway.placement_controller for w in worlds]
+            return [c for c in controllers if c.holds_lease]
+
+        if not is_lease_lost:
+            await wait_until(find_holders)
+            before = count_writes(store)
+        await wait_until(lambda: any(x.began for x in loaders))
+        late = Loader(ENGINES)
+        late.world = worlds[0]
+        await late.start(worlds[0].nursery)
+        worlds[0].nursery.start_soon(late.keep_listed)
+        await trio.sleep(after_s)
+        store.return_from_copy(count_writes(store) - before)
+        everyone = [*loaders, late]
+        await wait_until(lambda: all(x.span for x in everyone))
+        await trio.sleep(PLACED_S)
+        assert is_covered(everyone)
+        assert len(find_holders()) == 1
+        assert [len(x.began) for x in everyone] == [1] * len(everyone)
