Count joined chunks one by one where reading is paced

What callers saw: nothing yet; all requests of a host are late while one endpoint sends an endless answer of tiny chunks.

Cause: joins what has arrived, so that up to 10,923 chunks count as one. The limits that keep such an answer off the processor (8 KB for each chunk, a pass for others after each eighth, the number of chunks of a reply) saw one chunk of 11 KB. A block takes 0.12 s to parse, with no other task between, which also makes the host look late to itself.

Change: at most 256 chunks are joined (some 3 ms), and a joined part knows how many chunks it has; buffers of answers, of streams and of replies count these.

Evidence: test_tiny_chunks_are_paced_by_their_number failed before (60,002 chunks read in a second, for a plain answer and a stream; 6,000 allowed), and passes now and with the joining taken out; test_a_block_of_tiny_chunks_is_not_joined_as_one is new.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/answer_buffers.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/answer_buffers.py
@@ -11,6 +11,7 @@
 import trio
 
 from sardinebend_gateway import errors
+from sardinebend_store import reply_heads
 
 # Read buffers and copies of answers, such as `AnswerBuffer.join` makes, come on
 # top of this. The memory that Python allocates in all, while many endless
@@ -109,14 +110,22 @@
         size = len(chunk) + CHUNK_OVERHEAD_BYTES
         self.resize(self.size + size)
         self._chunks.append(chunk)
-        await self.throttle(size)
+        await self.throttle(size, reply_heads.count_chunks(chunk))
 
-    async def throttle(self, size: int) -> None:
-        """Lets other tasks run, and paces reading, after a chunk."""
-        self._chunk_count += 1
+    async def throttle(self, size: int, chunk_count: int = 1) -> None:
+        """Lets other tasks run, and paces reading, after chunks.
+
+        Args:
+            size: Bytes that they take.
+            chunk_count: Number of chunks that were read as one.
+        """
+        rest = self._chunk_count % CHUNKS_PER_CHECKPOINT
+        self._chunk_count += chunk_count
         if self.size > UNPACED_BYTES or self._chunk_count > UNPACED_CHUNKS:
-            await self._budget.pace(max(size, MIN_CHUNK_COST_BYTES))
-        elif self._chunk_count % CHUNKS_PER_CHECKPOINT == 0:
+            await self._budget.pace(
+                max(size, chunk_count * MIN_CHUNK_COST_BYTES)
+            )
+        elif rest + chunk_count >= CHUNKS_PER_CHECKPOINT:
             await trio.lowlevel.checkpoint()
 
     def resize(self, size: int) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -21,6 +21,7 @@
 from sardinebend_policy import forwarding
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
+from sardinebend_store import reply_heads
 
 # Memory that an event takes in addition to its bytes.
 HELD_EVENT_OVERHEAD_BYTES: typing.Final = 128
@@ -195,10 +196,15 @@
         self, response: typing.Any, buffer: answer_buffers.AnswerBuffer
     ) -> None:
         async for chunk in response.aiter_stream():
+            # The first piece counts for all chunks that were joined.
+            chunk_count = reply_heads.count_chunks(chunk)
             for start in range(0, len(chunk), PIECE_BYTES):
                 piece = chunk[start : start + PIECE_BYTES]
-                if not await self._forward_piece(response, buffer, piece):
+                if not await self._forward_piece(
+                    response, buffer, piece, chunk_count
+                ):
                     return
+                chunk_count = 1
         if self._splitter.has_partial_event:
             self._progress.reason = 'ended within an event'
             return
@@ -221,6 +227,7 @@
         response: typing.Any,
         buffer: answer_buffers.AnswerBuffer,
         piece: bytes,
+        chunk_count: int,
     ) -> bool:
         """Forwards or holds the events that a piece of a chunk completes.
 
@@ -233,7 +240,7 @@
             self._progress.record_partial_event(
                 self._splitter.partial_event_bytes
             )
-            await buffer.throttle(len(piece))
+            await buffer.throttle(len(piece), chunk_count)
             return True
         if self._is_superseded():
             return False
@@ -246,7 +253,7 @@
             buffer.resize(
                 self._splitter.partial_event_bytes + self._held_bytes()
             )
-            await buffer.throttle(len(piece))
+            await buffer.throttle(len(piece), chunk_count)
             return True
         await self._forward_events_of_leader(response, new_events)
         return True
--- a/packages/sardinebend-store/src/sardinebend_store/held_replies.py
+++ b/packages/sardinebend-store/src/sardinebend_store/held_replies.py
@@ -13,6 +13,7 @@
 import trio
 
 from sardinebend_store import errors
+from sardinebend_store import reply_heads
 
 # The smallest hosts have 200 MB. Copies of replies come on top of this.
 MAX_HELD_BYTES: typing.Final = 32 * 1024 * 1024
@@ -91,8 +92,10 @@
                 dropped to free memory.
         """
         self._check()
-        self._chunk_count += 1
-        cost = len(chunk) + CHUNK_COST_BYTES
+        chunk_count = reply_heads.count_chunks(chunk)
+        rest = self._chunk_count % CHUNKS_PER_CHECKPOINT
+        self._chunk_count += chunk_count
+        cost = len(chunk) + chunk_count * CHUNK_COST_BYTES
         if len(self._body) + len(chunk) > self._limit:
             raise errors.ReplyTooLarge('the reply is larger than allowed')
         if self._chunk_count > MIN_CHUNK_LIMIT + self._limit / CHUNK_COST_BYTES:
@@ -100,7 +103,7 @@
         self._body += chunk
         self.size += cost
         self._budget.add_bytes(cost)
-        if self._chunk_count % CHUNKS_PER_CHECKPOINT == 0:
+        if rest + chunk_count >= CHUNKS_PER_CHECKPOINT:
             await trio.lowlevel.checkpoint()
 
     def complete(self) -> bytes:
--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -13,6 +13,24 @@
 MAX_FIELDS: typing.Final = 256
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
+# Chunks that are joined at a time; other tasks wait some 11 us for each.
+MAX_JOINED_CHUNKS: typing.Final = 256
+
+
+class JoinedChunks(bytes):
+    """A part of a body.
+
+    Attributes:
+        chunk_count: Number of chunks in which it arrived. Each takes processor
+            time, which whoever paces the reading counts.
+    """
+
+    chunk_count = 1
+
+
+def count_chunks(data: bytes) -> int:
+    """Returns the number of chunks in which a part of a body arrived."""
+    return data.chunk_count if isinstance(data, JoinedChunks) else 1
 
 
 class LimitedConnection(httpcore.AsyncHTTP11Connection):
@@ -62,16 +80,18 @@
             pieces = [bytes(event.data)]
             failure = None
             try:
-                while isinstance(
+                while len(pieces) < MAX_JOINED_CHUNKS and isinstance(
                     event := self._h11_state.next_event(), h11.Data
                 ):
                     pieces.append(bytes(event.data))
             except h11.RemoteProtocolError as exc:
                 failure = exc
-            yield b''.join(pieces)
+            joined = JoinedChunks(b''.join(pieces))
+            joined.chunk_count = len(pieces)
+            yield joined
             if failure is not None:
                 raise httpcore.RemoteProtocolError(failure) from failure
-            if event is h11.NEED_DATA:
+            if event is h11.NEED_DATA or len(pieces) == MAX_JOINED_CHUNKS:
                 event = await self._receive_event(timeout)
 
 
--- a/tests/cover/test_gateway_bursts.py
+++ b/tests/cover/test_gateway_bursts.py
@@ -2,12 +2,20 @@
 
 import contextlib
 
+import h11
 import pytest
 import trio
 
+from sardinebend_gateway import answer_buffers
+from sardinebend_store import connections
+from sardinebend_store import reply_heads
 from tests.common import gateway_world as world_lib
 
 EVENTS = 50
+TINY_CHUNKS = 60_000
+PACED_S = 1.0
+# The rate of 4,096 a second, and what is joined before it is paced.
+MAX_PACED_CHUNKS = 6000
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -72,3 +80,57 @@
         chunks = await read_chunks(world)
     assert chunks and chunks[-1] != b''
     assert b''.join(chunks).endswith(world_lib.event(EVENTS))
+
+
+# Guards against an endless answer of tiny chunks that takes the processor of a
+# small host, since many of them are joined and paced as one.
+@pytest.mark.parametrize('target', ['/look/x', '/draft/x'])
+async def test_tiny_chunks_are_paced_by_their_number(
+    clock, monkeypatch, target
+):
+    parsed = [0]
+    next_event = h11.Connection.next_event
+
+    def count(conn):
+        event = next_event(conn)
+        parsed[0] += isinstance(event, h11.Data)
+        return event
+
+    async def script(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+        await stream.send_all(world_lib.chunk(b'x') * TINY_CHUNKS)
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(h11.Connection, 'next_event', count)
+    server = world_lib.Server('app-1', 'app', script)
+    if target.startswith('/draft'):
+        (server,) = world_lib.engines((0, 4), script=script)
+    async with world_lib.running(server) as world:
+        world.nursery.start_soon(world.ask, target, 'POST', b'p')
+        await trio.sleep(PACED_S)
+        assert answer_buffers.UNPACED_CHUNKS < parsed[0] < MAX_PACED_CHUNKS
+
+
+# Guards against tasks that wait for as long as a block of tiny chunks takes.
+async def test_a_block_of_tiny_chunks_is_not_joined_as_one(clock):
+    sizes = []
+
+    async def serve(stream):
+        head = b'HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n'
+        await stream.receive_some()
+        chunks = world_lib.chunk(b'x') * (2 * reply_heads.MAX_JOINED_CHUNKS + 9)
+        await stream.send_all(head + chunks + LAST_CHUNK)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=world_lib.IP)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        origin = connections.Origin(f'http://{world_lib.IP}:{port}')
+        conn = await origin.connect(1.0)
+        async with conn.stream('GET', '/') as response:
+            sizes = [len(chunk) async for chunk in response.aiter_stream()]
+        await conn.close()
+        nursery.cancel_scope.cancel()
+    assert sum(sizes) == 2 * reply_heads.MAX_JOINED_CHUNKS + 9
+    assert max(sizes) <= reply_heads.MAX_JOINED_CHUNKS
