Let other tasks run between many accepted connections

What callers saw: nothing yet; a flood of connections holds up all requests of a host. New ones come about as fast as they are accepted, and accepts until none waits, with no bound but the file descriptors.

Change: at most 64 are accepted before other tasks run; the end of a stop still accepts all that wait.

Evidence: test_other_tasks_run_between_many_accepts failed before (128 of 128 in one go; 65 allowed). A flood over processes wasn't played.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -8,6 +8,7 @@
 
 import collections.abc
 import contextlib
+import itertools
 import socket
 import typing
 
@@ -29,6 +30,8 @@
 MAX_EARLY_BYTES: typing.Final = 65536
 BACKLOG: typing.Final = 1024
 ACCEPT_RETRY_S: typing.Final = 0.05
+# Connections that are accepted before another task runs; each takes 0.1 ms.
+MAX_ACCEPTED_AT_A_TIME: typing.Final = 64
 # When a server closes, connections without a request in progress are kept for
 # this long: a caller may have sent one already.
 LAST_REQUEST_WAIT_S: typing.Final = 0.2
@@ -507,12 +510,16 @@
                 self._serve(conn)
                 # One connection for each pass through all tasks would let them
                 # pile up at a host that is late.
-                self._accept_waiting()
+                self._accept_waiting(MAX_ACCEPTED_AT_A_TIME)
 
-    def _accept_waiting(self) -> None:
-        """Accepts all connections that wait to be accepted."""
+    def _accept_waiting(self, limit: int | None = None) -> None:
+        """Accepts connections that wait to be accepted.
+
+        Args:
+            limit: The largest number of them; all if it is `None`.
+        """
         assert self._socket is not None
-        while True:
+        for _ in itertools.count() if limit is None else range(limit):
             try:
                 conn, _ = self._socket.accept()
             except OSError:
--- a/tests/cover/test_gateway_passes.py
+++ b/tests/cover/test_gateway_passes.py
@@ -1,5 +1,6 @@
 """How many passes through its tasks a host needs; a late one makes few."""
 
+import itertools
 import socket
 
 import trio
@@ -38,6 +39,29 @@
     assert accepted == CALLERS
 
 
+# Guards against a flood of connections that lets no other task run: new ones
+# may come as fast as they are accepted.
+async def test_other_tasks_run_between_many_accepts():
+    server = http_server.Server(answer)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery, world_lib.IP, 0)
+        address = (world_lib.IP, server.port)
+        callers = [
+            socket.create_connection(address)
+            for _ in range(2 * http_server.MAX_ACCEPTED_AT_A_TIME)
+        ]
+        accepted = [0]
+        while accepted[-1] < len(callers):
+            await trio.lowlevel.checkpoint()
+            accepted.append(len(server._callers))
+        for caller in callers:
+            caller.close()
+        nursery.cancel_scope.cancel()
+    steps = [b - a for a, b in itertools.pairwise(accepted)]
+    # The connection that was waited for is one more.
+    assert max(steps) <= http_server.MAX_ACCEPTED_AT_A_TIME + 1
+
+
 # Guards against connects that time out only since the host needs many passes to
 # notice that they have succeeded.
 async def test_a_connect_needs_few_passes():
