--- a/tests/cover/test_gateway_passes.py
+++ b/tests/cover/test_gateway_passes.py
@@ -1,16 +1,21 @@
 """How many passes through its tasks a host needs; a late one makes few."""
 
+import itertools
 import socket
 
 import trio
 
+from sardinebend_gateway import heartbeats
 from sardinebend_gateway import http_server
+from sardinebend_peers import codec
+from sardinebend_peers import messages
 from sardinebend_store import connections
 from tests.common import gateway_world as world_lib
 
 CALLERS = 20
 # Passes of the host, and as many of the test before each.
 MAX_PASSES = 6
+HEARTBEAT = messages.LoadHeartbeat('host-2', 'i', False, (), b'')
 
 
 async def answer(req, out):
@@ -34,6 +39,29 @@
     assert accepted == CALLERS
 
 
+# Guards against a flood of connections that lets no other task run: new ones
+# may come as fast as they are accepted.
+async def test_other_tasks_run_between_many_accepts():
+    server = http_server.Server(answer)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery, world_lib.IP, 0)
+        address = (world_lib.IP, server.port)
+        callers = [
+            socket.create_connection(address)
+            for _ in range(2 * http_server.MAX_ACCEPTED_AT_A_TIME)
+        ]
+        accepted = [0]
+        while accepted[-1] < len(callers):
+            await trio.lowlevel.checkpoint()
+            accepted.append(len(server._callers))
+        for caller in callers:
+            caller.close()
+        nursery.cancel_scope.cancel()
+    steps = [b - a for a, b in itertools.pairwise(accepted)]
+    # The connection that was waited for is one more.
+    assert max(steps) <= http_server.MAX_ACCEPTED_AT_A_TIME + 1
+
+
 # Guards against connects that time out only since the host needs many passes to
 # notice that they have succeeded.
 async def test_a_connect_needs_few_passes():
@@ -58,3 +86,21 @@
         nursery.cancel_scope.cancel()
     await listeners[0].aclose()
     assert needed <= MAX_PASSES / 2
+
+
+# Guards against heartbeats that pile up at a host whose passes take long, so
+# that it goes by loads, crashes and leaving hosts of many seconds before.
+async def test_heartbeats_that_wait_are_applied_together(clock, monkeypatch):
+    applied = []
+    monkeypatch.setattr(
+        heartbeats.Heartbeats, '_apply', lambda _, message: applied.append(1)
+    )
+    port = world_lib.free_port()
+    data = codec.encode(codec.Envelope(0, False, HEARTBEAT))
+    async with world_lib.running(heartbeat_port=port):
+        with socket.socket(type=socket.SOCK_DGRAM) as sock:
+            for _ in range(CALLERS):
+                sock.sendto(data, (world_lib.IP, port))
+        for _ in range(MAX_PASSES):
+            await trio.lowlevel.checkpoint()
+    assert len(applied) == CALLERS
