Leave complete answers of slow callers to the kernel when a host stops

The rule counts them (LOST): their servers weren't at work any more.

Cause: trio lets the kernel hold 16 KB that haven't been sent (TCP_NOTSENT_LOWAT). The rest waits in the host, for as long as the caller reads slowly, and is lost with the process.

Change: from the begin of a stop the kernel takes up to 512 KB of an answer. It delivers them also after the process has closed the connection and ended.

Evidence: test_a_caller_that_reads_late_gets_an_answer_that_was_complete, 96 KB read 9 s after the signal, failed before (6,138 bytes, connection ended), passes.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
@@ -1,5 +1,6 @@
 """Options of the sockets that callers connect to."""
 
+import contextlib
 import fcntl
 import socket
 import struct
@@ -15,6 +16,9 @@
 # again, is lost. One that pauses confirms that its window is closed.
 LOST_AFTER_S: typing.Final = 4.0
 MIN_UNANSWERED: typing.Final = 2
+# Bytes of an answer that the kernel takes at the stop of a host before a caller
+# reads them. Otherwise `trio` lets it take some 16 KB.
+UNSENT_AT_STOP_BYTES: typing.Final = 512 * 1024
 LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
 _COUNT: typing.Final = struct.Struct('i')
 # Linux's `struct tcp_info`: the repetitions and window probes that nothing has
@@ -74,6 +78,20 @@
         conn.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def hand_over_unsent_bytes(conn: trio.socket.SocketType) -> None:
+    """Lets the kernel take the rest of an answer that its caller reads slowly.
+
+    It delivers what it has taken also after the process has ended.
+    """
+    # The caller may have reset the connection.
+    with contextlib.suppress(OSError):
+        conn.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_NOTSENT_LOWAT,
+            UNSENT_AT_STOP_BYTES,
+        )
+
+
 def reset_on_close(conn: trio.socket.SocketType) -> None:
     """Makes the close of a connection reset it."""
     conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -110,6 +110,10 @@
                 await trio.aclose_forcefully(self._stream)
             self._server.record_connection_end(self)
 
+    def hand_over_unsent_bytes(self) -> None:
+        """Lets answers go on although the caller reads slowly."""
+        caller_sockets.hand_over_unsent_bytes(self._stream.socket)
+
     def give_up_if_lost(self, now: float) -> None:
         """Ends the connection if its caller is gone or takes nothing any more.
 
@@ -438,8 +442,13 @@
         nursery.start_soon(self._watch_lost_callers)
 
     def begin_stop(self) -> None:
-        """Makes answers tell callers to close their connections."""
+        """Makes answers tell callers to close their connections.
+
+        Answers no longer wait for callers that read slowly.
+        """
         self.is_stopping = True
+        for caller in self._callers:
+            caller.hand_over_unsent_bytes()
 
     def record_connection_end(self, caller: _CallerConnection) -> None:
         """Records that a connection has been closed."""
@@ -529,5 +538,7 @@
     def _serve(self, conn: trio.socket.SocketType) -> None:
         assert self._nursery is not None
         caller = _CallerConnection(self, trio.SocketStream(conn))
+        if self.is_stopping:
+            caller.hand_over_unsent_bytes()
         self._callers.add(caller)
         self._nursery.start_soon(caller.run)
--- a/tests/cover/test_gateway_closing.py
+++ b/tests/cover/test_gateway_closing.py
@@ -9,6 +9,10 @@
 from tests.common import gateway_world as world_lib
 
 REFUSING_S = planned_stop.LATE_CALLERS_S + 0.1
+# More than the buffers of a connection take by themselves.
+LARGE_EVENTS = 12
+LARGE_EVENT_BYTES = 8000
+READS_LATE_S = 9.0
 
 
 def stream_script(duration_s):
@@ -116,6 +120,46 @@
             assert (await world_lib.read_answer(stream))[0] == 200
 
 
+# Guards against an answer that is complete at the host and is cut at the end of
+# a planned stop, since its caller reads slowly.
+async def test_a_caller_that_reads_late_gets_an_answer_that_was_complete(clock):
+    async def script(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        pieces = [world_lib.head(200, fixed, 'chunked')]
+        padding = b': ' + bytes(LARGE_EVENT_BYTES).replace(b'\0', b'x') + b'\n'
+        for number in range(1, LARGE_EVENTS + 1):
+            event = padding + world_lib.event(number)
+            pieces += [0.1, world_lib.chunk(event)]
+        return world_lib.Answer(*pieces, b'0\r\n\r\n')
+
+    engines = world_lib.engines((0, 4), script=script)
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, engines)
+        await world.start()
+        sock = world_lib.socket.socket()
+        sock.setsockopt(
+            world_lib.socket.SOL_SOCKET, world_lib.socket.SO_RCVBUF, 4096
+        )
+        sock.connect((world_lib.IP, world.gateway.server.port))
+        sock.setblocking(False)
+        conn = trio.socket.from_stdlib_socket(sock)
+        async with trio.SocketStream(conn) as stream:
+            await stream.send_all(
+                world_lib.make_request(
+                    '/draft/x', 'POST', b'x', deadline_ms='20000'
+                )
+            )
+            await trio.sleep(0.5)
+            world.gateway.begin_stop()
+            # The idle limit, at which a caller that takes nothing is given up,
+            # is shorter than a stop.
+            await trio.sleep(READS_LATE_S)
+            status, _, body, is_whole = await world_lib.read_answer(stream)
+        nursery.cancel_scope.cancel()
+    assert (status, is_whole) == (200, True)
+    assert body.endswith(world_lib.event(LARGE_EVENTS))
+
+
 # Guards against a host that refuses requests until its grace period ends and
 # so starts again later than it could.
 async def test_refused_requests_do_not_prolong_a_planned_stop(clock):
