Let the soak go on while killed processes end

Cause: the soak waited for each process that it had killed in the thread of its callers. A process that is bound to a full processor ends late.

A second effect: a host was "killed at the end of its grace period" 24 s after the signal, instead of 3 s, and its callers' connections ended 31 s after it. What ends over 9 s after the signal isn't judged, so the self-test of cut streams found none.

Change: faults wait for the end of what they kill while other tasks go on; busy processes are waited for in a thread. No check is changed.

Evidence: test_the_soak_goes_on_while_killed_processes_end failed before (a wait in the main thread). Starting processes still holds the soak up.

--- a/tests/common/starving.py
+++ b/tests/common/starving.py
@@ -4,6 +4,7 @@
 import os
 import subprocess
 import sys
+import threading
 
 # The busy processes end by themselves if those that started them were killed.
 LIMIT_S = 60.0
@@ -41,5 +42,10 @@
 
 
 def _end(busy):
+    """Kills a busy process.
+
+    Its end may take long on a processor with many others, so that a caller
+    that waited for it would stand still.
+    """
     busy.kill()
-    busy.wait()
+    threading.Thread(target=busy.wait, daemon=True).start()
--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -4,10 +4,14 @@
 """
 
 import json
+import os
+import subprocess
+import threading
 
 import pytest
 import trio
 
+from tests.common import starving
 from tests.soak import fleet as fleet_lib
 from tests.soak import process_faults
 from tests.soak import process_fleet
@@ -85,6 +89,26 @@
     assert any('(draft): closed without' in line for line in result.violations)
 
 
+# Guards against callers of a soak that stand still until a killed process has
+# ended, which takes long on a processor with many others.
+async def test_the_soak_goes_on_while_killed_processes_end(monkeypatch):
+    waiting = threading.Event()
+
+    def wait(child, timeout=None):
+        assert threading.current_thread() is not threading.main_thread()
+        waiting.set()
+
+    monkeypatch.setattr(subprocess.Popen, 'wait', wait)
+    arguments = ['-c', 'import time; time.sleep(60)']
+    host = process_fleet.Process(arguments, subprocess.DEVNULL)
+    processor = min(os.sched_getaffinity(0))
+    with starving.starved(host, processor, 1):
+        pass
+    await host.end()
+    assert not host.is_up
+    assert waiting.wait(1.0)
+
+
 # Guards against work that counts as going on for ever, since the server that
 # was killed wrote no end of it.
 async def test_the_work_of_a_killed_server_ends_with_its_process(
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -65,7 +65,7 @@
     if host is None:
         return
     with fleet.disturbance(f'{host.name} killed'):
-        host.process.kill()
+        await host.process.end()
         await trio.sleep(fleet.rng.uniform(0.2, 2))
         host.start()
         await trio.sleep(1.0)
@@ -94,7 +94,7 @@
                 host.process.send(signal.SIGHUP)
     if host.process.is_up:
         fleet.add_log(f'{host.name} killed at the end of its grace period')
-        host.process.kill()
+        await host.process.end()
     is_gone.set()
     host.is_stopping = False
     host.start()
@@ -204,7 +204,7 @@
         return
     fleet.add_log(f'{worker.name} killed')
     with fleet.server_failure(worker):
-        worker.kill()
+        await worker.kill()
         await trio.sleep(fleet.rng.uniform(1, 5))
         worker.start()
 
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -27,6 +27,7 @@
 IP = '127.0.0.1'
 READY_S = 20.0
 POLL_INTERVAL_S = 0.2
+END_POLL_INTERVAL_S = 0.01
 # From such a delay of the soak itself on, its callers judge no answer as late.
 OWN_INTERVAL_S = 0.1
 OWN_DELAY_S = 0.5
@@ -80,9 +81,22 @@
             self._child.send_signal(number)
 
     def kill(self):
+        """Kills it and waits for its end, while all tasks stand still."""
+        self._send_kill()
+        self._child.wait()
+
+    async def end(self):
+        """Kills it and waits for its end, while other tasks go on.
+
+        On a processor with many others, the end may take long.
+        """
+        self._send_kill()
+        while self.is_up:
+            await trio.sleep(END_POLL_INTERVAL_S)
+
+    def _send_kill(self):
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
-        self._child.wait()
 
 
 class StoreProxy:
@@ -167,9 +181,9 @@
         await trio.sleep(duration_s)
         process.send(signal.SIGCONT)
 
-    def kill(self):
+    async def kill(self):
         """Kills its process."""
-        self.process.kill()
+        await self.process.end()
         self.record_process_end()
 
     def record_process_end(self):
