Let a stream that has begun be met by each stop of the soak

What was seen: the self-test that hosts killed early in their stop cut streams found none, at times (KNOWN-RED, two entries).

Cause: nothing that outlasts the stop had begun, a matter of luck. The soak sent its long streams after the signal only. The test's hosts are held up for 1.3 to 1.8 s and killed 3 s after the signal; whether they begin a stream in between depends on load and on the time that they expect it to take.

Change: before each signal, the soak sends long streams to the host until a server has begun one, for up to 2 s, and logs its ID. The streams sent after the signal stay. The self-test now also requires that a stream it knows to have begun is among those found: before, any cut stream would do. Nothing is excused that wasn't; every soak over processes has one more stream per stop that must end whole.

--- a/tests/processes/test_soak.py
+++ b/tests/processes/test_soak.py
@@ -86,7 +86,17 @@
     monkeypatch.setattr(process_faults, 'KINDS', (fault,))
     result = process_soak.run(2, 6.0, hosts=3, engines=4, is_timed=False)
     assert any('end of its grace period' in line for line in result.log)
-    assert any('(draft): closed without' in line for line in result.violations)
+    found = {
+        line.partition(' (draft): closed without')[0]
+        for line in result.violations
+        if '(draft): closed without' in line
+    }
+    # Those that a host begins after the signal are a matter of load and of what
+    # it expects: it refuses what would outlast its stop.
+    begun = {
+        line.split()[-3] for line in result.log if line.endswith(' has begun')
+    }
+    assert found & begun, '\n'.join(result.log + result.violations)
 
 
 # Guards against callers of a soak that stand still until a killed process has
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -27,6 +27,9 @@
 DENSE_FROM_S = 2.4
 DENSE_INTERVAL_S = 0.1
 LONG_STREAMS_S = 4.0
+# Before the signal of a stop, this long is waited for a long stream to begin.
+BEGIN_S = 2.0
+BEGIN_INTERVAL_S = 0.2
 # The first part of the prompt of every draft.
 SHARED_PART = '50bec7'
 # Four fifths of the hosts' idle time-out for connections.
@@ -93,6 +96,28 @@
         await trio.sleep(DENSE_INTERVAL_S if is_dense else LONG_INTERVAL_S)
 
 
+async def begin_long_stream(fleet, host):
+    """Sends long streams until a server has begun one of them.
+
+    A host that is busy refuses some.
+
+    Returns:
+        The ID of the one that has begun; `None` if there was none in time.
+    """
+    sent = []
+    with trio.move_on_after(BEGIN_S):
+        while host.is_up:
+            record = _add_record(fleet, host, 'draft')
+            record.events = fleet.stream_rng.randint(*fleet_lib.LONGEST_EVENTS)
+            sent.append(record.request_id)
+            fleet.nursery.start_soon(send_request, fleet, record)
+            await trio.sleep(BEGIN_INTERVAL_S)
+            for request_id in sent:
+                if fleet.has_begun(request_id):
+                    return request_id
+    return None
+
+
 def _add_record(fleet, host, kind):
     record = fleet_lib.CallerRecord(
         f's{len(fleet.requests)}',
--- a/tests/soak/process_faults.py
+++ b/tests/soak/process_faults.py
@@ -7,6 +7,7 @@
 import trio
 
 from tests.common import starving
+from tests.soak import callers
 from tests.soak import faults
 from tests.soak import fleet as fleet_lib
 
@@ -78,13 +79,22 @@
 async def stop_host(fleet, host):
     """Stops a host as planned, and starts it again.
 
-    The process may be suspended when the signal is sent, as it is on a machine
-    that has no processor left for it, and get further signals meanwhile. The
-    platform kills it at the end of its grace period.
+    A long stream has begun there when the signal is sent. The process may be
+    suspended then, as it is on a machine that has no processor left for it, and
+    get further signals meanwhile. The platform kills it at the end of its grace
+    period.
     """
+    # Other faults leave it alone from now on.
+    host.is_stopping = True
     late_s = fleet.rng.choice(LATE_S)
     has_hangups = fleet.rng.random() < HANGUP_SHARE
-    fleet.add_log(f'{host.name} stops as planned, {late_s} s late')
+    met = await callers.begin_long_stream(fleet, host)
+    if fleet.is_ending:
+        host.is_stopping = False
+        return
+    fleet.add_log(
+        f'{host.name} stops as planned, {late_s} s late, {met} has begun'
+    )
     is_gone = faults.start_stop(fleet, host)
     with trio.move_on_after(fleet_lib.GRACE_S):
         await _hold_up(fleet, host, late_s, signal.SIGTERM)
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -386,6 +386,14 @@
             started < end and ended > start for started, ended in host.pauses
         )
 
+    def has_begun(self, request_id):
+        """Returns whether a server has begun a request."""
+        text = json.dumps({'request_id': request_id}).strip('{}')
+        return any(
+            text in (self.folder / f'{name}.book').read_text()
+            for name in self.workers
+        )
+
     def read_records(self):
         """Reads what the workers recorded."""
         for name in self.workers:
