--- a/conftest.py
+++ b/conftest.py
@@ -31,6 +31,8 @@
     )
 
 
+# Before the plugin that reads the groups.
+@pytest.hookimpl(tryfirst=True)
 def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
     """Marks the listed tests so that they run but may fail.
 
