--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := settings store policy simulation peers gateway router admin
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/sardinebend-$(p))
 
-.PHONY: setup run demo lint test matrix processes soak bench capacity reference
+.PHONY: setup run demo lint test fast matrix processes soak bench capacity reference
 
 setup: .venv/ready
 
@@ -26,10 +26,14 @@
 	$(BIN)/ruff check .
 	$(BIN)/mypy packages/*/src platform/sardinebend_adapter deploy standins bench
 
-# One worker runs the tests over processes, which measure real time; so few
-# others leave processors to it.
+# The tests over processes measure real time, so they run one after another, and
+# few workers run the others beside them.
 test: lint
-	$(BIN)/python -m pytest -n $(WORKERS) --dist loadgroup
+	$(MAKE) --no-print-directory -j2 --output-sync=target fast processes
+
+fast: setup
+	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile \
+	  packages tests/cover tests/nocover
 
 matrix: setup
 	$(BIN)/python -m tests.common.report
