Count accepted connections by pass, not by the turns of a task

Cause: the test looked from a task of its own. The event loop runs the tasks of a pass in either order, so the accepting task may run last in one pass and first in the next, twice between two looks. The server kept its bound.

Change: an instrument counts at the end of each pass through all tasks. The bound is the same. Without the server's bound the new test fails (128).

--- a/tests/cover/test_gateway_passes.py
+++ b/tests/cover/test_gateway_passes.py
@@ -18,6 +18,21 @@
 HEARTBEAT = messages.LoadHeartbeat('host-2', 'i', False, (), b'')
 
 
+class AcceptsInPasses(trio.abc.Instrument):
+    """Counts the connections of a server after each pass through all tasks.
+
+    A task can't count them, since tasks take turns in any order: another may
+    run twice between two of its own turns.
+    """
+
+    def __init__(self, server):
+        self._server = server
+        self.accepted = [0]
+
+    def before_io_wait(self, timeout):
+        self.accepted.append(len(self._server._callers))
+
+
 async def answer(req, out):
     await out.answer(200, [], b'done')
 
@@ -43,6 +58,7 @@
 # may come as fast as they are accepted.
 async def test_other_tasks_run_between_many_accepts():
     server = http_server.Server(answer)
+    passes = AcceptsInPasses(server)
     async with trio.open_nursery() as nursery:
         await server.start(nursery, world_lib.IP, 0)
         address = (world_lib.IP, server.port)
@@ -50,14 +66,14 @@
             socket.create_connection(address)
             for _ in range(2 * http_server.MAX_ACCEPTED_AT_A_TIME)
         ]
-        accepted = [0]
-        while accepted[-1] < len(callers):
+        trio.lowlevel.add_instrument(passes)
+        while passes.accepted[-1] < len(callers):
             await trio.lowlevel.checkpoint()
-            accepted.append(len(server._callers))
+        trio.lowlevel.remove_instrument(passes)
         for caller in callers:
             caller.close()
         nursery.cancel_scope.cancel()
-    steps = [b - a for a, b in itertools.pairwise(accepted)]
+    steps = [b - a for a, b in itertools.pairwise(passes.accepted)]
     # The connection that was waited for is one more.
     assert max(steps) <= http_server.MAX_ACCEPTED_AT_A_TIME + 1
 
