Give callers' connections a module of their own

The connection is caller_connections.py now; what it needs of its server is an abstract class. No change of behaviour.

--- a/tests/cover/test_gateway_answer_tails.py
+++ b/tests/cover/test_gateway_answer_tails.py
@@ -9,6 +9,7 @@
 import pytest
 import trio
 
+from sardinebend_gateway import caller_connections
 from sardinebend_gateway import http_server
 from sardinebend_policy import catalog
 from tests.common import gateway_world as world_lib
@@ -99,7 +100,7 @@
     async with running(closes=True) as host:
         caller = Caller(host.server.port)
         async with caller.stream, trio.open_nursery() as nursery:
-            data = NEXT + bytes(4 * http_server.MAX_EARLY_BYTES)
+            data = NEXT + bytes(4 * caller_connections.MAX_EARLY_BYTES)
             nursery.start_soon(caller.send, world_lib.make_request() + data)
             await read_until_answered(host, caller)
             await trio.sleep(LATE_S)
@@ -158,7 +159,7 @@
             await host.server.wait_closed()
             took_s = trio.current_time() - began_at
             await caller.read()
-    assert took_s <= http_server.LINGER_S + 0.1
+    assert took_s <= caller_connections.LINGER_S + 0.1
     check_is_whole(caller)
 
 
@@ -180,7 +181,7 @@
 
 # Guards against a caller whose bytes never end.
 async def test_a_caller_that_goes_on_sending_is_cut_off(monkeypatch):
-    monkeypatch.setattr(http_server, 'LINGER_S', 0.2)
+    monkeypatch.setattr(caller_connections, 'LINGER_S', 0.2)
     async with running(closes=True) as host:
         caller = Caller(host.server.port)
         async with caller.stream:
--- a/tests/cover/test_gateway_closing.py
+++ b/tests/cover/test_gateway_closing.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from sardinebend_gateway import caller_connections
 from sardinebend_gateway import http_server
 from sardinebend_policy import catalog
 from sardinebend_policy import planned_stop
@@ -222,7 +223,7 @@
         for stream in streams:
             await stream.aclose()
         nursery.cancel_scope.cancel()
-    assert took_s < REFUSING_S + http_server.LINGER_S
+    assert took_s < REFUSING_S + caller_connections.LINGER_S
 
 
 # Guards against connections that are reset because they weren't accepted yet
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -8,7 +8,7 @@
 import trio
 
 from sardinebend_adapter import main as adapter_main
-from sardinebend_gateway import http_server
+from sardinebend_gateway import caller_connections
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
@@ -124,7 +124,7 @@
     clock, monkeypatch
 ):
     # A caller that has sent more than was read when the wait for it is over.
-    monkeypatch.setattr(http_server, 'LINGER_S', 0.0)
+    monkeypatch.setattr(caller_connections, 'LINGER_S', 0.0)
     with decision_log.collecting() as lines:
         async with world_lib.running() as world:
             port = world.gateway.server.port
--- a/tests/cover/test_gateway_idle_limits.py
+++ b/tests/cover/test_gateway_idle_limits.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from sardinebend_gateway import caller_connections
 from sardinebend_gateway import http_server
 from sardinebend_policy import catalog
 from tests.common import decision_log
@@ -134,7 +135,7 @@
         async with serving(limits) as (_, sock, _):
             # As if the answer before hadn't reached its caller yet.
             monkeypatch.setattr(
-                http_server.caller_sockets,
+                caller_connections.caller_sockets,
                 'count_unacknowledged_bytes',
                 lambda conn: 1,
             )
