Share one memory budget between buffers of answers and of replies

answer_buffers.py and held_replies.py each had a budget that drops its largest buffer, and a count of chunks after which other tasks run. Both are memory_budgets.py now; limits and pace stay where they were. No change of behaviour.

--- a/packages/sardinebend-store/src/sardinebend_store/held_replies.py
+++ b/packages/sardinebend-store/src/sardinebend_store/held_replies.py
@@ -1,10 +1,4 @@
-"""Memory budget for the incomplete replies that a process reads.
-
-A server may send an endless reply. All incomplete replies share one budget, so
-that memory stays bounded however many servers do so at once. When the budget is
-exceeded, the largest reply is dropped, since it is the most likely to be
-endless.
-"""
+"""Buffers of the incomplete replies that a process reads whole."""
 
 import collections.abc
 import contextlib
@@ -13,6 +7,7 @@
 import trio
 
 from sardinebend_store import errors
+from sardinebend_store import memory_budgets
 from sardinebend_store import reply_heads
 
 # The smallest hosts have 200 MB. Copies of replies come on top of this.
@@ -22,23 +17,13 @@
 CHUNK_COST_BYTES: typing.Final = 48
 # Chunks that each reply may have, in addition to those that cost its limit.
 MIN_CHUNK_LIMIT: typing.Final = 1024
-# Number of chunks after which other tasks may run.
-CHUNKS_PER_CHECKPOINT: typing.Final = 8
-
 
-class HeldReplies:
-    """Accounts for the incomplete replies of a process.
 
-    Attributes:
-        size: Bytes in use.
-        peak: The highest number of bytes in use so far.
-    """
+class HeldReplies(memory_budgets.MemoryBudget):
+    """Memory budget for the incomplete replies of a process."""
 
     def __init__(self, limit: int = MAX_HELD_BYTES) -> None:
-        self.size = 0
-        self.peak = 0
-        self._limit = limit
-        self._replies: set[HeldReply] = set()
+        super().__init__(limit)
 
     @contextlib.contextmanager
     def open(self, limit: int) -> collections.abc.Iterator['HeldReply']:
@@ -48,41 +33,21 @@
             limit: Largest size of the reply in bytes.
         """
         reply = HeldReply(self, limit)
-        self._replies.add(reply)
         try:
             yield reply
         finally:
             reply.drop()
-            self._replies.discard(reply)
-
-    def add_bytes(self, difference: int) -> None:
-        """Adds to the bytes in use; drops the largest reply if over budget.
-
-        Args:
-            difference: Change in the number of bytes; negative if bytes were
-                released.
-        """
-        self.size += difference
-        self.peak = max(self.peak, self.size)
-        if self.size > self._limit:
-            max(self._replies, key=lambda reply: reply.size).drop()
-
+            reply.close()
 
-class HeldReply:
-    """The body of one incomplete reply.
 
-    Attributes:
-        size: Bytes in use.
-    """
+class HeldReply(memory_budgets.Buffer):
+    """The body of one incomplete reply."""
 
     def __init__(self, budget: HeldReplies, limit: int) -> None:
-        self.size = 0
-        self._budget = budget
+        super().__init__(budget)
         self._limit = limit
         # A list of tiny chunks would take far more memory than their bytes.
         self._body = bytearray()
-        self._is_dropped = False
-        self._chunk_count = 0
 
     async def add(self, chunk: bytes) -> None:
         """Appends a chunk, and lets other tasks run.
@@ -92,18 +57,15 @@
                 dropped to free memory.
         """
         self._check()
-        chunk_count = reply_heads.count_chunks(chunk)
-        rest = self._chunk_count % CHUNKS_PER_CHECKPOINT
-        self._chunk_count += chunk_count
-        cost = len(chunk) + chunk_count * CHUNK_COST_BYTES
+        count = reply_heads.count_chunks(chunk)
+        has_to_yield = self.record_chunks(count)
         if len(self._body) + len(chunk) > self._limit:
             raise errors.ReplyTooLarge('the reply is larger than allowed')
-        if self._chunk_count > MIN_CHUNK_LIMIT + self._limit / CHUNK_COST_BYTES:
+        if self.chunk_count > MIN_CHUNK_LIMIT + self._limit / CHUNK_COST_BYTES:
             raise errors.ReplyTooLarge('the reply has too many chunks')
         self._body += chunk
-        self.size += cost
-        self._budget.add_bytes(cost)
-        if rest + chunk_count >= CHUNKS_PER_CHECKPOINT:
+        self.set_size(self.size + len(chunk) + count * CHUNK_COST_BYTES)
+        if has_to_yield:
             await trio.lowlevel.checkpoint()
 
     def complete(self) -> bytes:
@@ -115,15 +77,12 @@
         self._check()
         return bytes(self._body)
 
-    def drop(self) -> None:
-        """Releases the bytes; the next use raises `errors.ReplyTooLarge`."""
-        self._is_dropped = True
+    def discard_content(self) -> None:
+        """Discards what has been read of the body."""
         self._body = bytearray()
-        difference, self.size = -self.size, 0
-        self._budget.add_bytes(difference)
 
     def _check(self) -> None:
-        if self._is_dropped:
+        if self.is_dropped:
             raise errors.ReplyTooLarge('the reply was dropped to free memory')
 
 
