--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -78,7 +78,6 @@
         self._origin = origin
         self._conn = conn
         self._stream = stream
-        self._idle_since = 0.0
 
     @contextlib.asynccontextmanager
     async def stream(
--- a/tests/common/draft_world.py
+++ b/tests/common/draft_world.py
@@ -10,7 +10,6 @@
 from sardinebend_policy import draft_messages as msg
 from sardinebend_policy import drafts
 from sardinebend_policy import outcomes
-from sardinebend_policy import planners
 from sardinebend_policy import routes
 from sardinebend_router import drafting
 from sardinebend_router import engines
@@ -390,8 +389,3 @@
 ) -> Record:
     """Runs one draft, with faults injected at steps."""
     return world_lib.run_virtual(_run, faults, tested_type, seed=seed)
-
-
-def make_query(**changes: typing.Any) -> planners.PipelineQuery:
-    """Returns a route request for the simulated model."""
-    return planners.PipelineQuery(SPEC, **changes)
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -3,6 +3,7 @@
 import contextlib
 import os
 import pathlib
+import sys
 import time
 
 import trio
@@ -81,10 +82,6 @@
     return process.popen.returncode
 
 
-def read_log(folder, name):
-    return pathlib.Path(folder, f'{name}.log').read_text()
-
-
 def find_busy_engine(deployment, stage):
     """Returns the engine of a stage (1 to 3) that is running a request."""
     for name, engine in deployment.engines.items():
@@ -97,6 +94,4 @@
 
 def find_command(name):
     """Returns the path of an installed command."""
-    import sys
-
     return os.path.join(os.path.dirname(sys.executable), name)
--- a/tests/common/settings_world.py
+++ b/tests/common/settings_world.py
@@ -26,8 +26,6 @@
 FREEZE_S = 30.0
 OUTAGE_S = 25.0
 CALL_TIMEOUT_S = 1.0
-# Not used: `checkers` checks its SETTINGS_BOUND_S.
-IN_FORCE_BOUND_S = 20.0
 SETTLE_S = 25.0
 START_S = 2.0
 # End of a fault that never ends.
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -33,8 +33,6 @@
 OWN_DELAY_S = 0.5
 # A server that a request has crashed runs again, and is known, by then.
 CRASH_KNOWN_S = 8.0
-# Not used: `Host` takes each port from `ports.find_free`.
-PORT_SPAN = 4
 # Of the internal ports, the first receives heartbeats, the last serves metrics.
 SETTINGS = """
 node_name = "{name}"
