Don't restart a simulated attempt whose request has ended

What users of the model saw: in deployments short of memory engines worked for requests that had ended, up to thousands of events in a play of 5 s, so all others were served worse than they would be, and a request that had left could count as served whole.

Cause: an attempt that was evicted for lack of memory was restarted 0.1 s later in any case. The check for a change meanwhile compared the generation with one that was read at the restart.

Change: the generation is read at the eviction.

--- a/packages/sardinebend-simulation/src/sardinebend_simulation/engines.py
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/engines.py
@@ -14,6 +14,9 @@
 from sardinebend_simulation import agenda as agenda_lib
 from sardinebend_simulation import deployments
 
+# Time after which an attempt that was evicted tries to get memory again.
+RESTART_DELAY_S: typing.Final = 0.1
+
 
 class Attempt:
     """One attempt to run a request over a path.
@@ -354,21 +357,25 @@
         """Evicts an attempt and restarts it once there is enough memory."""
         self.preempted += 1
         self.stop(attempt)
-        self.agenda.schedule_after(0.1, lambda: self._restart(attempt))
+        self._restart_later(attempt)
 
-    def _restart(self, attempt: Attempt) -> None:
+    def _restart_later(self, attempt: Attempt) -> None:
         generation = attempt.generation
+        self.agenda.schedule_after(
+            RESTART_DELAY_S, lambda: self._restart(attempt, generation)
+        )
+
+    def _restart(self, attempt: Attempt, generation: int) -> None:
+        # Its request may have ended, or moved to another path, meanwhile.
+        if attempt.generation != generation:
+            return
         for part in attempt.path:
             engine = self.engines[part.endpoint.endpoint_id]
             if not engine.reserve(attempt, attempt.tokens * part.span.size):
                 self.stop(attempt)
-                self.agenda.schedule_after(0.1, lambda: self._restart(attempt))
+                self._restart_later(attempt)
                 return
-        # Always true: the loop doesn't change the generation. A call of `stop`
-        # during the delay before this function isn't detected, so the attempt
-        # restarts even if its request has ended.
-        if attempt.generation == generation:
-            self._start_prefill(attempt)
+        self._start_prefill(attempt)
 
     def _start_prefill(self, attempt: Attempt) -> None:
         part_indexes = tuple(range(len(attempt.path)))
--- a/packages/sardinebend-simulation/tests/cover/test_simulations.py
+++ b/packages/sardinebend-simulation/tests/cover/test_simulations.py
@@ -150,6 +150,34 @@
         deployments.decode(data.replace(old, new, 1))
 
 
+# Guards against preempted attempts that are restarted although their request
+# has ended, and that take memory and time from others.
+@pytest.mark.parametrize('seed', range(4))
+def test_no_engine_works_for_a_request_that_has_ended(seed, monkeypatch):
+    late_events = []
+    record_event = simulations.Simulation._on_event
+
+    def on_event(simulation, request):
+        if request.outcome is not None:
+            late_events.append(request.outcome)
+        return record_event(simulation, request)
+
+    monkeypatch.setattr(simulations.Simulation, '_on_event', on_event)
+    engine = msgspec.structs.replace(
+        ENGINE, token_layer_mb=0.1, usual_prompt=50.0, usual_answer=400.0
+    )
+    traffic = deployments.Traffic(
+        per_s=40.0, prompt_spread=0.0, leaving_share=0.5, leaves_s=1.0
+    )
+    result = run_simulation(
+        make_deployment(engine=engine, traffic=traffic),
+        seed=seed,
+        chooser='round robin',
+    )
+    assert result.preempted
+    assert late_events == []
+
+
 def test_page_shows_three_bars_for_each_second():
     page = reports.render_page(run_simulation(make_deployment()))
     assert page.count('<rect') == 3 * 5
