--- a/packages/sardinebend-simulation/tests/cover/test_simulations.py
+++ b/packages/sardinebend-simulation/tests/cover/test_simulations.py
@@ -129,25 +129,26 @@
 
 
 @pytest.mark.parametrize(
-    ('old', 'new'),
+    ('old', 'new', 'field'),
     [
-        (b'"layers":10', b'"layers":0'),
-        (b'"layers":10', b'"layers":"ten"'),
-        (b'"layers":10', b'"layers":10,"more":1'),
-        (b'"step_ms":1.0', b'"step_ms":-1.0'),
-        (b'"step_ms":1.0', b'"step_ms":1e999'),
-        (b'[1000.0,2.0,4.0]', b'[0.0,2.0,4.0]'),
-        (b'"card":"card"', b'"card":"none"'),
-        (b'"shape":"steady"', b'"shape":"square"'),
-        (b'"count":4', b'"count":0'),
-        (b'{', b''),
+        (b'"layers":10', b'"layers":0', 'engine.layers'),
+        (b'"layers":10', b'"layers":"ten"', 'engine.layers'),
+        (b'"layers":10', b'"layers":10,"more":1', 'engine'),
+        (b'"step_ms":1.0', b'"step_ms":-1.0', 'engine.step_ms'),
+        (b'"step_ms":1.0', b'"step_ms":1e999', 'engine.step_ms'),
+        (b'[1000.0,2.0,4.0]', b'[0.0,2.0,4.0]', 'engine.cards.card.memory_mb'),
+        (b'"card":"card"', b'"card":"none"', 'endpoints[0].card'),
+        (b'"shape":"steady"', b'"shape":"square"', 'traffic.shape'),
+        (b'"count":4', b'"count":0', 'endpoints[0].count'),
+        (b'{', b'', ''),
     ],
 )
-def test_invalid_deployment_is_rejected(old, new):
+def test_invalid_deployment_is_rejected_by_its_field(old, new, field):
     data = msgspec.json.encode(make_deployment())
     assert old in data
-    with pytest.raises(errors.InvalidDeployment):
+    with pytest.raises(errors.InvalidDeployment) as caught:
         deployments.decode(data.replace(old, new, 1))
+    assert field in str(caught.value)
 
 
 # Guards against preempted attempts that are restarted although their request
