--- a/packages/sardinebend-policy/tests/cover/test_drafts.py
+++ b/packages/sardinebend-policy/tests/cover/test_drafts.py
@@ -449,6 +449,17 @@
     return actions
 
 
+# Guards against a stalled stream that is held for ever, since its server sends
+# the same token again and again.
+def test_a_token_that_is_sent_again_is_no_progress():
+    session = make_session()
+    advance_to_streaming(session, 0.0)
+    session.handle(msg.Chunk(1, 0, 't'), 0.0)
+    assert session.handle(msg.Chunk(1, 0, 't'), 0.4) == []
+    [probe] = session.handle(msg.TimerDue(msg.Timer('stall')), 0.5)
+    assert isinstance(probe, msg.ProbeStages)
+
+
 # Guards against streams that end because a sound server is silent for a second.
 def test_a_stage_that_is_silent_for_a_second_or_so_keeps_its_stream():
     session = make_session()
