End the busy processes of a starved host after its stop

What was wrong: LayeredScene.end_busy_processes ended nothing. It looked for the busy processes among those that the scene spawned, but starving.starved starts them itself. So the six of the first stop shared the processor with the second host, too, which ran beside twelve, and the test didn't say so.

Change: the scene keeps the busy processes and ends them. The second stop has twelve of its own, so it is starved as much as before, and the test names both counts. No check changes.

--- a/tests/common/layered_scene.py
+++ b/tests/common/layered_scene.py
@@ -153,7 +153,6 @@
         self.pauses = []
         self.lines = {}
         self.own_delay_s = 0.0
-        self._busy = []
         self._is_over = False
         self._next_host = self.hosts[0]
 
@@ -272,16 +271,6 @@
             )
             await trio.sleep(LATE_STREAMS_INTERVAL_S)
 
-    def add_busy_processes(self, host, count):
-        first = len(self._processes)
-        super().add_busy_processes(host, count)
-        self._busy = self._processes[first:]
-
-    def end_busy_processes(self):
-        """Ends the processes that shared a host's processor."""
-        for process in self._busy:
-            process.kill()
-
     def lists_paths_of_layers(self):
         """Returns whether the engines have run streams along whole paths."""
         return any(
--- a/tests/common/stopping_host.py
+++ b/tests/common/stopping_host.py
@@ -334,6 +334,7 @@
         self.hosts += [Host(self, number) for number in range(host_count)]
         self._idle = []
         self._logs = contextlib.ExitStack()
+        self._busy_processes = contextlib.ExitStack()
         self._processes = []
 
     def _make_servers(self):
@@ -531,12 +532,17 @@
     def add_busy_processes(self, host, count):
         """Lets a host share its processor with processes that never wait."""
         processor = min(os.sched_getaffinity(0))
-        self._logs.enter_context(
+        self._busy_processes.enter_context(
             starving.starved(host.process, processor, count)
         )
 
+    def end_busy_processes(self):
+        """Ends the processes that shared a host's processor."""
+        self._busy_processes.close()
+
     def close(self):
         """Kills every process that was started."""
+        self.end_busy_processes()
         for process in self._processes:
             process.kill()
         self._logs.close()
--- a/tests/processes/test_late_hosts.py
+++ b/tests/processes/test_late_hosts.py
@@ -22,7 +22,8 @@
 PAUSES_ALONE_S = (1.5, 1.2, 1.4)
 # Time between two pauses without a stop.
 PAUSE_INTERVAL_S = 4.0
-BUSY_PROCESSES = 6
+# Processes that share a host's processor, for each of the stops of a scene.
+BUSY_PROCESSES = (6, 12)
 # The servers run in the test's process: if that is held up for longer, they
 # are silent themselves, and the batch is played once more.
 MAX_OWN_DELAY_S = 0.5
@@ -70,8 +71,10 @@
 
 
 async def stop_starved(scene):
+    counts = iter(BUSY_PROCESSES)
+
     async def stop(host):
-        scene.add_busy_processes(host, BUSY_PROCESSES)
+        scene.add_busy_processes(host, next(counts))
         await trio.sleep(layered_scene.BEFORE_S)
         await scene.stop(host)
         scene.end_busy_processes()
