Tell versions of the own table's eras apart

What callers saw: nothing yet. A table that comes back from an older copy gives out row versions again, so a write that expected a lost row of version n replaced another one of version n: a lease, a claim or a setting.

Cause: the client of the product's own table compared bare versions and read no era; the platform's client has done so since eras came.

Rows of a `TableStore` have versions of `feeds.make_version`; an expected version of an earlier era is a conflict without being sent, and a call in flight while the era rises is unclear. So versions are taken from the answer, no longer counted by the writer; an answer without one of them is unclear. A table that names no era works as before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -204,8 +204,7 @@
                     events.LEASE_TAKEN, fencing=attempt.row['fencing']
                 )
             self._version = answer.ok_value
-            self._lease.confirm(attempt, sent_at)
-            self._lease.observe(attempt.row, self._version, sent_at)
+            self._lease.confirm(attempt, self._version, sent_at)
         elif isinstance(answer.err_value, store_errors.Conflict):
             row = answer.err_value.rows.get(shared_table.LEASE_KEY)
             if row is not None:
--- a/packages/sardinebend-policy/src/sardinebend_policy/lease.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/lease.py
@@ -114,13 +114,19 @@
             {'holder': self._holder, 'fencing': fencing}, self._version
         )
 
-    def confirm(self, attempt: Attempt, sent_at: float) -> None:
-        """Records that a write by this host has taken effect."""
+    def confirm(self, attempt: Attempt, version: int, sent_at: float) -> None:
+        """Records that a write by this host has taken effect.
+
+        Args:
+            attempt: The write.
+            version: The row's version since.
+            sent_at: When the write was sent.
+        """
         if attempt.row['fencing'] != self.fencing:
             self.taken_at = sent_at
         self.fencing = attempt.row['fencing']
         self._highest_fencing = max(self._highest_fencing, self.fencing)
         self._row = attempt.row
-        self._version = attempt.expected_version + 1
+        self._version = version
         self._version_seen_at = sent_at
         self._held_until = sent_at + self._duration_s * (1 - SAFETY_MARGIN)
--- a/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
+++ b/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
@@ -25,7 +25,7 @@
     lease.observe(None, 0, 0.0)
     attempt = lease.next_attempt(1.0)
     assert not lease.is_held(1.0)
-    lease.confirm(attempt, 1.0)
+    lease.confirm(attempt, 1, 1.0)
     assert lease.is_held(8.9)
     assert not lease.is_held(9.0)
 
@@ -34,7 +34,7 @@
     holder = lease_lib.Lease('a', DURATION_S)
     holder.observe(None, 0, 0.0)
     attempt = holder.next_attempt(0.0)
-    holder.confirm(attempt, 0.0)
+    holder.confirm(attempt, 1, 0.0)
     other = lease_lib.Lease('b', DURATION_S)
     # The other host can't read the row before it is written.
     other.observe(attempt.row, 1, 0.0)
@@ -50,7 +50,7 @@
     holder = lease_lib.Lease('a', DURATION_S)
     holder.observe(None, 0, 0.0)
     attempt = holder.next_attempt(0.0)
-    holder.confirm(attempt, 0.0)
+    holder.confirm(attempt, 1, 0.0)
     other = lease_lib.Lease('b', DURATION_S)
     other.observe(attempt.row, 1, 0.0)
     for lease in (holder, other):
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -171,7 +171,7 @@
         )
         answer = await self._platform.table.transact([write])
         if isinstance(answer, result.Ok):
-            self.post(msg.ClaimWritten(action.expected_version + 1))
+            self.post(msg.ClaimWritten(answer.ok_value.versions[write.key]))
             return
         error = answer.err_value
         if isinstance(error, platform_errors.Conflict):
--- a/packages/sardinebend-router/src/sardinebend_router/ordering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/ordering.py
@@ -84,7 +84,8 @@
         # the row, which names this host as the holder if the write took effect.
         answer = await self._table.transact([write])
         if isinstance(answer, result.Ok):
-            self._lease.confirm(attempt, sent_at)
+            version = answer.ok_value.versions[LEASE_KEY]
+            self._lease.confirm(attempt, version, sent_at)
 
     def _list_engines(self) -> list[orders.Engine]:
         listed = []
--- a/packages/sardinebend-store/src/sardinebend_store/batching.py
+++ b/packages/sardinebend-store/src/sardinebend_store/batching.py
@@ -43,6 +43,11 @@
         self._queue: list[_PendingTransaction] = []
         self.calls = 0
 
+    @property
+    def era(self) -> int:
+        """The highest era that the underlying table has named, or 0."""
+        return self._table.era
+
     async def read(
         self, key: str
     ) -> result.Result[store.Row | None, store.ReadError]:
--- a/packages/sardinebend-store/src/sardinebend_store/memory.py
+++ b/packages/sardinebend-store/src/sardinebend_store/memory.py
@@ -5,6 +5,7 @@
 import result
 
 from sardinebend_store import errors
+from sardinebend_store import feeds
 from sardinebend_store import store
 
 
@@ -13,6 +14,28 @@
 
     def __init__(self) -> None:
         self._rows: dict[str, store.Row] = {}
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """The number of times that the table came back from a copy."""
+        return self._era
+
+    def copy_rows(self) -> dict[str, store.Row]:
+        """Returns the rows as they are now."""
+        return dict(self._rows)
+
+    def return_from_copy(self, rows: dict[str, store.Row]) -> None:
+        """Replaces all rows by those of a copy and begins a new era."""
+        self._era += 1
+        self._rows = {
+            key: row._replace(
+                version=feeds.make_version(
+                    self.era, feeds.counter_of(row.version)
+                )
+            )
+            for key, row in rows.items()
+        }
 
     async def transact(
         self, writes: typing.Sequence[store.Write]
@@ -36,7 +59,8 @@
             if write.value is None:
                 self._rows.pop(write.key, None)
                 continue
-            version = write.expected_version + 1
+            counter = feeds.counter_of(write.expected_version) + 1
+            version = feeds.make_version(self.era, counter)
             versions[write.key] = version
             self._rows[write.key] = store.Row(write.key, version, write.value)
         return result.Ok(store.Committed(versions))
--- a/packages/sardinebend-store/src/sardinebend_store/remote.py
+++ b/packages/sardinebend-store/src/sardinebend_store/remote.py
@@ -16,22 +16,29 @@
 
 from sardinebend_store import connections
 from sardinebend_store import documents
+from sardinebend_store import eras
 from sardinebend_store import errors
+from sardinebend_store import feeds
 from sardinebend_store import store
 
 DEFAULT_TIMEOUT_S: typing.Final = 2.0
 
+_ERA_HEADER: typing.Final = 'store-era'
 _JSON = ((b'content-type', b'application/json'),)
 
 
+_Counter = typing.Annotated[int, msgspec.Meta(ge=0, le=feeds.MAX_COUNTER)]
+
+
 class _RowBody(typing.TypedDict):
     key: str
-    version: int
+    # 1 for a new row; incremented by each write.
+    version: _Counter
     value: dict[str, typing.Any]
 
 
 class _CommittedBody(typing.TypedDict):
-    versions: dict[str, int]
+    versions: dict[str, _Counter]
 
 
 class _HostBody(typing.TypedDict):
@@ -86,6 +93,10 @@
             await self._origin.drop_idle()
             raise
 
+    def _accepts(self, reply: connections.Reply) -> bool:
+        """Returns whether a reply can be used, whatever its status."""
+        return True
+
     async def _read(
         self, path: str
     ) -> result.Result[bytes, errors.Unavailable]:
@@ -99,6 +110,9 @@
             except errors.ExchangeFailed as exc:
                 failure = errors.Unavailable(str(exc))
                 continue
+            if not self._accepts(reply):
+                failure = errors.Unavailable('answer of no known era')
+                continue
             if reply.status == 200:
                 return result.Ok(reply.body)
             return result.Err(errors.Unavailable(f'status {reply.status}'))
@@ -108,6 +122,16 @@
 class RemoteTable(_Client, store.TableStore):
     """The platform's table service."""
 
+    def __init__(self, origin: connections.Origin, timeout_s: float) -> None:
+        super().__init__(origin, timeout_s)
+        self._era = 0
+        self._era_header = eras.EraHeader(_ERA_HEADER)
+
+    @property
+    def era(self) -> int:
+        """The highest era that any reply has named, or 0."""
+        return self._era
+
     @classmethod
     def from_url(
         cls, url: str, timeout_s: float = DEFAULT_TIMEOUT_S
@@ -119,7 +143,16 @@
         self, writes: typing.Sequence[store.Write]
     ) -> result.Result[store.Committed, store.TableError]:
         """Applies all writes, or none of them."""
-        body = msgspec.json.encode({'writes': [w._asdict() for w in writes]})
+        era = self.era
+        lost = [
+            write.key
+            for write in writes
+            if write.expected_version
+            and feeds.era_of(write.expected_version) != era
+        ]
+        if lost:
+            return result.Err(errors.Conflict(dict.fromkeys(lost)))
+        body = msgspec.json.encode({'writes': [_encode(w) for w in writes]})
         try:
             reply = await self._call(
                 'POST', '/v1/transact', body, new_connection=True
@@ -128,7 +161,12 @@
             return result.Err(errors.Unavailable(str(exc)))
         except errors.ExchangeFailed as exc:
             return result.Err(errors.Unclear(str(exc)))
-        return _decode_transact_reply(reply)
+        if not self._accepts(reply) or self.era != era:
+            # A table in another era may have applied the writes to other rows
+            # of the same versions, and an earlier era's writes are lost.
+            return result.Err(errors.Unclear(f'era {self.era}'))
+        put_keys = {write.key for write in writes if write.value is not None}
+        return _decode_transact_reply(reply, era, put_keys)
 
     async def read(
         self, key: str
@@ -138,7 +176,8 @@
         answer = await self._read(path)
         if isinstance(answer, result.Err):
             return answer
-        return _decode(answer.ok_value, _RowBody | None).map(_make_row)
+        row = _decode(answer.ok_value, _RowBody | None)
+        return row.map(lambda body: _make_row(body, self.era))
 
     async def scan(
         self, prefix: str, after: str = '', limit: int = 1000
@@ -151,7 +190,17 @@
         if isinstance(answer, result.Err):
             return answer
         rows = _decode(answer.ok_value, list[_RowBody])
-        return rows.map(lambda items: [store.Row(**item) for item in items])
+        return rows.map(
+            lambda items: [_make_row(item, self.era) for item in items]
+        )
+
+    def _accepts(self, reply: connections.Reply) -> bool:
+        """Records the era that a reply names; returns whether it is usable."""
+        era = self._era_header.read(reply, self._era)
+        if era is None:
+            return False
+        self._era = era
+        return True
 
 
 class RemoteObjects(_Client, store.ObjectStore):
@@ -283,20 +332,26 @@
 
 
 def _decode_transact_reply(
-    reply: connections.Reply,
+    reply: connections.Reply, era: int, put_keys: set[str]
 ) -> result.Result[store.Committed, store.TableError]:
     if reply.status == 200:
         committed = _decode(reply.body, _CommittedBody)
         if isinstance(committed, result.Err):
             # The status says that it was applied, but nothing shows by whom.
             return result.Err(errors.Unclear(str(committed.err_value)))
-        return result.Ok(store.Committed(**committed.ok_value))
+        if not put_keys <= committed.ok_value['versions'].keys():
+            return result.Err(errors.Unclear('a version is missing'))
+        versions = {
+            key: feeds.make_version(era, counter)
+            for key, counter in committed.ok_value['versions'].items()
+        }
+        return result.Ok(store.Committed(versions))
     if reply.status == 409:
         rows = _decode(reply.body, dict[str, _RowBody | None])
         if isinstance(rows, result.Err):
             return rows
         conflicting_rows = {
-            key: _make_row(row) for key, row in rows.ok_value.items()
+            key: _make_row(row, era) for key, row in rows.ok_value.items()
         }
         return result.Err(errors.Conflict(conflicting_rows))
     # Only the statuses that the protocol defines as a refusal mean that nothing
@@ -307,8 +362,16 @@
     return result.Err(errors.Unclear(f'status {reply.status}'))
 
 
-def _make_row(body: _RowBody | None) -> store.Row | None:
-    return None if body is None else store.Row(**body)
+def _encode(write: store.Write) -> dict[str, typing.Any]:
+    counter = feeds.counter_of(write.expected_version)
+    return write._replace(expected_version=counter)._asdict()
+
+
+def _make_row(body: _RowBody | None, era: int) -> store.Row | None:
+    if body is None:
+        return None
+    version = feeds.make_version(era, body['version'])
+    return store.Row(body['key'], version, body['value'])
 
 
 def _make_listing(body: _ListingBody) -> store.Listing:
--- a/packages/sardinebend-store/src/sardinebend_store/store.py
+++ b/packages/sardinebend-store/src/sardinebend_store/store.py
@@ -16,7 +16,9 @@
 
     Attributes:
         key: Its key.
-        version: 1 for a new row; incremented by each write.
+        version: Rises with each write. A store that has come back from an older
+            copy gives out the same numbers again; a version here also holds its
+            era (see `feeds`), so those of two eras are never equal.
         value: Its value, a JSON object.
     """
 
@@ -88,11 +90,20 @@
 class TableStore(abc.ABC):
     """A table with transactions that are conditional on row versions."""
 
+    @property
+    @abc.abstractmethod
+    def era(self) -> int:
+        """The highest era that any answer of the table has named, or 0."""
+
     @abc.abstractmethod
     async def transact(
         self, writes: typing.Sequence[Write]
     ) -> result.Result[Committed, TableError]:
-        """Applies all writes, or none of them."""
+        """Applies all writes, or none of them.
+
+        An expected version of an earlier era is a `Conflict`. If the era rises
+        while the call is in flight, the outcome is `Unclear`.
+        """
 
     @abc.abstractmethod
     async def read(self, key: str) -> result.Result[Row | None, ReadError]:
--- a/packages/sardinebend-store/tests/cover/test_stores.py
+++ b/packages/sardinebend-store/tests/cover/test_stores.py
@@ -10,6 +10,7 @@
 from sardinebend_store import batching
 from sardinebend_store import connections
 from sardinebend_store import errors
+from sardinebend_store import feeds
 from sardinebend_store import memory
 from sardinebend_store import remote
 from sardinebend_store import store
@@ -136,7 +137,62 @@
 @pytest.mark.parametrize('body', [b'{', b'{}', b'[]'])
 def test_an_applied_transaction_with_a_malformed_reply_is_unclear(body):
     # Guards against "nothing written" about a booking's claim that was.
-    answer = remote._decode_transact_reply(connections.Reply(200, {}, body))
+    reply = connections.Reply(200, {}, body)
+    answer = remote._decode_transact_reply(reply, 0, set())
+    assert isinstance(answer.err_value, errors.Unclear)
+
+
+def test_an_applied_transaction_without_a_version_of_its_row_is_unclear():
+    reply = connections.Reply(200, {}, b'{"versions":{"b":1}}')
+    answer = remote._decode_transact_reply(reply, 0, {'a'})
+    assert isinstance(answer.err_value, errors.Unclear)
+
+
+@contextlib.asynccontextmanager
+async def make_returning_table(variant):
+    """Yields a table, and the one in memory that holds its rows."""
+    if variant == 'memory':
+        table = memory.MemoryTable()
+        yield table, table
+        return
+    app = table_standin.TableApp()
+    async with run_app(app) as url:
+        table = remote.RemoteTable.from_url(url, timeout_s=1.0)
+        is_batching = variant == 'batching'
+        yield batching.BatchingTable(table) if is_batching else table, app.table
+
+
+@pytest.mark.parametrize('variant', ['memory', 'remote', 'batching'])
+async def test_a_version_that_is_given_out_again_does_not_match(variant):
+    # Guards against a write that replaces another row of the same version
+    # after the table has come back from an older copy.
+    async with make_returning_table(variant) as (table, source):
+        copy = source.copy_rows()
+        written = await table.transact([store.Write('a', 0, {'x': 1})])
+        before = written.ok_value.versions['a']
+        source.return_from_copy(copy)
+        assert await table.read('a') == result.Ok(None)
+        assert table.era == 1
+        written = await table.transact([store.Write('a', 0, {'x': 2})])
+        after = written.ok_value.versions['a']
+        assert feeds.counter_of(after) == feeds.counter_of(before)
+        refused = await table.transact([store.Write('a', before, {'x': 3})])
+        assert isinstance(refused.err_value, errors.Conflict)
+        row = await table.read('a')
+        assert row == result.Ok(store.Row('a', after, {'x': 2}))
+        assert (await table.scan('')).ok_value == [row.ok_value]
+        assert (await table.transact([store.Write('a', after, {})])).is_ok()
+
+
+async def test_a_write_in_flight_while_the_era_rises_is_unclear():
+    # Guards against a lease or a claim that counts as written although the
+    # copy may lack it, or hold it in the place of another row.
+    app = table_standin.TableApp()
+    async with run_app(app) as url:
+        table = remote.RemoteTable.from_url(url, timeout_s=1.0)
+        assert await table.read('a') == result.Ok(None)
+        app.table.return_from_copy({})
+        answer = await table.transact([store.Write('a', 0, {})])
     assert isinstance(answer.err_value, errors.Unclear)
 
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -5,6 +5,7 @@
 import trio
 
 from sardinebend_store import errors
+from sardinebend_store import feeds
 from sardinebend_store import memory
 from sardinebend_store import store
 from standins import web
@@ -23,17 +24,32 @@
         self.add('GET', '/counts', self._list_counts, subject_to_faults=False)
         self.add('GET', '/records', self._list_rows, subject_to_faults=False)
 
+    def make_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns the header that names the table's era."""
+        return [(b'store-era', b'%d' % self.table.era)]
+
     async def _transact(self, req: web.Request) -> tuple[int, object]:
         self._counts['writes'] += 1
-        writes = [store.Write(**write) for write in req.json()['writes']]
+        writes = [
+            self._decode(store.Write(**write)) for write in req.json()['writes']
+        ]
         answer = self.table.apply(writes)
         if isinstance(answer, result.Ok):
-            return 200, answer.ok_value._asdict()
+            versions = answer.ok_value.versions.items()
+            counters = {key: feeds.counter_of(item) for key, item in versions}
+            return 200, {'versions': counters}
         if isinstance(answer.err_value, errors.Conflict):
             rows = answer.err_value.rows
             return 409, {key: _encode(row) for key, row in rows.items()}
         return 503, None
 
+    def _decode(self, write: store.Write) -> store.Write:
+        counter = write.expected_version
+        if not counter:
+            return write
+        version = feeds.make_version(self.table.era, counter)
+        return write._replace(expected_version=version)
+
     async def _read(self, req: web.Request) -> tuple[int, object]:
         self._counts['reads'] += 1
         answer = await self.table.read(req.query['key'])
@@ -56,7 +72,9 @@
 
 
 def _encode(row: store.Row | None) -> object:
-    return None if row is None else row._asdict()
+    if row is None:
+        return None
+    return row._replace(version=feeds.counter_of(row.version))._asdict()
 
 
 def main(*, address: str = '127.0.0.1', port: int = 0) -> None:
--- a/standins/web.py
+++ b/standins/web.py
@@ -89,6 +89,10 @@
         """
         self._routes.append((method, prefix, handler, subject_to_faults))
 
+    def make_headers(self) -> list[tuple[bytes, bytes]]:
+        """Returns further headers of the replies of handlers."""
+        return []
+
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
@@ -128,7 +132,7 @@
             return
         answer = await handler(req)
         if answer is not None:
-            await asgi.send_json(req.send, *answer)
+            await asgi.send_json(req.send, *answer, self.make_headers())
 
     async def _lose_reply(self, handler: Handler, req: Request) -> None:
         """Runs the handler, now or later, and drops the connection."""
--- a/tests/common/world.py
+++ b/tests/common/world.py
@@ -200,6 +200,10 @@
         self._host = host
         self._on_write = on_write
 
+    @property
+    def era(self):
+        return self._world.table.era
+
     async def transact(self, writes):
         await self._host.wait_until_running()
         self._on_write('sent', writes[0])
