Use no fencing number for two holders after the table's return

What callers saw: engines of the product's own interface got orders of two hosts under one number, and the rate of loads was kept for neither.

Cause: the sender of orders passed no era to its lease, so a host that reads a table without the lost row counts from 1 again. On both sides a second way remained: a renewal in flight across the return may be applied in the new era in the place of a holder's row; its writer, which never saw that holder's number, then took the lowest one of the era, the same.

Evidence: with the fault "table_returns" in the matrix of orders 3 of its 55 runs with one fault broke the new check ("a and b ordered under 1"). The late write was found by reading; the unit test shows it.

Change: the own sender passes era and version to the one lease that both sides use. Within an era a number is one above the version that the write expects. Versions rise with each write of the era and the write is conditional, so two writes that take the lease can't have the same number. In era 0 numbers are counted as before. The era moves up to bit 40, to leave room for the platform's counter; numbers stay below 2^53 for 8,191 eras.

Tests: test_every_fault_at_every_step_keeps_the_guarantees[orders] and test_a_late_write_of_an_earlier_era_leads_to_no_number_twice failed before; they pass, and so do all pairs of faults of orders (814 runs in all).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/placement_controller.py
@@ -174,10 +174,9 @@
         if self.holds_lease:
             return True
         now = clocks.now()
-        store = self._state.edges.store
         if now - self._started_at < FIRST_TRY_DELAY_S:
             return False
-        if self._lease.next_attempt(now, store.era) is None:
+        if self._next_attempt(now) is None:
             self._lease_free_since = None
             return False
         if self._lease_free_since is None:
@@ -186,12 +185,17 @@
             return True
         return now - self._lease_free_since > self._non_reader_delay_s
 
+    def _next_attempt(self, now: float) -> lease_lib.Attempt | None:
+        era = self._state.edges.store.era
+        counter = feeds.counter_of(self._version)
+        return self._lease.next_attempt(now, era, counter)
+
     async def _try_lease(self) -> None:
         store = self._state.edges.store
-        attempt = self._lease.next_attempt(clocks.now(), store.era)
+        sent_at = clocks.now()
+        attempt = self._next_attempt(sent_at)
         if attempt is None:
             return
-        sent_at = clocks.now()
         answer = await store.write(
             shared_table.TABLE,
             shared_table.LEASE_KEY,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -27,7 +27,7 @@
 RequestsByCrash = dict[str, str]
 
 # A fencing number is far below this, even after many eras of the store.
-MAX_FENCING: typing.Final = 2**53
+MAX_FENCING: typing.Final = 2**62
 # What a row holds goes into heartbeats, which must fit a datagram.
 _EvidenceText = typing.Annotated[str, msgspec.Meta(max_length=300)]
 _Evidence = typing.Annotated[
--- a/packages/sardinebend-policy/src/sardinebend_policy/lease.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/lease.py
@@ -15,8 +15,8 @@
 
 # Share of the duration by which a holder stops before the lease expires.
 SAFETY_MARGIN: typing.Final = 0.2
-# The lower bits of a fencing number count the holders within an era.
-ERA_FENCING_BITS: typing.Final = 24
+# The lower bits of a fencing number tell the holders within an era apart.
+ERA_FENCING_BITS: typing.Final = 40
 
 
 class LeaseRow(typing.TypedDict):
@@ -83,18 +83,25 @@
         self._row = row
         self._version = version
 
-    def next_attempt(self, now: float, era: int = 0) -> Attempt | None:
+    def next_attempt(
+        self, now: float, era: int = 0, counter: int = 0
+    ) -> Attempt | None:
         """Returns the write to make now; `None` if there is none.
 
         Args:
             now: The time.
             era: Era of the store. Its row may be older than the last one, so
                 each era has fencing numbers of its own, above all others.
+            counter: The number that the store gave the row that was read; it
+                rises with each write within an era. A late write of an earlier
+                era may have replaced a holder's row of this one, so the row
+                doesn't tell which numbers this era has used.
         """
         if not self._was_read:
             return None
         lowest = era << ERA_FENCING_BITS
-        fencing = max(lowest, self._highest_fencing) + 1
+        highest = lowest + counter if era else 0
+        fencing = max(highest, self._highest_fencing) + 1
         is_waiting = now - self._version_seen_at < self._duration_s
         if self._row is None:
             if is_waiting and (self._highest_fencing or self._version):
--- a/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
+++ b/packages/sardinebend-policy/tests/cover/test_lease_and_orders.py
@@ -73,6 +73,20 @@
     assert again.row['fencing'] > first.row['fencing']
 
 
+def test_a_late_write_of_an_earlier_era_leads_to_no_number_twice():
+    # Guards against a number for two holders: the late write puts an old row in
+    # the place of a holder's, and its writer never saw that holder's number.
+    old = {'holder': 'a', 'fencing': 1}
+    late = lease_lib.Lease('a', DURATION_S)
+    late.observe(old, 1, 0.0)
+    other = lease_lib.Lease('b', DURATION_S)
+    other.observe(None, 0, 0.0)
+    taken = other.next_attempt(0.0, era=1)
+    late.observe(old, 2, 1.0)
+    again = late.next_attempt(1.0 + DURATION_S, era=1, counter=2)
+    assert again.row['fencing'] > taken.row['fencing']
+
+
 def test_a_lease_row_that_cannot_be_read_is_replaced_after_its_duration():
     # Guards against a lease that nobody can take, with a write each moment
     # that expects no row although there is one.
--- a/packages/sardinebend-router/src/sardinebend_router/ordering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/ordering.py
@@ -12,6 +12,7 @@
 from sardinebend_router import logs
 from sardinebend_router import state as state_lib
 from sardinebend_store import errors as platform_errors
+from sardinebend_store import feeds
 from sardinebend_store import store
 
 LEASE_KEY: typing.Final = 'leases/orders'
@@ -69,12 +70,12 @@
             value = typing.cast(lease_lib.LeaseRow, row.value) if row else None
             version = row.version if row else 0
             self._lease.observe(value, version, self._clock())
-            await self._renew()
+            await self._renew(feeds.counter_of(version))
         return self._lease.is_held(self._clock())
 
-    async def _renew(self) -> None:
+    async def _renew(self, counter: int) -> None:
         sent_at = self._clock()
-        attempt = self._lease.next_attempt(sent_at)
+        attempt = self._lease.next_attempt(sent_at, self._table.era, counter)
         if attempt is None:
             return
         write = store.Write(
--- a/tests/common/checkers.py
+++ b/tests/common/checkers.py
@@ -217,7 +217,13 @@
     if wrong:
         violations.append(f'ended with {wrong}, desired is {record.desired}')
     last: dict[str, int] = {}
+    holders: dict[int, str] = {}
     for order in record.started_orders:
+        holder = holders.setdefault(order.fencing, order.host)
+        if holder != order.host:
+            violations.append(
+                f'{holder} and {order.host} ordered under {order.fencing}'
+            )
         if order.endpoint_id in CHECKS_FENCING:
             if order.fencing < last.get(order.endpoint_id, 0):
                 violations.append(
--- a/tests/common/orders_world.py
+++ b/tests/common/orders_world.py
@@ -30,6 +30,7 @@
     'table_slow',
     'table_reply_lost',
     'table_effect_late',
+    'table_returns',
     'order_late',
     'order_lost',
     'desired_changes',
@@ -39,6 +40,7 @@
 class StartedOrder(typing.NamedTuple):
     """An order that an engine has started."""
 
+    host: str
     endpoint_id: str
     fencing: int
     version: str
@@ -73,10 +75,12 @@
             await trio.sleep(order.life_s)
             return platform_errors.ExchangeFailed('cut')
         if delay_s:
-            world.call_later(delay_s, lambda: world.start_order(order))
+            world.call_later(
+                delay_s, lambda: world.start_order(self.host.name, order)
+            )
             await trio.sleep(order.life_s)
             return platform_errors.ExchangeFailed('late')
-        status = world.start_order(order)
+        status = world.start_order(self.host.name, order)
         if is_lost:
             await trio.sleep(order.life_s)
             return platform_errors.ExchangeFailed('reply lost')
@@ -123,8 +127,13 @@
             is_sent = phase == 'sent'
             self.record_step('lease_sent' if is_sent else 'lease_taken')
 
-    def start_order(self, order) -> int:
-        """Starts an order at an engine, which may refuse its fencing number."""
+    def start_order(self, host: str, order) -> int:
+        """Starts an order at an engine, which may refuse its fencing number.
+
+        Args:
+            host: The host that sent the order.
+            order: The order.
+        """
         endpoint_id = order.endpoint_id
         if (
             endpoint_id in CHECKS_FENCING
@@ -135,7 +144,7 @@
         now = trio.current_time()
         version = order.held.model_version
         self.started_orders.append(
-            StartedOrder(endpoint_id, order.fencing, version, now)
+            StartedOrder(host, endpoint_id, order.fencing, version, now)
         )
         self.record_step('order_begun')
 
@@ -189,6 +198,8 @@
         case 'cut_host':
             host.is_cut = True
             world.call_later(OUTAGE_S, lambda: setattr(host, 'is_cut', False))
+        case 'table_returns':
+            world.table.return_from_copy({})
         case 'order_late':
             world.next_delay_s = 8.0
         case 'order_lost':
