Show that the next holder doesn't have engines load twice across a return

Not shown before: a lease that changes hosts while engines load, with the store's return before or after the change. Their listings are empty then and the next holder has no record of the orders of the last one.

Found: nothing to mend. The next holder asks for a report first and sends no order to an engine that is busy. Listings 2.5 s late and an engine that joins, so that the plan differs, don't change that.

--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -60,6 +60,7 @@
     Attributes:
         backlog: Connections that may wait until they are accepted.
         misdirected: Number of messages that named another server.
+        is_busy: Whether its reports say that it carries out an order.
     """
 
     backlog = 16
@@ -72,6 +73,7 @@
         self.requests = []
         self.orders = []
         self.is_silent = False
+        self.is_busy = False
         self.answers_reports = True
         self.report_headers = []
         self.stalled = []
@@ -193,7 +195,7 @@
     async def _report(self, stream):
         body = json.dumps(
             {
-                'busy': False,
+                'busy': self.is_busy,
                 'sequence': len(self.orders),
                 'stalled_servers': [
                     {'id': 'x', 'address': a} for a in self.stalled
--- a/tests/cover/test_gateway_orders_after_return.py
+++ b/tests/cover/test_gateway_orders_after_return.py
@@ -10,7 +10,11 @@
 
 ENGINES = 3
 LOAD_S = 1.0
+# Longer than a lease, so that another host takes it meanwhile.
+LONG_LOAD_S = 10.0
 HEARTBEAT_S = 1.0
+# Listings lag behind the end of a load.
+LATE_HEARTBEAT_S = 2.5
 # A lease that is lost, the next one, and a load.
 PLACED_S = 20.0
 
@@ -19,6 +23,8 @@
     """An engine that loads layers, and refuses orders that come too late.
 
     Attributes:
+        load_s: How long it takes to load layers.
+        heartbeat_s: Time between two listings.
         refuses: Whether it refuses all orders.
         refused: When it refused an order.
         began: When it began an order.
@@ -27,12 +33,20 @@
     def __init__(self, number):
         super().__init__(f'engine-{number}', 'llm')
         self.world = None
+        self.load_s = LOAD_S
+        self.heartbeat_s = HEARTBEAT_S
         self.refuses = False
         self.refused = []
         self.began = []
 
     def take_order(self, order):
-        if self.refuses or order['expected'] != len(self.orders):
+        if self.span == (order['from'], order['target']):
+            return 200
+        if (
+            self.refuses
+            or self.is_busy
+            or order['expected'] != len(self.orders)
+        ):
             self.refused.append(trio.current_time())
             return 412
         self.began.append(trio.current_time())
@@ -40,13 +54,15 @@
         return super().take_order(order)
 
     async def load(self, order):
-        await trio.sleep(LOAD_S)
+        self.is_busy = True
+        await trio.sleep(self.load_s)
+        self.is_busy = False
         self.span = (order['from'], order['target'])
 
     async def keep_listed(self):
         while True:
             await self.world.list_server(self)
-            await trio.sleep(HEARTBEAT_S)
+            await trio.sleep(self.heartbeat_s)
 
 
 @contextlib.asynccontextmanager
@@ -152,3 +168,40 @@
         assert is_covered(everyone)
         assert len(find_holders()) == 1
         assert [len(x.began) for x in everyone] == [1] * len(everyone)
+
+
+# Guards against a next holder that has engines load twice, because their
+# listings don't show yet what the last holder ordered in an earlier era.
+@pytest.mark.parametrize('is_another_late', [True, False])
+@pytest.mark.parametrize('returns_first', [True, False])
+async def test_the_next_holder_does_not_order_again_what_engines_load(
+    returns_first, is_another_late, clock
+):
+    async with placing(3) as (worlds, loaders):
+        store = worlds[0].store
+        before = count_writes(store)
+        for loader in loaders:
+            loader.load_s = LONG_LOAD_S
+            loader.heartbeat_s = LATE_HEARTBEAT_S
+        await wait_until(lambda: all(x.began for x in loaders))
+        [holder] = [
+            w for w in worlds if w.gateway.placement_controller.holds_lease
+        ]
+        if returns_first:
+            store.return_from_copy(count_writes(store) - before)
+        holder.gateway.begin_stop()
+        await trio.sleep(1.0)
+        if not returns_first:
+            store.return_from_copy(count_writes(store) - before)
+        everyone = list(loaders)
+        if is_another_late:
+            late = Loader(ENGINES)
+            late.world = worlds[0]
+            await late.start(worlds[0].nursery)
+            worlds[0].nursery.start_soon(late.keep_listed)
+            everyone.append(late)
+        await trio.sleep(LONG_LOAD_S + PLACED_S)
+        assert is_covered(everyone)
+        assert [len(x.began) for x in everyone] == [1] * len(everyone)
+        others = [w.gateway.placement_controller for w in worlds if w != holder]
+        assert [c.holds_lease for c in others].count(True) == 1
