Let a pause of the product's host lose no peers

What callers saw: after a suspension of 3.5 s the product's own host answered /v1/hosts with itself alone, so callers were sent to one host for the time of the answer. A change of the settings that its peer had confirmed was reported as unconfirmed (202, "committed").

Cause: the time since a peer's heartbeat, and the time limits of calls to peers, ran on while the host stood still.

Ruled out: a slow peer. In the tests the peer answers in 0.5 s throughout.

Change: the product's host uses the gateway's HostClock (it imports that package already, so nothing is copied) for heartbeats, calls and reports to peers. The clock takes a function that logs a delay, since both programs have logs of their own. Whether a host is isolated is a question of the age of what it knows, and stays on real time: what peers said before a long pause doesn't count for longer than settings.blind_after_s.

Failed before: test_a_pause_of_the_host_is_no_silence_of_its_peers (1 host of 2 listed) and test_a_pause_of_the_host_ends_no_call_to_a_peer, both pauses. test_a_host_that_was_suspended_for_long_is_isolated passed before; it fails if peers alone decide on the new clock (tried).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -10,9 +10,7 @@
 
 import trio
 
-from sardinebend_gateway import audit as audit_lib
 from sardinebend_gateway import clocks
-from sardinebend_gateway import events
 from sardinebend_gateway import metrics as metrics_lib
 from sardinebend_policy import host_delays
 
@@ -31,9 +29,17 @@
     """
 
     def __init__(
-        self, audit: audit_lib.Audit, metrics: metrics_lib.Metrics
+        self,
+        log_delay: typing.Callable[[float], None],
+        metrics: metrics_lib.Metrics,
     ) -> None:
-        self._audit = audit
+        """Creates a clock that doesn't stand still yet.
+
+        Args:
+            log_delay: Logs a delay of the host, in seconds.
+            metrics: Takes the lengths of all delays.
+        """
+        self._log_delay = log_delay
         self._metrics = metrics
         self._delays: host_delays.HostDelays | None = None
         # By `clocks.now`, which also counts the time for which the machine was
@@ -54,9 +60,7 @@
                 if delay_s:
                     self._metrics.record_time('host_delay', delay_s)
                 if delay_s >= MIN_LOGGED_DELAY_S:
-                    self._audit.log(
-                        events.HOST_DELAYED, delay_s=round(delay_s, 3)
-                    )
+                    self._log_delay(round(delay_s, 3))
                 self._cancel_due()
         finally:
             self._delays = None
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -113,7 +113,7 @@
         self.rng = rng
         self.audit = audit_lib.Audit()
         self.metrics = metrics_lib.Metrics()
-        self.host_clock = host_clock.HostClock(self.audit, self.metrics)
+        self.host_clock = host_clock.HostClock(self._log_delay, self.metrics)
         self.catalog: catalog_lib.Catalog | None = None
         self.catalog_at = NEVER
         self.catalog_confirmed_at = NEVER
@@ -528,6 +528,9 @@
             and not self.endpoints.is_backing_off(known, clocks.now())
         )
 
+    def _log_delay(self, delay_s: float) -> None:
+        self.audit.log(events.HOST_DELAYED, delay_s=delay_s)
+
     def notify_change(self) -> None:
         """Wakes all tasks that wait for a change of the endpoints."""
         self.endpoints_changed.set()
--- a/packages/sardinebend-router/src/sardinebend_router/front.py
+++ b/packages/sardinebend-router/src/sardinebend_router/front.py
@@ -3,7 +3,6 @@
 import typing
 
 import msgspec
-import trio
 
 from sardinebend_policy import outcomes
 from sardinebend_router import asgi
@@ -181,7 +180,7 @@
         members = self._state.membership.order_addresses(
             failure_domain or self._state.own.failure_domain,
             MAX_LISTED_HOSTS,
-            trio.current_time(),
+            self._state.host_clock.now(),
             self._state.rng,
         )
         return [
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -119,6 +119,7 @@
         driver = self._deps.make_driver(self.state)
         client = self._deps.make_client(self.state)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.state.host_clock.run)
             peering = peering_lib.Peering(
                 self.state, self._secret, nursery, self._tls.peer_client
             )
--- a/packages/sardinebend-router/src/sardinebend_router/logs.py
+++ b/packages/sardinebend-router/src/sardinebend_router/logs.py
@@ -52,6 +52,11 @@
     )
 
 
+def log_delay(delay_s: float) -> None:
+    """Logs that this host was held up."""
+    get().warning('host delayed', extra={'delay_s': delay_s})
+
+
 def get() -> logging.Logger:
     """Returns the package's logger."""
     return logging.getLogger(LOGGER_NAME)
--- a/packages/sardinebend-router/src/sardinebend_router/operators.py
+++ b/packages/sardinebend-router/src/sardinebend_router/operators.py
@@ -172,7 +172,7 @@
     # The state of the hosts, endpoints, routes and requests.
 
     async def _get_hosts(self, call: calls.Call, caller: auth.Caller) -> None:
-        now = trio.current_time()
+        now = self._state.host_clock.now()
         membership = self._state.membership
         alive = {member.host_id for member in membership.list_live(now)}
         hosts = [
--- a/packages/sardinebend-router/src/sardinebend_router/peering.py
+++ b/packages/sardinebend-router/src/sardinebend_router/peering.py
@@ -239,7 +239,7 @@
     async def _call_live_peers(
         self, message: messages.Message, done: trio.Event
     ) -> None:
-        now = trio.current_time()
+        now = self._state.host_clock.now()
         async with trio.open_nursery() as nursery:
             for member in self._state.membership.list_live(now):
                 nursery.start_soon(self._report, member, message)
@@ -253,9 +253,10 @@
         A link that another call closes, such as a heartbeat that timed out,
         takes the report with it. All sends together take as long as one may.
         """
-        deadline = trio.current_time() + CALL_TIMEOUT_S
+        clock = self._state.host_clock
+        deadline = clock.now() + CALL_TIMEOUT_S
         for _ in range(MAX_REPORTS):
-            left_s = deadline - trio.current_time()
+            left_s = deadline - clock.now()
             if left_s <= 0:
                 return
             reply = await self._try_call(member, message, left_s)
@@ -285,10 +286,16 @@
         link = self._links.get(address)
         if link is None:
             link = links.PeerLink(
-                address, self._secret, self._nursery, self._tls
+                address,
+                self._secret,
+                self._nursery,
+                self._tls,
+                self._state.host_clock.fail_after,
             )
             self._links[address] = link
         return link
 
     def _record_heartbeat(self, heartbeat: membership.Heartbeat) -> None:
-        self._state.membership.record_heartbeat(heartbeat, trio.current_time())
+        now = self._state.host_clock.now()
+        self._state.membership.record_heartbeat(heartbeat, now)
+        self._state.peer_heard_at = trio.current_time()
--- a/packages/sardinebend-router/src/sardinebend_router/state.py
+++ b/packages/sardinebend-router/src/sardinebend_router/state.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from sardinebend_gateway import host_clock
 from sardinebend_gateway import metrics as metrics_lib
 from sardinebend_policy import admission
 from sardinebend_policy import attempts
@@ -20,6 +21,7 @@
 from sardinebend_policy import stalls
 from sardinebend_policy import stream_watch
 from sardinebend_router import gate as gate_lib
+from sardinebend_router import logs
 from sardinebend_router import settings_state
 from sardinebend_settings import tree as tree_lib
 
@@ -48,6 +50,7 @@
 
     Attributes:
         own: This host, as its peers see it in the list of members.
+        host_clock: Stands still while the host is held up.
         drafts: The planner, the quarantine, the retry budgets and the stream
             statistics, which all drafts share. Lookups (repeatable calls to
             plain services) use the same quarantine and retry budgets.
@@ -68,6 +71,7 @@
         self.rng = rng
         self.settings = settings_state.SettingsState(tree)
         self.metrics = metrics_lib.Metrics()
+        self.host_clock = host_clock.HostClock(logs.log_delay, self.metrics)
         self.fleet = fleet_lib.Fleet()
         self.membership = membership_lib.Membership(own)
         self.cancels = cancels.CancelTracker()
@@ -77,6 +81,7 @@
         self.open_exchanges = 0
         self.is_draining = False
         self.is_isolated = False
+        self.peer_heard_at = float('-inf')
         # Drafts share the capacity of the engines. Calls to plain services
         # have a gate of their own: a booking must not wait because engines are
         # few or busy.
@@ -175,7 +180,7 @@
         max_running = int(self.get_number('admission.max_running'))
         limit = admission.share_limit(
             pipelines,
-            1 + len(self.membership.list_live(now)),
+            1 + len(self.membership.list_live(self.host_clock.now())),
             max_running,
             self.get_number('admission.headroom'),
         )
--- a/packages/sardinebend-router/src/sardinebend_router/watching.py
+++ b/packages/sardinebend-router/src/sardinebend_router/watching.py
@@ -192,15 +192,18 @@
         """Marks this host as isolated, or as connected again.
 
         A host that has peers is isolated if it has not reached the table for
-        `settings.blind_after_s` and none of its peers is live: it can't know
-        which settings have been accepted. A host without peers is never
-        isolated: no other host can accept settings that it doesn't know.
+        `settings.blind_after_s` and none of its peers is live, or none was
+        heard for as long: it can't know which settings have been accepted. A
+        host without peers is never isolated: no other host can accept settings
+        that it doesn't know.
         """
         limit_s = self._state.get_number('settings.blind_after_s')
         peers = self._state.membership.list_members()
-        is_peer_live_or_unneeded = (
-            bool(self._state.membership.list_live(now)) or not peers
-        )
+        live = self._state.membership.list_live(self._state.host_clock.now())
+        # However long a pause was, what a peer said before it is of then.
+        is_peer_recent = now - self._state.peer_heard_at <= limit_s
+        is_peer_live = bool(live) and is_peer_recent
+        is_peer_live_or_unneeded = is_peer_live or not peers
         is_table_lost = now - self._table_reached_at > limit_s
         self._state.is_isolated = is_table_lost and not is_peer_live_or_unneeded
 
--- /dev/null
+++ b/tests/cover/test_host_delays.py
@@ -0,0 +1,132 @@
+"""Hosts with the product's own interface that are held up themselves."""
+
+import contextlib
+import json
+
+import pytest
+import result
+import trio
+
+from sardinebend_peers import links
+from sardinebend_peers import messages
+from sardinebend_policy import membership
+from sardinebend_router import embedded
+from sardinebend_store import errors as platform_errors
+from sardinebend_store import store
+from tests.common import embedded_host as eh
+
+# Longer than a call to a peer may take, and than peers may be silent.
+PAUSE_S = 3.5
+# Longer than the settings may be unconfirmed.
+LONG_PAUSE_S = 20.0
+ANSWER_S = 0.5
+
+
+class Peer:
+    """Another host, which answers each call after a delay.
+
+    Attributes:
+        delay_s: That delay.
+        settings_version: What it says of its settings.
+    """
+
+    def __init__(self):
+        self.delay_s = 0.0
+        self.settings_version = 1
+
+    async def answer(self, message):
+        await trio.sleep(self.delay_s)
+        if isinstance(message, messages.SettingsReply):
+            self.settings_version = message.version
+        return messages.MembershipHeartbeat(
+            membership.Heartbeat(
+                'peer', 'i', self.settings_version, 0, False, True
+            )
+        )
+
+
+@contextlib.asynccontextmanager
+async def two_hosts():
+    """Yields a started host, and a peer that has sent it a heartbeat."""
+    peer = Peer()
+    [listener] = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listener.socket.getsockname()[1]
+    listed = store.ListedHost(
+        'peer', 'local', 'http://peer', f'127.0.0.1:{port}', False
+    )
+    host = embedded.make_host(port=0)
+    host._deps.host_list.listing = store.Listing((listed,), ())
+    async with trio.open_nursery() as nursery:
+        server = links.PeerServer(peer.answer, embedded.SECRET)
+        nursery.start_soon(server.serve, listener)
+        async with eh.started(host):
+            await trio.sleep(1.5)
+            yield host, peer
+        nursery.cancel_scope.cancel()
+
+
+# Guards against callers that are sent to this host alone, since it was
+# suspended for longer than peers may be silent.
+async def test_a_pause_of_the_host_is_no_silence_of_its_peers(clock):
+    async with two_hosts() as (host, peer):
+        peer.delay_s = ANSWER_S
+        await trio.sleep(1.5)
+        request = eh.make_request('/v1/hosts', method='GET')
+        stream = await eh.send_raw(host, request)
+        clock.jump(PAUSE_S)
+        async with stream:
+            body = (await eh.read_all(stream)).partition(b'\r\n\r\n')[2]
+    names = {item['host'] for item in json.loads(body)['hosts']}
+    assert names == {'embedded', 'peer'}
+
+
+# Guards against a change of the settings that is reported as unconfirmed,
+# since the host was suspended while its peer confirmed it.
+@pytest.mark.parametrize('pause_s', [1.2, PAUSE_S])
+async def test_a_pause_of_the_host_ends_no_call_to_a_peer(clock, pause_s):
+    edit = {
+        'node': 'values/fleet',
+        'expected_version': 1,
+        'value': {'draft.max_attempts': 2},
+    }
+    change = {'change_id': 'c', 'why': 'w', 'edits': [edit]}
+    answers = []
+
+    async def make_change(host):
+        answers.append(
+            await eh.ask(
+                host,
+                '/admin/v1/settings/changes',
+                json.dumps(change).encode(),
+                key=eh.OPERATOR_KEY,
+            )
+        )
+
+    async with two_hosts() as (host, peer):
+        peer.delay_s = ANSWER_S
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(make_change, host)
+            await trio.sleep(0.2)
+            clock.jump(pause_s)
+    [(status, _, body)] = answers
+    assert (status, body['state']) == (200, 'accepted')
+    assert body['in_force_at'] == ['embedded', 'peer']
+
+
+# Guards against requests that are handled by settings of before a long pause,
+# at a host that hears neither of the table nor of its peers.
+async def test_a_host_that_was_suspended_for_long_is_isolated(
+    clock, monkeypatch
+):
+    async def fail():
+        return result.Err(platform_errors.Unavailable('down'))
+
+    async with two_hosts() as (host, peer):
+        monkeypatch.setattr(host._settings, 'read_version', fail)
+        peer.delay_s = 2 * LONG_PAUSE_S
+        await trio.sleep(0.1)
+        clock.jump(LONG_PAUSE_S)
+        # The peer would count as live for three seconds more.
+        await trio.sleep(0.1)
+        status, _, _ = await eh.ask(host, '/readyz', method='GET', key='')
+    assert status == 503
