Time the product's stop from when its signal was sent

What callers saw: a host of the product's own interface that was suspended when SIGTERM came answered a request that it had to end 6.9 and 7.2 s after the signal, with a wait of 6 s; an operator that kills the process at the end of the wait leaves such a request without an answer.

Cause: the wait began when the signal was handled, and after the peers had been told, which takes up to 1.2 s.

The wait includes telling the peers.

Failed before: test_a_stop_ends_requests_in_time_for_a_late_signal, late by 0.6 and 0.95 s.

Why it works: the end of the wait is a moment that doesn't depend on when the host gets to run.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -6,6 +6,8 @@
 
 import collections.abc
 import contextlib
+import signal
+import types
 import typing
 
 import trio
@@ -101,6 +103,31 @@
             return self.signal_late_s()
         return clocks.now() - self._stop_signal_at
 
+    @contextlib.contextmanager
+    def noting_signals(
+        self, numbers: collections.abc.Sequence[signal.Signals]
+    ) -> collections.abc.Iterator[None]:
+        """Notes signals to stop before the tasks of the host run.
+
+        Args:
+            numbers: The signals, whose present handlers are still called.
+        """
+        handlers = {number: signal.getsignal(number) for number in numbers}
+
+        def note(number: int, frame: types.FrameType | None) -> None:
+            self.note_stop_signal()
+            handler = handlers[signal.Signals(number)]
+            if callable(handler):
+                handler(number, frame)
+
+        for number in numbers:
+            signal.signal(number, note)
+        try:
+            yield
+        finally:
+            for number, handler in handlers.items():
+                signal.signal(number, handler)
+
     def was_on_time_since(self, at: float) -> bool:
         """Returns whether what the host measured says something of others.
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -21,6 +21,16 @@
 CLOSING_S: typing.Final = 0.4
 
 
+def drain_wait_s(limit_s: float, signal_late_s: float) -> float:
+    """Returns how long a stop that is handled now waits for its requests.
+
+    Args:
+        limit_s: Longest wait, from the signal.
+        signal_late_s: How long ago the signal may have been sent.
+    """
+    return max(limit_s - max(0.0, signal_late_s), limit_s * MIN_CUT_SHARE)
+
+
 class PlannedStop(typing.NamedTuple):
     """A planned stop that has begun.
 
--- a/packages/sardinebend-router/src/sardinebend_router/cli.py
+++ b/packages/sardinebend-router/src/sardinebend_router/cli.py
@@ -23,6 +23,7 @@
 EXIT_OK: typing.Final = 0
 EXIT_SETTINGS: typing.Final = 2
 EXIT_START: typing.Final = 3
+STOP_SIGNALS: typing.Final = (signal.SIGTERM, signal.SIGINT)
 
 
 def run(
@@ -92,7 +93,10 @@
 
 
 async def _run_host(host: host_lib.Host) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+    with (
+        trio.open_signal_receiver(*STOP_SIGNALS) as signals,
+        host.state.host_clock.noting_signals(STOP_SIGNALS),
+    ):
         async with trio.open_nursery() as nursery:
 
             async def drain_on_signal() -> None:
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -11,6 +11,7 @@
 
 from sardinebend_peers import links
 from sardinebend_policy import membership as membership_lib
+from sardinebend_policy import planned_stop
 from sardinebend_router import asgi
 from sardinebend_router import booking
 from sardinebend_router import completions
@@ -254,21 +255,28 @@
         then still gets its answer and its record, and nothing begins any more.
         """
         state = self.state
+        limit_s = planned_stop.drain_wait_s(
+            state.get_number('hosts.drain_wait_s'),
+            state.host_clock.stop_signal_late_s(),
+        )
+        deadline = trio.current_time() + limit_s
         state.is_draining = True
         state.membership.is_leaving = True
         logs.get().info('draining', extra={'in_flight': len(state.in_flight)})
         await peering.send_heartbeats()
         await trio.sleep(DRAIN_ANNOUNCE_S)
-        limit_s = state.get_number('hosts.drain_wait_s')
-        if await self._wait_idle(limit_s, self._stop_waiting):
+        if await self._wait_idle(deadline, self._stop_waiting):
             return
         state.gate.close()
         state.service_gate.close()
         for entry in list(state.in_flight.values()):
             entry.force_end()
-        await self._wait_idle(RECORD_WAIT_S, trio.Event())
+        until = trio.current_time() + RECORD_WAIT_S
+        await self._wait_idle(until, trio.Event())
 
-    async def _wait_idle(self, limit_s: float, interrupted: trio.Event) -> bool:
+    async def _wait_idle(
+        self, deadline: float, interrupted: trio.Event
+    ) -> bool:
         """Waits until no HTTP request is open and all outcomes are recorded.
 
         An HTTP request counts as open once its headers have arrived: one whose
@@ -276,13 +284,12 @@
         off either.
 
         Args:
-            limit_s: Longest wait.
+            deadline: When the wait ends, at the latest.
             interrupted: Ends the wait when it is set.
 
         Returns:
             Whether that was reached within the time limit.
         """
-        deadline = trio.current_time() + limit_s
         while self._is_busy() and not interrupted.is_set():
             if trio.current_time() >= deadline:
                 break
--- a/tests/cover/test_host_delays.py
+++ b/tests/cover/test_host_delays.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import signal
 
 import pytest
 import result
@@ -10,6 +11,7 @@
 from sardinebend_peers import links
 from sardinebend_peers import messages
 from sardinebend_policy import membership
+from sardinebend_router import cli
 from sardinebend_router import embedded
 from sardinebend_store import errors as platform_errors
 from sardinebend_store import store
@@ -20,6 +22,9 @@
 # Longer than the settings may be unconfirmed.
 LONG_PAUSE_S = 20.0
 ANSWER_S = 0.5
+DRAIN_WAIT_S = 6.0
+# Interval at which a stopping host looks whether it is idle.
+POLL_S = 0.1
 
 
 class Peer:
@@ -130,3 +135,38 @@
         await trio.sleep(0.1)
         status, _, _ = await eh.ask(host, '/readyz', method='GET', key='')
     assert status == 503
+
+
+# Guards against a request that is killed without an answer, since the host was
+# suspended when the signal to stop was sent and counted the stop from later.
+@pytest.mark.parametrize('late_s', [0.6, 0.95])
+async def test_a_stop_ends_requests_in_time_for_a_late_signal(
+    clock, monkeypatch, late_s
+):
+    async def hang(self, call):
+        await trio.sleep_forever()
+
+    monkeypatch.setattr(embedded.EmbeddedService, 'send', hang)
+    values = {'hosts.drain_wait_s': DRAIN_WAIT_S}
+    host = embedded.make_host(port=0, extra={'values': {'fleet': values}})
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(cli._run_host, host)
+        await eh.wait_until(lambda: host.state.is_ready and host.caller_port)
+        await trio.sleep(0.5)
+        stream = await eh.send_raw(
+            host,
+            eh.make_request(
+                '/v1/services/bookings/confirm', b'{}', idempotency_key='k'
+            ),
+        )
+        await eh.wait_until(lambda: host.state.in_flight)
+        await trio.sleep(0.2)
+        sent_at = trio.current_time()
+        clock.jump(late_s)
+        signal.raise_signal(signal.SIGTERM)
+        answer = await eh.read_all(stream)
+        answered_at = trio.current_time()
+    assert b'host-draining' in answer
+    assert answered_at - sent_at < DRAIN_WAIT_S + POLL_S
+    # The signal may also have been sent at the end of the delay.
+    assert answered_at - sent_at - late_s > DRAIN_WAIT_S * 5 / 6 - POLL_S
