Let a pause of the product's host end no wait for a service

What callers saw: a lookup that the service answered in 0.5 s was refused or sent twice when the host was suspended for 3.5 s meanwhile; the endpoint was avoided, and a caller got 503 since no other was left.

Cause: the time limits of connects, of probes of engines and of replies to lookups ran on while the host stood still.

Change: they are measured by the host's clock, which the command hands to its clients. An order to load a model keeps to real time: it must not be sent when its life is over.

Not changed: bookings, which already give a late reply a further wait; the time of connect and reply together that one exchange has left after a pause in its connect.

Failed before: test_a_pause_of_the_host_ends_no_wait_for_a_service and test_a_pause_of_the_host_ends_no_connect_to_an_endpoint.

--- a/packages/sardinebend-router/src/sardinebend_router/cli.py
+++ b/packages/sardinebend-router/src/sardinebend_router/cli.py
@@ -13,6 +13,7 @@
 from sardinebend_router import host as host_lib
 from sardinebend_router import logs
 from sardinebend_router import services
+from sardinebend_router import state as state_lib
 from sardinebend_settings import documents
 from sardinebend_settings import errors as settings_errors
 from sardinebend_settings import hostfile
@@ -81,8 +82,8 @@
         ),
         remote.RemoteObjects.from_url(platform['object_url']),
         remote.RemoteHostList.from_url(platform['host_list_url']),
-        lambda state: engines.ForwardingDriver(state.fleet),
-        lambda state: services.HttpServiceClient(state.fleet),
+        make_driver,
+        make_client,
     )
     secret = host_lib.read_secret(cfg['peer_secret_file'])
     tree = None
@@ -92,6 +93,16 @@
     return host_lib.Host(cfg, deps, secret, tree)
 
 
+def make_driver(state: state_lib.HostState) -> engines.PipelineDriver:
+    """Returns a host's driver for its model engines."""
+    return engines.ForwardingDriver(state.fleet, state.host_clock.fail_after)
+
+
+def make_client(state: state_lib.HostState) -> services.ServiceClient:
+    """Returns a host's client for the services that are not engines."""
+    return services.HttpServiceClient(state.fleet, state.host_clock.fail_after)
+
+
 async def _run_host(host: host_lib.Host) -> None:
     with (
         trio.open_signal_receiver(*STOP_SIGNALS) as signals,
--- a/packages/sardinebend-router/src/sardinebend_router/engines.py
+++ b/packages/sardinebend-router/src/sardinebend_router/engines.py
@@ -198,8 +198,19 @@
     The answer is read from the first stage as one stream.
     """
 
-    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        fail_after: connections.WaitLimit = trio.fail_after,
+    ) -> None:
+        """Creates a driver without a connection.
+
+        Args:
+            fleet: The known endpoints.
+            fail_after: Limits how long an exchange waits.
+        """
         self._fleet = fleet
+        self._fail_after = fail_after
         self._origins: dict[str, connections.Origin] = {}
 
     async def connect(
@@ -267,16 +278,21 @@
             }
         )
         try:
-            reply = await self._origin(order.endpoint_id).exchange(
-                'POST',
-                '/v1/orders',
-                _JSON,
-                body,
-                timeout_s=order.life_s,
-                new_connection=True,
-            )
+            # An order must not be sent when its life is over, so a pause of
+            # the host counts.
+            with trio.fail_after(order.life_s):
+                reply = await self._origin(order.endpoint_id).exchange(
+                    'POST',
+                    '/v1/orders',
+                    _JSON,
+                    body,
+                    timeout_s=order.life_s,
+                    new_connection=True,
+                )
         except platform_errors.PlatformError as exc:
             return exc
+        except trio.TooSlowError:
+            return platform_errors.ExchangeFailed('timed out')
         return reply.status
 
     async def close(self) -> None:
@@ -293,7 +309,7 @@
         url = state.spec.url
         origin = self._origins.get(url)
         if origin is None:
-            origin = connections.Origin(url)
+            origin = connections.Origin(url, fail_after=self._fail_after)
             self._origins[url] = origin
         return origin
 
--- a/packages/sardinebend-router/src/sardinebend_router/lookup.py
+++ b/packages/sardinebend-router/src/sardinebend_router/lookup.py
@@ -81,7 +81,7 @@
         fleet.begin(endpoint_id, run)
         self._session.record_send()
         try:
-            with trio.fail_after(self._reply_s):
+            with self._state.host_clock.fail_after(self._reply_s):
                 reply = await connection.send(self._plan.call)
         except (platform_errors.PlatformError, trio.TooSlowError):
             await self._crashes.check_endpoint(endpoint_id, run)
--- a/packages/sardinebend-router/src/sardinebend_router/services.py
+++ b/packages/sardinebend-router/src/sardinebend_router/services.py
@@ -101,8 +101,19 @@
 class HttpServiceClient(ServiceClient):
     """Opens a new HTTP connection for each call."""
 
-    def __init__(self, fleet: fleet_lib.Fleet) -> None:
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        fail_after: connections.WaitLimit = trio.fail_after,
+    ) -> None:
+        """Creates a client without a connection.
+
+        Args:
+            fleet: The known endpoints.
+            fail_after: Limits how long a connect waits.
+        """
         self._fleet = fleet
+        self._fail_after = fail_after
 
     async def connect(
         self, endpoint_id: str, timeout_s: float
@@ -113,7 +124,7 @@
             raise platform_errors.ConnectFailed(
                 f'unknown endpoint {endpoint_id}'
             )
-        origin = connections.Origin(state.spec.url)
+        origin = connections.Origin(state.spec.url, fail_after=self._fail_after)
         return HttpServiceConnection(await origin.connect(timeout_s))
 
 
--- a/tests/cover/test_host_delays.py
+++ b/tests/cover/test_host_delays.py
@@ -13,6 +13,7 @@
 from sardinebend_policy import membership
 from sardinebend_router import cli
 from sardinebend_router import embedded
+from sardinebend_store import connections
 from sardinebend_store import errors as platform_errors
 from sardinebend_store import store
 from tests.common import embedded_host as eh
@@ -170,3 +171,63 @@
     assert answered_at - sent_at < DRAIN_WAIT_S + POLL_S
     # The signal may also have been sent at the end of the delay.
     assert answered_at - sent_at - late_s > DRAIN_WAIT_S * 5 / 6 - POLL_S
+
+
+@contextlib.asynccontextmanager
+async def service_host(answer_s):
+    """Yields a host whose service answers after a while, and its calls."""
+    called = []
+
+    async def serve(stream):
+        await stream.receive_some(65536)
+        called.append(trio.current_time())
+        await trio.sleep(answer_s)
+        await stream.send_all(b'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}')
+
+    endpoint = dict(embedded.make_tree({})['endpoints']['bookings-1'])
+    [listener] = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listener.socket.getsockname()[1]
+    endpoint['url'] = f'http://127.0.0.1:{port}'
+    values = {'service.reply_s': 2 * answer_s}
+    extra = {'endpoints': {'bookings-1': endpoint}, 'values': {'fleet': values}}
+    host = embedded.make_host(port=0, extra=extra)
+    host._deps = host._deps._replace(make_client=cli.make_client)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, serve, [listener])
+        async with eh.started(host):
+            yield host, called
+        nursery.cancel_scope.cancel()
+
+
+# Guards against lookups that are sent twice, or end without an answer, since
+# the host was suspended while the service answered.
+async def test_a_pause_of_the_host_ends_no_wait_for_a_service(clock):
+    lookup = eh.make_request('/v1/services/bookings/lookup', b'{}')
+    async with service_host(ANSWER_S) as (host, called):
+        stream = await eh.send_raw(host, lookup)
+        await eh.wait_until(lambda: called)
+        clock.jump(PAUSE_S)
+        async with stream:
+            answer = await eh.read_all(stream)
+    assert answer.startswith(b'HTTP/1.1 200')
+    assert len(called) == 1
+
+
+# Guards against endpoints that are avoided, and lookups that are refused, since
+# the host was suspended while it connected.
+async def test_a_pause_of_the_host_ends_no_connect_to_an_endpoint(
+    clock, monkeypatch
+):
+    original = connections._connect_tcp
+
+    async def connect_late(*args):
+        clock.jump(PAUSE_S)
+        await trio.sleep(0.01)
+        return await original(*args)
+
+    monkeypatch.setattr(connections, '_connect_tcp', connect_late)
+    async with service_host(ANSWER_S) as (host, _):
+        status, _, _ = await eh.ask(host, '/v1/services/bookings/lookup', b'{}')
+        endpoint = host.state.fleet.get('bookings-1')
+        assert endpoint.unhealthy_until <= trio.current_time()
+    assert status == 200
