Let a pause of the host cost no end of an answer

What callers saw: a caller that reads slowly lost the last 8,829 of 1,000,000 bytes of its answer when the host was suspended for 1.3 s after it had sent the answer, and the caller sent its next request then.

Cause: the second for which a host waits for its caller, between its own end of a connection and the close, ran on while the host stood still. It found the time over and closed; bytes that come after a close reset the connection. A refusal of a request that can't be read had the same limit for its answer.

Change: both are measured by the limit that the server has for callers, which stands still while the host does. When the time is over, what has arrived by then is read first, once: a close with unread bytes resets the connection too.

Tests: test_a_pause_of_the_host_costs_no_end_of_an_answer failed before. test_bytes_that_came_before_a_late_close_cost_no_end_of_an_answer failed with the first half of the change alone (993,219 bytes of 1,000,000). test_a_close_that_discards_bytes_of_the_caller_is_logged sent 4 MB, which the host now reads before it closes. Its caller goes on sending instead, and the wait is over at once as before; what it demands of the log is the same. A first form of it that kept the host's clock never ended, as the test's clock stands still while bytes are sent.

Why it works: a caller that still reads has a second of the time in which the host runs, and reading what has arrived is bounded by its size.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
@@ -366,6 +366,14 @@
         self._is_eof = not data
         return bytes(data)
 
+    async def _discard_arrived(self) -> int:
+        """Reads the bytes that have arrived by now; returns their number."""
+        size = 0
+        left = caller_sockets.count_unread_bytes(self._stream.socket)
+        while size < left and (data := await self._receive()):
+            size += len(data)
+        return size
+
     async def _refuse(self, exc: errors.BadRequest) -> None:
         if self._conn.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             caller_sockets.reset_on_close(self._stream.socket)
@@ -373,8 +381,9 @@
         responder = responder_lib.Responder(self._conn, self._stream)
         responder.closes_connection = True
         try:
-            with trio.move_on_after(LINGER_S):
+            with self._server.wait_limit(LINGER_S):
                 await responder.answer(exc.status, [], b'')
+            if responder.is_finished:
                 await self._linger()
         except _CONNECTION_ERRORS:
             caller_sockets.reset_on_close(self._stream.socket)
@@ -395,10 +404,13 @@
         unread_bytes = 0
         # The caller may close the connection meanwhile.
         with contextlib.suppress(*_CONNECTION_ERRORS):
-            with trio.move_on_after(LINGER_S):
+            with self._server.wait_limit(LINGER_S):
                 await self._stream.send_eof()
                 while data := await self._receive():
                     unread_bytes += len(data)
+            # A late host finds the time over before it has read what came in
+            # time.
+            unread_bytes += await self._discard_arrived()
         if self._is_idle and unread_bytes:
             _AUDIT.log(
                 events.CONNECTION_CLOSED_UNREAD,
