Let a pause of the host end no handshake of a peer

What was seen: a host that was suspended for 3.5 s after it had accepted a peer's connection closed it, although the peer went on in time (broken pipe at the peer). Calls between hosts wait 5 s at most, so a call for settings was lost that would have been answered.

Cause: the limits for a peer's proof (3 s) and for the silence of its connection (60 s) ran on while the host stood still.

Change: the server of peers takes a limit for waits, as a link does; both programs give it that of their host's clock.

Failed before: test_a_pause_of_the_host_ends_no_handshake.

Why it works: a peer has the whole limit of the time in which the host runs. A stranger can hold one of the 1,024 places for 3 s of it, as before.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -63,7 +63,9 @@
         # Version and compressed value of large rows, by table and key.
         self._compressed: dict[tuple[str, str], tuple[int, bytes]] = {}
         self._catalog = catalog
-        self._server = links.PeerServer(self.answer, SECRET)
+        self._server = links.PeerServer(
+            self.answer, SECRET, fail_after=state.host_clock.fail_after
+        )
         state.count_unsent_bytes = self._server.count_unsent_bytes
 
     async def run(self, address: settings_lib.Address) -> None:
--- a/packages/sardinebend-peers/src/sardinebend_peers/links.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/links.py
@@ -124,7 +124,17 @@
         handler: Handler,
         secret: bytes,
         tls: ssl.SSLContext | None = None,
+        fail_after: WaitLimit = trio.fail_after,
     ) -> None:
+        """Creates a server that doesn't serve yet.
+
+        Args:
+            handler: Answers one call.
+            secret: Secret that all hosts share.
+            tls: How to prove who this host is, if connections are to use TLS.
+            fail_after: Limits how long a peer may take.
+        """
+        self._fail_after = fail_after
         self._handler = handler
         self._secret = secret
         self._tls = tls
@@ -158,7 +168,7 @@
             stream = trio.SSLStream(stream, self._tls, server_side=True)
         frames = FrameStream(stream)
         try:
-            with trio.fail_after(HANDSHAKE_TIMEOUT_S):
+            with self._fail_after(HANDSHAKE_TIMEOUT_S):
                 await authenticate(frames, self._secret, is_client=False)
             async with trio.open_nursery() as nursery:
                 await self._serve_frames(frames, nursery)
@@ -182,7 +192,7 @@
         self, frames: FrameStream, nursery: trio.Nursery
     ) -> None:
         while True:
-            with trio.fail_after(IDLE_TIMEOUT_S):
+            with self._fail_after(IDLE_TIMEOUT_S):
                 data = await frames.receive()
             envelope = codec.decode(data)
             nursery.start_soon(self._answer, frames, envelope)
--- a/packages/sardinebend-peers/tests/cover/test_links.py
+++ b/packages/sardinebend-peers/tests/cover/test_links.py
@@ -7,6 +7,8 @@
 import trio.testing
 import trustme
 
+from sardinebend_gateway import host_clock
+from sardinebend_gateway import metrics
 from sardinebend_peers import errors
 from sardinebend_peers import links
 from sardinebend_peers import messages
@@ -23,11 +25,11 @@
 
 
 @contextlib.asynccontextmanager
-async def run_server(tls=None):
+async def run_server(tls=None, **options):
     [listener] = await trio.open_tcp_listeners(0, host='127.0.0.1')
     port = listener.socket.getsockname()[1]
     async with trio.open_nursery() as nursery:
-        server = links.PeerServer(answer_question, SECRET, tls)
+        server = links.PeerServer(answer_question, SECRET, tls, **options)
         nursery.start_soon(server.serve, listener)
         yield f'127.0.0.1:{port}', nursery
         nursery.cancel_scope.cancel()
@@ -117,3 +119,20 @@
     frames = links.FrameStream(ends[0])
     with pytest.raises(errors.MalformedFrame), trio.fail_after(1):
         await links.authenticate(frames, SECRET, is_client)
+
+
+# Guards against a peer's connection that is given up, since this host was
+# suspended while the two proved who they are.
+async def test_a_pause_of_the_host_ends_no_handshake(mock_clock):
+    mock_clock.autojump_threshold = 0.01
+    delays = host_clock.HostClock(lambda _: None, metrics.Metrics())
+    async with run_server(fail_after=delays.fail_after) as (address, nursery):
+        nursery.start_soon(delays.run)
+        await trio.sleep(0.2)
+        host, port = address.split(':')
+        stream = await trio.open_tcp_stream(host, int(port))
+        await trio.sleep(0.2)
+        mock_clock.jump(links.HANDSHAKE_TIMEOUT_S + 0.5)
+        await trio.sleep(0.05)
+        frames = links.FrameStream(stream)
+        await links.authenticate(frames, SECRET, is_client=True)
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -125,7 +125,10 @@
                 self.state, self._secret, nursery, self._tls.peer_client
             )
             server = links.PeerServer(
-                peering.answer, self._secret, self._tls.peer_server
+                peering.answer,
+                self._secret,
+                self._tls.peer_server,
+                self.state.host_clock.fail_after,
             )
             nursery.start_soon(server.serve, peer_listener)
             self._background_tasks = watching.BackgroundTasks(
