--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -6,13 +6,13 @@
 
 import collections.abc
 import contextlib
+import signal
+import types
 import typing
 
 import trio
 
-from sardinebend_gateway import audit as audit_lib
 from sardinebend_gateway import clocks
-from sardinebend_gateway import events
 from sardinebend_gateway import metrics as metrics_lib
 from sardinebend_policy import host_delays
 
@@ -35,9 +35,17 @@
     """
 
     def __init__(
-        self, audit: audit_lib.Audit, metrics: metrics_lib.Metrics
+        self,
+        log_delay: typing.Callable[[float], None],
+        metrics: metrics_lib.Metrics,
     ) -> None:
-        self._audit = audit
+        """Creates a clock that doesn't stand still yet.
+
+        Args:
+            log_delay: Logs a delay of the host, in seconds.
+            metrics: Takes the lengths of all delays.
+        """
+        self._log_delay = log_delay
         self._metrics = metrics
         self._delays: host_delays.HostDelays | None = None
         # By `clocks.now`, which also counts the time for which the machine was
@@ -67,7 +75,7 @@
         if delay_s:
             self._metrics.record_time('host_delay', delay_s)
         if delay_s >= MIN_LOGGED_DELAY_S:
-            self._audit.log(events.HOST_DELAYED, delay_s=round(delay_s, 3))
+            self._log_delay(round(delay_s, 3))
 
     def now(self) -> float:
         """Returns the time in seconds, without delays of the host."""
@@ -105,6 +113,31 @@
             return self.signal_late_s()
         return clocks.now() - self._stop_signal_at
 
+    @contextlib.contextmanager
+    def noting_signals(
+        self, numbers: collections.abc.Sequence[signal.Signals]
+    ) -> collections.abc.Iterator[None]:
+        """Notes signals to stop before the tasks of the host run.
+
+        Args:
+            numbers: The signals, whose present handlers are still called.
+        """
+        handlers = {number: signal.getsignal(number) for number in numbers}
+
+        def note(number: int, frame: types.FrameType | None) -> None:
+            self.note_stop_signal()
+            handler = handlers[signal.Signals(number)]
+            if callable(handler):
+                handler(number, frame)
+
+        for number in numbers:
+            signal.signal(number, note)
+        try:
+            yield
+        finally:
+            for number, handler in handlers.items():
+                signal.signal(number, handler)
+
     def was_on_time_since(self, at: float) -> bool:
         """Returns whether what the host measured says something of others.
 
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -11,6 +11,7 @@
 
 from sardinebend_peers import links
 from sardinebend_policy import membership as membership_lib
+from sardinebend_policy import planned_stop
 from sardinebend_router import asgi
 from sardinebend_router import booking
 from sardinebend_router import completions
@@ -119,11 +120,15 @@
         driver = self._deps.make_driver(self.state)
         client = self._deps.make_client(self.state)
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.state.host_clock.run)
             peering = peering_lib.Peering(
                 self.state, self._secret, nursery, self._tls.peer_client
             )
             server = links.PeerServer(
-                peering.answer, self._secret, self._tls.peer_server
+                peering.answer,
+                self._secret,
+                self._tls.peer_server,
+                self.state.host_clock.fail_after,
             )
             nursery.start_soon(server.serve, peer_listener)
             self._background_tasks = watching.BackgroundTasks(
@@ -253,21 +258,28 @@
         then still gets its answer and its record, and nothing begins any more.
         """
         state = self.state
+        limit_s = planned_stop.drain_wait_s(
+            state.get_number('hosts.drain_wait_s'),
+            state.host_clock.stop_signal_late_s(),
+        )
+        deadline = trio.current_time() + limit_s
         state.is_draining = True
         state.membership.is_leaving = True
         logs.get().info('draining', extra={'in_flight': len(state.in_flight)})
         await peering.send_heartbeats()
         await trio.sleep(DRAIN_ANNOUNCE_S)
-        limit_s = state.get_number('hosts.drain_wait_s')
-        if await self._wait_idle(limit_s, self._stop_waiting):
+        if await self._wait_idle(deadline, self._stop_waiting):
             return
         state.gate.close()
         state.service_gate.close()
         for entry in list(state.in_flight.values()):
             entry.force_end()
-        await self._wait_idle(RECORD_WAIT_S, trio.Event())
+        until = trio.current_time() + RECORD_WAIT_S
+        await self._wait_idle(until, trio.Event())
 
-    async def _wait_idle(self, limit_s: float, interrupted: trio.Event) -> bool:
+    async def _wait_idle(
+        self, deadline: float, interrupted: trio.Event
+    ) -> bool:
         """Waits until no HTTP request is open and all outcomes are recorded.
 
         An HTTP request counts as open once its headers have arrived: one whose
@@ -275,13 +287,12 @@
         off either.
 
         Args:
-            limit_s: Longest wait.
+            deadline: When the wait ends, at the latest.
             interrupted: Ends the wait when it is set.
 
         Returns:
             Whether that was reached within the time limit.
         """
-        deadline = trio.current_time() + limit_s
         while self._is_busy() and not interrupted.is_set():
             if trio.current_time() >= deadline:
                 break
