Let a starting host read the versions that came during its pause

What was seen: a host that starts asks several peers for the version of the newest configuration, and waits 0.1 s for others after the first answer. It was suspended for 1.2 s between two answers, read the first one only and took version 1 for the newest although the other peer had stated 2.

Cause: the 0.1 s were over before the answer in the socket was read.

Change: after a delay the host waits 0.1 s once more. The host's clock alone doesn't do here: it counts up to 0.12 s of a pause.

Failed before: test_a_pause_of_the_host_ends_no_wait_for_further_versions.

Why it works: answers that waited are read in the first passes after the pause.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/relay.py
@@ -237,7 +237,9 @@
         question = _make_question(follower.table, follower.version, 0.0)
         stated: list[int] = []
 
-        async def ask(address: str, scope: trio.CancelScope) -> None:
+        first_stated = trio.Event()
+
+        async def ask(address: str) -> None:
             try:
                 reply = await self._link(address).call(question, CALL_TIMEOUT_S)
             except peer_errors.PeerUnreachable:
@@ -245,14 +247,23 @@
             version = getattr(reply, 'catalog_version', None)
             if version is not None:
                 stated.append(version)
-                scope.deadline = min(
-                    scope.deadline, trio.current_time() + OTHERS_S
-                )
+                first_stated.set()
 
-        with trio.CancelScope() as scope:
+        async def ask_all(scope: trio.CancelScope) -> None:
             async with trio.open_nursery() as nursery:
                 for address in addresses:
-                    nursery.start_soon(ask, address, scope)
+                    nursery.start_soon(ask, address)
+            scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all, nursery.cancel_scope)
+            await first_stated.wait()
+            began_at = trio.current_time()
+            await trio.sleep(OTHERS_S)
+            if not self._state.host_clock.was_on_time_since(began_at):
+                # Answers that came during a delay haven't been read yet.
+                await trio.sleep(OTHERS_S)
+            nursery.cancel_scope.cancel()
         return max(stated, default=None)
 
     def _reader_address(self) -> str | None:
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import signal
+import types
 import unittest.mock
 
 import pytest
@@ -9,6 +10,9 @@
 
 from sardinebend_adapter import main as adapter_main
 from sardinebend_gateway import caller_connections
+from sardinebend_gateway import relay
+from sardinebend_gateway import settings
+from sardinebend_peers import messages
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
@@ -303,3 +307,40 @@
             clock.jump(pause_s)
             await world.list_server(other)
     assert is_whole == [True]
+
+
+# Guards against a host that starts with an old configuration, since it was
+# suspended between the answers of two peers and read only the first.
+async def test_a_pause_of_the_host_ends_no_wait_for_further_versions(clock):
+    class Link:
+        def __init__(self, version, delay_s):
+            self._version = version
+            self._delay_s = delay_s
+
+        async def call(self, question, timeout_s):
+            await trio.sleep(self._delay_s)
+            # The answer is in the socket and hasn't been read.
+            await trio.lowlevel.checkpoint()
+            return messages.FeedReply(
+                0, 0, (), 0, False, catalog_version=self._version
+            )
+
+    peers = {f'{world_lib.IP}:{n}': Link(n, 0.1 * n) for n in (1, 2)}
+    seeds = [settings.Address(world_lib.IP, number) for number in (1, 2)]
+    async with world_lib.running() as world:
+        gateway = world.gateway
+        client = relay.RelayClient(
+            gateway.state, gateway.members, seeds, world.nursery
+        )
+        client._link = peers.get
+        follower = types.SimpleNamespace(table='op', version=0)
+        stated = []
+
+        async def ask_all():
+            stated.append(await client.ask_catalog_version(follower, set()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_all)
+            await trio.sleep(0.15)
+            clock.jump(PAUSE_S)
+    assert stated == [2]
