Try an engine again that a refusal of a begun stream named

Callers saw: a begun stream cut with seconds of its time left, when the engine at which it was resumed refused it, proved as not run, and no other path was there: "broken off" in a soak over processes, 4.8 s early. That run's logs are gone; that this was its cause isn't shown.

Cause: the engine that a refusal named as its cause, also the refusing engine itself, was excluded from the request for good. It had run nothing and was free for all other requests again after 0.5 s, while the host searched for another path for 1.2 s and ended the stream.

Change: after a refusal that is proved not run, the engines at fault pause for this request as a refusing engine did before: 0.1 s, doubled by each further refusal. So refusals of one engine within a search are few, and each still takes a retry of the budget. Engines at which an attempt broke stay excluded.

Before, test_a_stream_goes_on_once_the_part_named_in_a_refusal_is_back failed in both cases (200, incomplete); it passes now.

Plain requests: read, not changed. A refused one ends as "not run" and its caller comes back; nothing that has begun is cut.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -18,13 +18,13 @@
 # another path has to end sooner.
 RESUME_WAIT_S: typing.Final = 1.2
 POLL_S: typing.Final = 0.02
-# An engine that has refused a request isn't asked again by it for this long,
-# twice as long after each further refusal.
+# An engine that has refused a request, or that a refusal names as its cause,
+# doesn't get it for this long, twice as long after each further refusal.
 REFUSAL_PAUSE_S: typing.Final = 0.1
 
 
 class _Refusals(typing.NamedTuple):
-    """How often a first engine has refused a request, and until when it pauses.
+    """How often an engine was the cause of a refusal, and until when it pauses.
 
     `until` is by trio's clock.
     """
@@ -51,17 +51,18 @@
             admitted.facts.prompt_tokens + admitted.expected_answer_tokens
         )
 
-    def record_refusal(self, endpoint_id: str) -> None:
-        """Records that a first engine has refused the request.
+    def record_refusal(self, endpoint_ids: typing.Iterable[str]) -> None:
+        """Records which engines were the cause of a refusal of the request.
 
-        Each refusal takes a retry from the budget of all requests, so the
-        engine isn't asked again at once.
+        Each refusal takes a retry from the budget of all requests, so they
+        don't get it again at once. They ran nothing and may soon be able to.
         """
-        last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
-        pause_s = REFUSAL_PAUSE_S * 2**last.times
-        self._refusals[endpoint_id] = _Refusals(
-            last.times + 1, trio.current_time() + pause_s
-        )
+        for endpoint_id in endpoint_ids:
+            last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
+            pause_s = REFUSAL_PAUSE_S * 2**last.times
+            self._refusals[endpoint_id] = _Refusals(
+                last.times + 1, trio.current_time() + pause_s
+            )
 
     async def choose(self) -> paths_lib.Path | None:
         """Returns a path with free capacity, or `None` after a short wait."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -216,11 +216,15 @@
             # The remaining attempt goes on with the stream.
             self._position.leader = next(iter(self._running))
             self._refused_ids.add(first.endpoint_id)
-        self._paths.excluded_ids |= progress.failed_ids
-        if end is not forwarding.End.NOT_RUN:
-            self._paths.excluded_ids.add(first.endpoint_id)
-        elif not progress.failed_ids:
-            self._paths.record_refusal(first.endpoint_id)
+        if end is forwarding.End.NOT_RUN:
+            self._paths.record_refusal(
+                progress.failed_ids or {first.endpoint_id}
+            )
+        else:
+            self._paths.excluded_ids |= {
+                first.endpoint_id,
+                *progress.failed_ids,
+            }
         self._exchange.log_attempt(first, progress.reason, end.value)
         if (
             end is forwarding.End.BROKEN
--- /dev/null
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -0,0 +1,104 @@
+"""A begun stream whose resumption is refused goes on while it can."""
+
+import pytest
+import trio
+
+from tests.common import gateway_world as world_lib
+from tests.common import silence
+
+Answer = world_lib.Answer
+EVENTS = 8
+EVENT_S = 0.05
+BROKEN_AFTER = 3
+# Less than a started stream searches for another path.
+FAULT_S = 0.7
+FIRST, SECOND = (0, 2), (2, 4)
+
+
+class Engine(silence.Silence, world_lib.Server):
+    """An engine whose answers a scene chooses."""
+
+    def __init__(self, scene, number, span):
+        super().__init__(f'engine-{number}', 'llm', self._answer)
+        self.span = span
+        self.scene = scene
+
+    async def _answer(self, headers, stream):
+        self.scene.arrivals.append(self)
+        return await self.scene.script(self, headers, stream)
+
+
+class Scene:
+    """Engines with a common script, and the order in which they are asked."""
+
+    def __init__(self, script, *spans):
+        self.script = script
+        self.arrivals = []
+        self.engines = [Engine(self, n, s) for n, s in enumerate(spans)]
+        self.broken_at = None
+
+    async def ask(self, world):
+        return await world.ask(
+            '/draft/x',
+            'POST',
+            b'p',
+            token_usage='10,10',
+            model='m',
+            deadline_ms='8000',
+        )
+
+    def break_off(self, engine, listens):
+        """Ends an engine's stream, with its process or not."""
+        self.broken_at = trio.current_time()
+        if not listens:
+            engine.close()
+            engine.drop_connections()
+        return Answer(ends='reset')
+
+
+def assert_whole(answer):
+    status, _, body, is_complete = answer
+    events = b''.join(world_lib.event(n) for n in range(1, EVENTS + 1))
+    assert (status, is_complete) == (200, True)
+    assert body == events
+
+
+async def send_events(headers, stream, last=EVENTS):
+    fixed = [
+        ('Request-Id', headers['request-id']),
+        ('Content-Type', 'text/event-stream'),
+        world_lib.SEAL,
+    ]
+    await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+    first = int(headers.get('last-event-id', 0)) + 1
+    for number in range(first, last + 1):
+        await trio.sleep(EVENT_S)
+        await stream.send_all(world_lib.chunk(world_lib.event(number)))
+    return Answer(b'0\r\n\r\n')
+
+
+def refuse(headers, *more):
+    fixed = [('Request-Id', headers['request-id']), ('Not-Executed', '1')]
+    return Answer(world_lib.head(503, [*fixed, *more]))
+
+
+# Guards against giving up a begun stream because the only engine that could run
+# it, or a part of it, was named in a refusal once and is excluded for good.
+@pytest.mark.parametrize('named', ['first', 'second'])
+async def test_a_stream_goes_on_once_the_part_named_in_a_refusal_is_back(
+    named, clock
+):
+    async def script(engine, headers, stream):
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=False)
+        if trio.current_time() < scene.broken_at + FAULT_S:
+            at_fault = engine if named == 'first' else scene.engines[1]
+            return refuse(headers, ('At-Server', at_fault.address))
+        return await send_events(headers, stream)
+
+    scene = Scene(script, FIRST, SECOND, FIRST)
+    async with world_lib.running(*scene.engines) as world:
+        answer = await scene.ask(world)
+    assert_whole(answer)
+    assert len(scene.arrivals) <= 6
