Resume a stream at a silent engine if none is left to this request

Callers saw: a stream cut that an engine had broken off, though a second engine, silent at that moment, went on soon.

Cause: paths over silent engines are used only if no other path exists. That was asked of all engines in use, so an engine from which this request is excluded, such as the one that had broken the stream off, counted as a path that the request could take.

Change: the question leaves out the engines from which the request is excluded, as it already did for services without layers.

Before, test_a_stream_is_resumed_at_a_silent_engine_if_no_other_is_left failed (200, incomplete); it passes now.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -173,10 +173,13 @@
         )
 
     def _is_connected(self) -> bool:
+        """Returns whether the request has a path, whatever the load."""
         service = self._exchange.admitted.service
         if not service.has_layers:
             return self._find_single_endpoint(self.excluded_ids) is not None
-        return self._state.path_cache_of(service).is_connected()
+        return self._state.path_cache_of(service).is_connected(
+            self.excluded_ids
+        )
 
     def explain_missing_path(self) -> str:
         """Returns why `choose` finds no path."""
--- a/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
@@ -103,9 +103,20 @@
             self._paths.append(path)
             _add_load(assumed, path, tokens)
 
-    def is_connected(self) -> bool:
-        """Returns whether a path over all layers exists, whatever the load."""
-        return self._finder.with_loads({}).find(0.0) is not None
+    def is_connected(
+        self,
+        avoid: typing.Collection[str] = (),
+        avoid_first: typing.Collection[str] = (),
+    ) -> bool:
+        """Returns whether a path over all layers exists, whatever the load.
+
+        Args:
+            avoid: Names of endpoints to exclude.
+            avoid_first: Names of endpoints that the path may not begin with.
+        """
+        finder = self._finder.with_loads({})
+        path = finder.find(0.0, avoid=avoid, avoid_first=avoid_first)
+        return path is not None
 
     def choose(
         self,
--- a/tests/cover/test_gateway_refused_resumptions.py
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -102,3 +102,32 @@
         answer = await scene.ask(world)
     assert_whole(answer)
     assert len(scene.arrivals) <= 6
+
+
+# Guards against giving up a begun stream beside a silent engine, because the
+# engine that broke it off would still be a path for others.
+async def test_a_stream_is_resumed_at_a_silent_engine_if_no_other_is_left(
+    clock,
+):
+    async def script(engine, headers, stream):
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=True)
+        return await send_events(headers, stream)
+
+    scene = Scene(script, (0, 4), (0, 4))
+    answers = []
+
+    async def ask(world):
+        answers.append(await scene.ask(world))
+
+    async with world_lib.running(*scene.engines) as world:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, world)
+            while not scene.arrivals:
+                await trio.sleep(0.01)
+            [silent] = set(scene.engines) - set(scene.arrivals)
+            silent.fall_silent(1.0)
+            state = world.gateway.state
+            state.record_silence(state.endpoints.get(silent.name), 'test')
+    assert_whole(answers[0])
