Ask an engine again that refused the last attempt of a begun stream

Callers saw: a begun stream cut at once by a single refusal of a busy engine, with seconds of its time left.

Cause: an engine that broke the stream off but still listens counts as an attempt, and so does one that refuses, also a hedge. With a route of two attempts the host then gave up, although the limit counts each engine once, and the one that refused had run nothing and could be asked again.

Change: the ledger knows which endpoints' last answer was a refusal. If the attempts are used up, a stream that has begun goes on along paths that begin at one of these, after the pause that a refusal has anyway; no other engine is asked, and each repeat takes a retry of the budget. A request whose answer hasn't begun is refused as before: its caller may come back. Such searches go past the path cache, which would keep their failure for other requests.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -178,7 +178,7 @@
         if not service.has_layers:
             return self._find_single_endpoint(self.excluded_ids) is not None
         return self._state.path_cache_of(service).is_connected(
-            self.excluded_ids
+            self.excluded_ids, self._list_past_attempts()
         )
 
     def explain_missing_path(self) -> str:
@@ -200,15 +200,28 @@
         if not service.has_layers:
             return self._find_single_endpoint(excluded_ids)
         assert service.engine is not None
-        return self._state.path_cache_of(service).choose(
-            self.tokens,
-            self._state.loads(),
-            excluded_ids,
-            self._state.link_use(service.engine),
+        loads = self._state.loads()
+        link_use = self._state.link_use(service.engine)
+        link_limit = (
             paths_lib.STARTED_LINK_LIMIT
             if self._exchange.out.is_started
-            else paths_lib.LINK_LIMIT,
-            avoid_first=self._state.list_over_limit(service.name),
+            else paths_lib.LINK_LIMIT
+        )
+        cache = self._state.path_cache_of(service)
+        if not self._exchange.ledger.can_send():
+            # Past the cache, which would keep a failure for other requests.
+            return cache.finder.with_loads(loads, link_use, link_limit).find(
+                self.tokens,
+                avoid=excluded_ids,
+                avoid_first=self._list_barred_first(),
+            )
+        return cache.choose(
+            self.tokens,
+            loads,
+            excluded_ids,
+            link_use,
+            link_limit,
+            avoid_first=self._list_barred_first(),
         )
 
     def _search_among_silent(self) -> paths_lib.Path | None:
@@ -229,9 +242,26 @@
         return finder.find(
             self.tokens,
             avoid=self.excluded_ids | self._list_pausing(),
-            avoid_first=state.list_over_limit(service.name),
+            avoid_first=self._list_barred_first(),
         )
 
+    def _list_barred_first(self) -> set[str]:
+        """Returns the engines that no path of the request may begin with."""
+        name = self._exchange.admitted.service.name
+        return self._state.list_over_limit(name) | self._list_past_attempts()
+
+    def _list_past_attempts(self) -> set[str]:
+        """Returns the engines that the route's limit of attempts excludes.
+
+        Once it is reached, these are all but those that refused the request.
+        """
+        ledger = self._exchange.ledger
+        if ledger.can_send():
+            return set()
+        name = self._exchange.admitted.service.name
+        listed = self._state.endpoints.list_all(name)
+        return {e.endpoint_id for e in listed} - ledger.refused_by
+
     def _list_pausing(self) -> set[str]:
         now = trio.current_time()
         return {name for name, r in self._refusals.items() if r.until > now}
@@ -243,10 +273,11 @@
         state = self._state
         now = clocks.now()
         name = self._exchange.admitted.service.name
+        excluded_ids = self._list_barred_first().union(excluded_ids)
         candidates = [
             e
             for e in state.endpoints.list_usable(name, now)
-            if e.endpoint_id not in excluded_ids and not state.limit_wait_s(e)
+            if e.endpoint_id not in excluded_ids
         ]
         endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
         if endpoint is None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -217,6 +217,7 @@
             self._position.leader = next(iter(self._running))
             self._refused_ids.add(first.endpoint_id)
         if end is forwarding.End.NOT_RUN:
+            self._exchange.ledger.record_refusal(first.endpoint_id)
             self._paths.record_refusal(
                 progress.failed_ids or {first.endpoint_id}
             )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -82,7 +82,7 @@
                 if reply is not None:
                     await exchange.send_reply(reply)
                 return
-            step = exchange.ledger.next_step(end, exchange.time_left_s())
+            step = self._next_step(end)
             is_repeat = end is not forwarding.End.UNREACHED
             if (
                 step is forwarding.Step.RETRY
@@ -95,6 +95,22 @@
                 await self._finish(step, self._reason, reply)
                 return
 
+    def _next_step(self, end: forwarding.End) -> forwarding.Step:
+        """Returns what to do after an attempt that didn't answer.
+
+        A caller whose answer hasn't begun may come back after a refusal; one
+        whose stream has begun loses it.
+        """
+        exchange = self._exchange
+        step = exchange.ledger.next_step(end, exchange.time_left_s())
+        if (
+            exchange.out.is_started
+            and exchange.time_left_s() > 0
+            and exchange.ledger.may_ask_again(end)
+        ):
+            return forwarding.Step.RETRY
+        return step
+
     async def _finish(
         self,
         step: forwarding.Step,
--- a/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/forwarding.py
@@ -67,10 +67,13 @@
     Attributes:
         may_have_run: Whether the request may have run in an attempt that failed
             or had no clear result; a plain answer doesn't set it.
+        refused_by: Names of the endpoints that, when last asked, stated that
+            they ran nothing.
     """
 
     def __init__(self, route: catalog.Route) -> None:
         self.may_have_run = False
+        self.refused_by: set[str] = set()
         self._route = route
         self._sent_to: list[str] = []
         self._uncounted: set[str] = set()
@@ -92,6 +95,7 @@
     def record_send(self, endpoint_id: str) -> bool:
         """Records an imminent send; returns whether it is a repeat."""
         self._sent_to.append(endpoint_id)
+        self.refused_by.discard(endpoint_id)
         return len(self._sent_to) > 1
 
     def exclude_from_attempts(self, endpoint_id: str) -> None:
@@ -106,11 +110,26 @@
         """Returns whether the route's limit allows another endpoint."""
         return self.attempts < max(1, self._route.max_attempts)
 
+    def may_ask_again(self, end: End) -> bool:
+        """Returns whether an endpoint that refused may get the request again.
+
+        The route's limit counts each endpoint once, so it allows that.
+
+        Args:
+            end: Result of the last attempt.
+        """
+        may_send = end is End.NOT_RUN or self._route.may_repeat
+        return may_send and bool(self.refused_by)
+
     def record_end(self, end: End) -> None:
         """Records the result of an attempt."""
         if end in (End.FAILED, End.BROKEN, End.TIMED_OUT):
             self.may_have_run = True
 
+    def record_refusal(self, endpoint_id: str) -> None:
+        """Records that an endpoint states that it ran nothing."""
+        self.refused_by.add(endpoint_id)
+
     def next_step(self, end: End, time_left_s: float) -> Step:
         """Records the result of an attempt and returns what to do next."""
         self.record_end(end)
--- a/packages/sardinebend-policy/tests/cover/test_gateway_decisions.py
+++ b/packages/sardinebend-policy/tests/cover/test_gateway_decisions.py
@@ -166,6 +166,26 @@
     assert ledger.can_send()
 
 
+def test_only_an_endpoint_whose_last_answer_is_a_refusal_is_asked_again():
+    ledger = forwarding.AttemptLedger(
+        make_route(may_repeat=True, max_attempts=1)
+    )
+    ledger.record_send('e1')
+    assert not ledger.may_ask_again(forwarding.End.NOT_RUN)
+    ledger.record_refusal('e1')
+    assert ledger.may_ask_again(forwarding.End.NOT_RUN)
+    ledger.record_send('e1')
+    assert not ledger.may_ask_again(forwarding.End.BROKEN)
+    assert ledger.attempts == 1
+
+
+def test_an_unrepeatable_request_that_may_have_run_is_not_asked_for_again():
+    ledger = forwarding.AttemptLedger(make_route())
+    ledger.record_send('e1')
+    ledger.record_refusal('e1')
+    assert not ledger.may_ask_again(forwarding.End.BROKEN)
+
+
 def test_a_request_that_was_not_sent_in_time_is_refused():
     step = end_after(make_route(), forwarding.End.UNREACHED, time_left_s=0.0)
     assert step is forwarding.Step.REFUSE
--- a/tests/cover/test_gateway_refused_resumptions.py
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -104,6 +104,45 @@
     assert len(scene.arrivals) <= 6
 
 
+# Guards against giving up a begun stream because a refusal that is proved not
+# run has used up its route's attempts: the engine that refused may be asked
+# again, others may not.
+async def test_an_engine_that_refused_the_last_attempt_is_asked_again(clock):
+    async def script(engine, headers, stream):
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=True)
+        if trio.current_time() < scene.broken_at + FAULT_S:
+            return refuse(headers)
+        return await send_events(headers, stream)
+
+    scene = Scene(script, *[(0, 4)] * 4)
+    async with world_lib.running(*scene.engines) as world:
+        answer = await scene.ask(world)
+    assert_whole(answer)
+    assert len(set(scene.arrivals)) == 2
+
+
+# Guards against the same where the refused attempt was a hedge.
+async def test_an_engine_that_refused_a_hedge_is_asked_again(clock):
+    async def script(engine, headers, stream):
+        if len(scene.arrivals) == 1:
+            await send_events(headers, stream, BROKEN_AFTER)
+            while len(scene.arrivals) == 1:
+                await trio.sleep(EVENT_S)
+            await trio.sleep(EVENT_S)
+            return scene.break_off(engine, listens=True)
+        if scene.broken_at is None:
+            return refuse(headers)
+        return await send_events(headers, stream)
+
+    scene = Scene(script, *[(0, 4)] * 4)
+    async with world_lib.running(*scene.engines) as world:
+        answer = await scene.ask(world)
+    assert_whole(answer)
+    assert len(set(scene.arrivals)) == 2
+
+
 # Guards against giving up a begun stream beside a silent engine, because the
 # engine that broke it off would still be a path for others.
 async def test_a_stream_is_resumed_at_a_silent_engine_if_no_other_is_left(
@@ -131,3 +170,21 @@
             state = world.gateway.state
             state.record_silence(state.endpoints.get(silent.name), 'test')
     assert_whole(answers[0])
+
+
+# Guards against a search without end for an engine that goes on refusing.
+async def test_a_stream_that_all_engines_go_on_refusing_is_given_up(clock):
+    async def script(engine, headers, stream):
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=True)
+        return refuse(headers, ('At-Server', engine.address))
+
+    scene = Scene(script, *[(0, 4)] * 4)
+    async with world_lib.running(*scene.engines) as world:
+        answer = await scene.ask(world)
+        took_s = trio.current_time() - scene.broken_at
+    assert not answer[3]
+    assert took_s < 4.0
+    assert len(set(scene.arrivals)) == 2
+    assert len(scene.arrivals) <= 6
