Let one of two attempts go on that deliver the first event at once

Cause: the attempt that delivered first took the lead and ended the other, then began the answer, and recorded its event only after that. The other had its own first event in hand, had yet to notice that it was ended, found no event recorded, took the lead and ended the first.

Change: an attempt that has been ended can't take the lead.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -80,6 +80,12 @@
         """See `Rivals.take_lead`."""
         if self._exchange.out.is_ended:
             return False
+        own_scope = self._running.get(
+            typing.cast(stream_attempt.StreamAttempt, attempt)
+        )
+        if own_scope is None or own_scope.cancel_called:
+            # Another attempt leads; this one hasn't come to its end yet.
+            return False
         if self._position.leader is not attempt:
             if self._position.last_id != resume_after:
                 return False
--- a/tests/cover/test_gateway_silent_servers.py
+++ b/tests/cover/test_gateway_silent_servers.py
@@ -111,6 +111,38 @@
     assert_all_whole(answers, 1)
 
 
+# Guards against two attempts that end each other as both deliver the first
+# event before the answer has begun.
+@pytest.mark.parametrize('number', range(5))
+async def test_one_of_two_attempts_that_deliver_at_once_goes_on(number, clock):
+    arrivals = []
+    both_wait = trio.Event()
+
+    async def send_at_once(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+        arrivals.append(headers)
+        if len(arrivals) == 2:
+            await trio.sleep(EVENT_S)
+            both_wait.set()
+        await both_wait.wait()
+        events = [chunk(event(n)) for n in range(1, EVENTS + 1)]
+        return Answer(events[0], EVENT_S, *events[1:], LAST_CHUNK)
+
+    servers = make_engines(*[send_at_once] * 4)
+    answers = {}
+    async with world_lib.running(*servers) as world:
+        state = world.gateway.state
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, world, answers, 0)
+            while not arrivals:
+                await trio.sleep(0.01)
+            [first] = [server for server in servers if server.requests]
+            state.record_silence(state.endpoints.get(first.name), 'test')
+    assert len(arrivals) == 2
+    assert_all_whole(answers, 1)
+
+
 # Guards against taking away the streams of an engine to which another request
 # can't connect, for instance because this host's own link is busy.
 async def test_a_stream_goes_on_though_connects_to_its_engine_time_out(
