--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -18,13 +18,13 @@
 # another path has to end sooner.
 RESUME_WAIT_S: typing.Final = 1.2
 POLL_S: typing.Final = 0.02
-# An engine that has refused a request isn't asked again by it for this long,
-# twice as long after each further refusal.
+# An engine that has refused a request, or that a refusal names as its cause,
+# doesn't get it for this long, twice as long after each further refusal.
 REFUSAL_PAUSE_S: typing.Final = 0.1
 
 
 class _Refusals(typing.NamedTuple):
-    """How often a first engine has refused a request, and until when it pauses.
+    """How often an engine was the cause of a refusal, and until when it pauses.
 
     `until` is by trio's clock.
     """
@@ -51,17 +51,18 @@
             admitted.facts.prompt_tokens + admitted.expected_answer_tokens
         )
 
-    def record_refusal(self, endpoint_id: str) -> None:
-        """Records that a first engine has refused the request.
+    def record_refusal(self, endpoint_ids: typing.Iterable[str]) -> None:
+        """Records which engines were the cause of a refusal of the request.
 
-        Each refusal takes a retry from the budget of all requests, so the
-        engine isn't asked again at once.
+        Each refusal takes a retry from the budget of all requests, so they
+        don't get it again at once. They ran nothing and may soon be able to.
         """
-        last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
-        pause_s = REFUSAL_PAUSE_S * 2**last.times
-        self._refusals[endpoint_id] = _Refusals(
-            last.times + 1, trio.current_time() + pause_s
-        )
+        for endpoint_id in endpoint_ids:
+            last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
+            pause_s = REFUSAL_PAUSE_S * 2**last.times
+            self._refusals[endpoint_id] = _Refusals(
+                last.times + 1, trio.current_time() + pause_s
+            )
 
     async def choose(self) -> paths_lib.Path | None:
         """Returns a path with free capacity, or `None` after a short wait."""
@@ -172,10 +173,13 @@
         )
 
     def _is_connected(self) -> bool:
+        """Returns whether the request has a path, whatever the load."""
         service = self._exchange.admitted.service
         if not service.has_layers:
             return self._find_single_endpoint(self.excluded_ids) is not None
-        return self._state.path_cache_of(service).is_connected()
+        return self._state.path_cache_of(service).is_connected(
+            self.excluded_ids, self._list_past_attempts()
+        )
 
     def explain_missing_path(self) -> str:
         """Returns why `choose` finds no path."""
@@ -196,15 +200,28 @@
         if not service.has_layers:
             return self._find_single_endpoint(excluded_ids)
         assert service.engine is not None
-        return self._state.path_cache_of(service).choose(
-            self.tokens,
-            self._state.loads(),
-            excluded_ids,
-            self._state.link_use(service.engine),
+        loads = self._state.loads()
+        link_use = self._state.link_use(service.engine)
+        link_limit = (
             paths_lib.STARTED_LINK_LIMIT
             if self._exchange.out.is_started
-            else paths_lib.LINK_LIMIT,
-            avoid_first=self._state.list_over_limit(service.name),
+            else paths_lib.LINK_LIMIT
+        )
+        cache = self._state.path_cache_of(service)
+        if not self._exchange.ledger.can_send():
+            # Past the cache, which would keep a failure for other requests.
+            return cache.finder.with_loads(loads, link_use, link_limit).find(
+                self.tokens,
+                avoid=excluded_ids,
+                avoid_first=self._list_barred_first(),
+            )
+        return cache.choose(
+            self.tokens,
+            loads,
+            excluded_ids,
+            link_use,
+            link_limit,
+            avoid_first=self._list_barred_first(),
         )
 
     def _search_among_silent(self) -> paths_lib.Path | None:
@@ -225,9 +242,26 @@
         return finder.find(
             self.tokens,
             avoid=self.excluded_ids | self._list_pausing(),
-            avoid_first=state.list_over_limit(service.name),
+            avoid_first=self._list_barred_first(),
         )
 
+    def _list_barred_first(self) -> set[str]:
+        """Returns the engines that no path of the request may begin with."""
+        name = self._exchange.admitted.service.name
+        return self._state.list_over_limit(name) | self._list_past_attempts()
+
+    def _list_past_attempts(self) -> set[str]:
+        """Returns the engines that the route's limit of attempts excludes.
+
+        Once it is reached, these are all but those that refused the request.
+        """
+        ledger = self._exchange.ledger
+        if ledger.can_send():
+            return set()
+        name = self._exchange.admitted.service.name
+        listed = self._state.endpoints.list_all(name)
+        return {e.endpoint_id for e in listed} - ledger.refused_by
+
     def _list_pausing(self) -> set[str]:
         now = trio.current_time()
         return {name for name, r in self._refusals.items() if r.until > now}
@@ -239,10 +273,11 @@
         state = self._state
         now = clocks.now()
         name = self._exchange.admitted.service.name
+        excluded_ids = self._list_barred_first().union(excluded_ids)
         candidates = [
             e
             for e in state.endpoints.list_usable(name, now)
-            if e.endpoint_id not in excluded_ids and not state.limit_wait_s(e)
+            if e.endpoint_id not in excluded_ids
         ]
         endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
         if endpoint is None:
