Let the test of a late connect reach the connect again

What was wrong: test_a_connection_that_the_host_saw_late_is_no_evidence held up trio.open_tcp_stream, which hosts no longer use for addresses: with a patch that raises it still passed, so nothing was late and it guarded against nothing.

Change: it holds up the connect that hosts use, past the probe's time limit, and also asserts that this was called and that the probe's result is unknown. Without the check for the host's own delay it fails; the old one could not.

--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -9,6 +9,8 @@
 
 from sardinebend_adapter import main as adapter_main
 from sardinebend_gateway import caller_connections
+from sardinebend_gateway import crashes
+from sardinebend_store import connections
 from tests.common import decision_log
 from tests.common import gateway_world as world_lib
 
@@ -225,15 +227,19 @@
     async with world_lib.running(app) as world:
         state = world.gateway.state
         endpoint = state.endpoints.get('app-0')
-        original = trio.open_tcp_stream
+        original = connections._connect_tcp
 
-        async def connect_late(*args, **kwargs):
+        async def connect_late(host, port):
             clock.jump(PAUSE_S)
-            await trio.sleep(0.01)
-            return await original(*args, **kwargs)
-
-        with unittest.mock.patch.object(trio, 'open_tcp_stream', connect_late):
-            await world.gateway._crashes.probe(endpoint)
+            await trio.sleep(PAUSE_S)
+            return await original(host, port)
+
+        with unittest.mock.patch.object(
+            connections, '_connect_tcp', side_effect=connect_late
+        ) as connect:
+            outcome = await world.gateway._crashes.probe(endpoint)
+        assert connect.call_count == 1
+        assert outcome is crashes.ProbeResult.UNKNOWN
         assert not state.endpoints.is_unhealthy(endpoint, trio.current_time())
         assert not state.unreachable.recent(trio.current_time())
 
