Don't run a booking again whose claim the table has lost

What callers saw: a booking with a key, repeated after the table had come back from an older copy, ran a second time.

Cause: an absent row was taken for proof that nothing had run; nobody wrote a lost claim again, and an outcome whose row was gone was dropped.

Change: each host keeps the claims that it sent within 60 s, writes them again in a new era, and then confirms the era in a row. Until all hosts that were listed have confirmed, bookings aren't claimed: recorded outcomes are replayed, others wait 3 s and end as not run with a time to come back. A host that doesn't confirm holds this up for 60 s. A claim whose answer arrives after the era has risen is unclear, not written. An outcome whose row is gone is written as a new row.

Evidence: the matrix of bookings has the fault "table_returns".

Not shown: over processes; claims of a host that died around the return, and later than 60 s after it.

--- a/packages/sardinebend-policy/src/sardinebend_policy/claims.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/claims.py
@@ -9,6 +9,10 @@
 
 MAX_NONCES: typing.Final = 20_000
 MAX_INLINE_BODY_BYTES: typing.Final = 16 * 1024
+# Claims that a copy of the table may lack, which is some seconds old.
+KEPT_ROWS_S: typing.Final = 60.0
+MAX_KEPT_ROWS: typing.Final = 5_000
+MAX_KEPT_BODY_BYTES: typing.Final = 1024
 
 
 class RowState(enum.StrEnum):
@@ -69,6 +73,20 @@
     answer: outcomes.Answered | None = None
 
 
+class KeptRow(typing.NamedTuple):
+    """A claim row that this host wrote for a booking that it sent.
+
+    Attributes:
+        key: Its key in the table.
+        row: Its value.
+        at: When it was last changed.
+    """
+
+    key: str
+    row: ClaimRow
+    at: float
+
+
 class ClaimRegistry:
     """The nonces of one process incarnation and their states.
 
@@ -80,6 +98,44 @@
         self._states: collections.OrderedDict[str, ClaimantAnswer] = (
             collections.OrderedDict()
         )
+        self._rows: collections.OrderedDict[str, KeptRow] = (
+            collections.OrderedDict()
+        )
+
+    def keep_row(self, key: str, row: ClaimRow, now: float) -> None:
+        """Keeps the row of a booking that was sent, to write it again.
+
+        An answer that is too large to keep counts as unknown.
+        """
+        if len(row.get('body', '')) > MAX_KEPT_BODY_BYTES:
+            row = {
+                'host': row['host'],
+                'incarnation': row['incarnation'],
+                'nonce': row['nonce'],
+                'digest': row['digest'],
+                'state': RowState.UNKNOWN,
+            }
+        self.drop_row(row['nonce'])
+        self._rows[row['nonce']] = KeptRow(key, row, now)
+        if len(self._rows) > MAX_KEPT_ROWS:
+            self._rows.popitem(last=False)
+
+    def drop_row(self, nonce: str) -> None:
+        """Forgets the row of a booking that didn't run."""
+        self._rows.pop(nonce, None)
+
+    def has_row(self, nonce: str) -> bool:
+        """Returns whether a nonce's row is kept."""
+        return nonce in self._rows
+
+    def list_rows(self, now: float) -> list[KeptRow]:
+        """Returns the rows that a copy of the table may lack."""
+        while self._rows:
+            oldest = next(iter(self._rows.values()))
+            if now - oldest.at <= KEPT_ROWS_S:
+                break
+            self._rows.popitem(last=False)
+        return list(self._rows.values())
 
     def set_state(
         self,
@@ -99,6 +155,20 @@
         return self._states.get(nonce, unknown)
 
 
+def is_superseded(found: ClaimRow, known: ClaimRow) -> bool:
+    """Returns whether a row says less than the one of a sent booking.
+
+    Args:
+        found: The row in the table.
+        known: The row of a booking with the same key that was sent.
+    """
+    if found['state'] not in (RowState.CLAIMED, RowState.RELEASED):
+        return False
+    return found['nonce'] != known['nonce'] or (
+        found['state'] != known['state']
+    )
+
+
 def make_row_key(customer: str, idempotency_key: str) -> str:
     """Returns the table key of a claim.
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/membership.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/membership.py
@@ -112,6 +112,13 @@
         """Returns all other members in the platform's list."""
         return [state.member for state in self._states.values()]
 
+    def list_incarnations(self) -> dict[str, str]:
+        """Returns the incarnation of each other host; empty if not known."""
+        return {
+            host_id: state.heartbeat.incarnation if state.heartbeat else ''
+            for host_id, state in self._states.items()
+        }
+
     def list_live(self, now: float) -> list[Member]:
         """Returns the other members that sent a heartbeat recently."""
         timeout_s = self._heartbeat_timeout_s()
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -16,6 +16,7 @@
 from sardinebend_policy import claims
 from sardinebend_policy import outcomes
 from sardinebend_policy import quarantine
+from sardinebend_router import claim_recovery
 from sardinebend_router import logs
 from sardinebend_router import services
 from sardinebend_router import session_runner
@@ -28,11 +29,22 @@
 ]
 
 
+# How long a booking waits for hosts to write their claims again.
+RECOVERY_WAIT_S: typing.Final = 3.0
+
+
 class PlatformStores(typing.NamedTuple):
-    """Clients of the platform's table and object stores."""
+    """Clients of the platform's table and object stores.
+
+    Attributes:
+        table: The table.
+        objects: The object store.
+        recovery: Tells whether the table has the claims of all hosts.
+    """
 
     table: store.TableStore
     objects: store.ObjectStore
+    recovery: claim_recovery.ClaimRecovery
 
 
 class ServiceCall(typing.NamedTuple):
@@ -80,7 +92,7 @@
         self._handlers: dict[type, typing.Callable[..., None]] = {
             msg.Connect: self._connect,
             msg.WriteClaim: lambda a: self.start_task(self._write_claim, a),
-            msg.Send: lambda a: self.start_task(self._send),
+            msg.Send: lambda a: self._begin_send(),
             msg.CloseConnection: self._close_connection,
             msg.QueryClaimant: lambda a: self.start_task(
                 self._ask_other_host, a
@@ -94,6 +106,7 @@
             msg.Done: lambda a: self._finish(),
         }
         self._row_to_replay: claims.ClaimRow | None = None
+        self._claim: claims.ClaimRow | None = None
 
     async def run(self, first_event: msg.Event) -> None:
         """Runs the session to its end, then loads an answer to replay, if any.
@@ -145,6 +158,11 @@
         if connection is not None:
             self.start_task(connection.close)
 
+    def _begin_send(self) -> None:
+        if self._claim is not None:
+            self._keep_claim(self._claim)
+        self.start_task(self._send)
+
     async def _send(self) -> None:
         if self._connection is None:
             return
@@ -164,12 +182,27 @@
     # The claim row.
 
     async def _write_claim(self, action: msg.WriteClaim) -> None:
+        self._claim = action.row
+        if not self._platform.recovery.is_complete:
+            ended = await self._read_ended_claim()
+            if ended is not None:
+                self.post(ended)
+                return
+            recovery = self._platform.recovery
+            if not await recovery.wait_until_complete(RECOVERY_WAIT_S):
+                self.post(msg.TableUnavailable())
+                return
         write = store.Write(
             self._session.request.row_key,
             action.expected_version,
             typing.cast(dict, action.row),
         )
+        era = self._platform.table.era
         answer = await self._platform.table.transact([write])
+        if self._platform.table.era != era:
+            # This host may have confirmed the new era without this claim.
+            self.post(msg.ClaimUnclear())
+            return
         if isinstance(answer, result.Ok):
             self.post(msg.ClaimWritten(answer.ok_value.versions[write.key]))
             return
@@ -183,6 +216,20 @@
         else:
             self.post(msg.TableUnavailable())
 
+    async def _read_ended_claim(self) -> msg.ClaimConflict | None:
+        """Returns the claim of another request with the key if it has ended."""
+        answer = await self._platform.table.read(self._session.request.row_key)
+        row = answer.ok_value if isinstance(answer, result.Ok) else None
+        if row is None:
+            return None
+        value = typing.cast(claims.ClaimRow, row.value)
+        if value['state'] not in (
+            claims.RowState.DONE,
+            claims.RowState.UNKNOWN,
+        ):
+            return None
+        return msg.ClaimConflict(value, row.version)
+
     async def _read_row(self) -> None:
         answer = await self._platform.table.read(self._session.request.row_key)
         row = answer.ok_value if isinstance(answer, result.Ok) else None
@@ -204,12 +251,22 @@
             row is gone, holds another request's claim, or has an outcome
             already. False if the write has to be tried again.
         """
-        key = self._session.request.row_key
+        key, nonce = self._session.request.row_key, self._session.request.nonce
+        if action.state is claims.RowState.RELEASED:
+            self._state.claims.drop_row(nonce)
         read = await self._platform.table.read(key)
         if isinstance(read, result.Err):
             return False
         row = read.ok_value
-        if row is None or row.value['nonce'] != self._session.request.nonce:
+        if (
+            row is None
+            and self._claim is not None
+            and self._state.claims.has_row(nonce)
+        ):
+            # The table came back from a copy without the claim.
+            claim = typing.cast(dict[str, typing.Any], self._claim)
+            row = store.Row(key, 0, claim)
+        if row is None or row.value['nonce'] != nonce:
             return True
         if row.value['state'] != claims.RowState.CLAIMED:
             return True
@@ -218,9 +275,15 @@
         if answer is not None and not await self._put_answer(value, answer):
             return False
         write = store.Write(key, row.version, value)
+        if self._state.claims.has_row(nonce):
+            self._keep_claim(typing.cast(claims.ClaimRow, value))
         written = await self._platform.table.transact([write])
         return isinstance(written, result.Ok)
 
+    def _keep_claim(self, claim: claims.ClaimRow) -> None:
+        key = self._session.request.row_key
+        self._state.claims.keep_row(key, claim, trio.current_time())
+
     async def _put_answer(
         self, value: dict[str, typing.Any], answer: outcomes.Answered
     ) -> bool:
--- a/packages/sardinebend-router/src/sardinebend_router/host.py
+++ b/packages/sardinebend-router/src/sardinebend_router/host.py
@@ -13,6 +13,7 @@
 from sardinebend_policy import membership as membership_lib
 from sardinebend_router import asgi
 from sardinebend_router import booking
+from sardinebend_router import claim_recovery
 from sardinebend_router import completions
 from sardinebend_router import draft_runner
 from sardinebend_router import engines
@@ -141,7 +142,14 @@
                 self.state, self._deps.table, driver
             )
             nursery.start_soon(order_sender.run)
-            front = self._make_front(driver, client, peering, nursery)
+            recovery = claim_recovery.ClaimRecovery(
+                self.state, self._deps.table
+            )
+            nursery.start_soon(recovery.run)
+            platform = booking.PlatformStores(
+                self._deps.table, self._deps.objects, recovery
+            )
+            front = self._make_front(driver, client, peering, platform, nursery)
             await nursery.start(self._serve, front, caller_sock)
             logs.get().info('started', extra={'port': self.caller_port})
             task_status.started()
@@ -201,10 +209,10 @@
         driver: engines.PipelineDriver,
         client: services.ServiceClient,
         peering: peering_lib.Peering,
+        platform: booking.PlatformStores,
         nursery: trio.Nursery,
     ) -> front_lib.Front:
         state = self.state
-        platform = booking.PlatformStores(self._deps.table, self._deps.objects)
         return front_lib.Front(
             state,
             completions.Completions(
--- a/tests/common/booking_world.py
+++ b/tests/common/booking_world.py
@@ -12,8 +12,10 @@
 from sardinebend_policy import booking_messages as msg
 from sardinebend_policy import bookings
 from sardinebend_policy import claims
+from sardinebend_policy import membership
 from sardinebend_policy import outcomes
 from sardinebend_router import booking
+from sardinebend_router import claim_recovery
 from sardinebend_router import services
 from sardinebend_settings import tree as tree_lib
 from sardinebend_store import connections
@@ -58,6 +60,7 @@
     'table_slow',
     'table_reply_lost',
     'table_effect_late',
+    'table_returns',
     'objects_down',
     'list_stale',
     'repeat_elsewhere',
@@ -169,6 +172,16 @@
     """A session runner of a booking at a host that can be frozen."""
 
 
+class SimRecovery(claim_recovery.ClaimRecovery):
+    """A host's recovery of claims, which stops while the host is frozen."""
+
+    host: world_lib.SimHost
+
+    async def tick(self):
+        await self.host.wait_until_running()
+        await super().tick()
+
+
 class BookingWorld(world_lib.World):
     """Three hosts and two endpoints; all requests have the same key."""
 
@@ -188,9 +201,19 @@
         self.received_outcomes: list[CallerOutcome] = []
         self.request_hosts: dict[str, str] = {}
         self.session_runners: dict[str, SimSessionRunner] = {}
+        self.recoveries: dict[str, SimRecovery] = {}
         tree = make_tree()
         for index, name in enumerate(HOSTS):
-            self.hosts[name] = world_lib.SimHost(name, tree, index, nursery)
+            host = world_lib.SimHost(name, tree, index, nursery)
+            host.state.membership.apply_listing(
+                (membership.Member(other, 'd', other, other), False)
+                for other in HOSTS
+            )
+            self.hosts[name] = host
+            recovery = SimRecovery(host.state, world_lib.HostTable(self, host))
+            recovery.host = host
+            self.recoveries[name] = recovery
+            nursery.start_soon(host.run_until_killed, recovery.run)
 
     async def query_claimant(
         self, requester: str, host: str, incarnation: str, nonce: str
@@ -289,7 +312,9 @@
             self.session_type(request, cfg, host.state.fleet.is_usable),
             host.state,
             SimServiceClient(self, host),
-            booking.PlatformStores(table, self.objects),
+            booking.PlatformStores(
+                table, self.objects, self.recoveries[host.name]
+            ),
             query_claimant,
             booking.ServiceCall('bookings', call, 1.0),
         )
@@ -358,6 +383,8 @@
         case 'caller_leaves':
             if session_runner is not None:
                 session_runner.post(msg.CallerLeft())
+        case 'table_returns':
+            world.table.return_from_copy({})
         case _:
             world.fail_table(fault, OUTAGE_S)
 
--- /dev/null
+++ b/tests/cover/test_claims_after_return.py
@@ -0,0 +1,110 @@
+"""Keyed bookings whose claims the table has lost with an older copy."""
+
+import contextlib
+
+import pytest
+import trio
+
+from sardinebend_policy import bookings
+from sardinebend_policy import outcomes
+from sardinebend_router import claim_recovery
+from tests.common import booking_world
+from tests.common import matrix
+from tests.common import world as world_lib
+
+# A look at the era, and one at the confirmations.
+RECOVERED_S = 2.0
+
+
+@contextlib.asynccontextmanager
+async def open_world():
+    plan = world_lib.FaultPlan((), booking_world.inject)
+    async with trio.open_nursery() as nursery:
+        yield booking_world.BookingWorld(nursery, plan, bookings.BookingSession)
+        nursery.cancel_scope.cancel()
+
+
+async def ask(world, request_id, host):
+    """Returns the outcome of a request with the key at a host."""
+    await world.request(request_id, host)
+    await trio.sleep(0.0)
+    found = [o for o in world.received_outcomes if o.request_id == request_id]
+    return found[0].outcome
+
+
+@pytest.fixture
+def clock(autojump_clock):
+    return autojump_clock
+
+
+# Guards against a booking that runs again because its claim is gone.
+async def test_a_repeat_gets_the_answer_of_a_booking_whose_claim_was_lost(
+    clock,
+):
+    async with open_world() as world:
+        first = await ask(world, 'r0', 'a')
+        world.table.return_from_copy({})
+        repeat = await ask(world, 'r1', 'b')
+    assert repeat == first
+    assert len(world.executions) == 1
+
+
+async def test_a_booking_that_runs_during_the_return_is_not_run_again(clock):
+    # Its claim is lost while the service is at work, and its outcome is
+    # recorded into a row that is gone.
+    async with open_world() as world:
+        world.is_silent = True
+        world.nursery.start_soon(world.request, 'r0', 'a')
+        await trio.sleep(0.1)
+        assert len(world.executions) == 1
+        world.table.return_from_copy({})
+        await trio.sleep(RECOVERED_S)
+        repeat = await ask(world, 'r1', 'b')
+    assert isinstance(repeat, outcomes.OutcomeUnknown)
+    assert len(world.executions) == 1
+
+
+async def test_a_new_booking_is_served_once_all_hosts_have_recovered(clock):
+    async with open_world() as world:
+        world.table.return_from_copy({})
+        started_at = trio.current_time()
+        outcome = await ask(world, 'r0', 'b')
+        took_s = trio.current_time() - started_at
+    assert isinstance(outcome, outcomes.Answered)
+    assert took_s < RECOVERED_S
+
+
+# Guards against a claim of a suspended host that counts as absent: it may have
+# sent the booking, and writes the claim again once it goes on.
+async def test_bookings_are_refused_until_a_suspended_host_has_recovered(clock):
+    async with open_world() as world:
+        first = await ask(world, 'r0', 'a')
+        world.hosts['a'].freeze()
+        world.table.return_from_copy({})
+        refused = await ask(world, 'r1', 'b')
+        world.hosts['a'].thaw()
+        await trio.sleep(RECOVERED_S)
+        repeat = await ask(world, 'r2', 'b')
+    assert isinstance(refused, outcomes.NotRun)
+    assert refused.reason is outcomes.Reason.TABLE_UNAVAILABLE
+    assert refused.retry_after_s
+    assert repeat == first
+    assert len(world.executions) == 1
+
+
+async def test_a_host_that_is_gone_stops_bookings_for_a_limited_time(clock):
+    async with open_world() as world:
+        world.hosts['a'].kill()
+        world.table.return_from_copy({})
+        refused = await ask(world, 'r0', 'b')
+        await trio.sleep(claim_recovery.RECOVERY_LIMIT_S)
+        served = await ask(world, 'r1', 'b')
+    assert isinstance(refused, outcomes.NotRun)
+    assert isinstance(served, outcomes.Answered)
+
+
+# Guards against a claim that was acknowledged before the return, and is sent
+# after its host has confirmed that it wrote its claims again.
+def test_a_claim_whose_answer_comes_after_the_return_is_not_sent_by_it():
+    faults = (('claim_sent', 'table_slow'), ('claim_written', 'table_returns'))
+    assert matrix.run_cell(matrix.BOOKING, faults).violations == []
