Play the table's return against bookings over processes

The stand-in of the table comes back from a copy without some rows on request. A booking whose claim it lost is repeated at another host, and a new one is sent to a third: the repeat gets the first answer, the new one is served.

--- a/standins/table.py
+++ b/standins/table.py
@@ -24,6 +24,8 @@
         self.add('GET', '/counts', self._list_counts, subject_to_faults=False)
         self.add('GET', '/records', self._list_rows, subject_to_faults=False)
 
+        self.add('POST', '/lose', self._lose, subject_to_faults=False)
+
     def make_headers(self) -> list[tuple[bytes, bytes]]:
         """Returns the header that names the table's era."""
         return [(b'store-era', b'%d' % self.table.era)]
@@ -63,6 +65,14 @@
         )
         return 200, [_encode(row) for row in rows]
 
+    async def _lose(self, req: web.Request) -> tuple[int, object]:
+        """Returns from a copy without the rows whose keys start with a text."""
+        prefix = req.json()['prefix']
+        rows = self.table.copy_rows()
+        kept = {k: row for k, row in rows.items() if not k.startswith(prefix)}
+        self.table.return_from_copy(kept)
+        return 200, {'era': self.table.era}
+
     async def _list_counts(self, req: web.Request) -> tuple[int, object]:
         return 200, self._counts
 
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -69,6 +69,11 @@
     launcher.fetch_json(f'{process.url}/faults', 'POST', faults)
 
 
+def lose_rows(table, prefix):
+    """Has the table come back from a copy that lacks some rows."""
+    launcher.fetch_json(f'{table.url}/lose', 'POST', {'prefix': prefix})
+
+
 def set_run_faults(process, **faults):
     launcher.fetch_json(f'{process.url}/run-faults', 'POST', faults)
 
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -230,6 +230,34 @@
     assert again == first
 
 
+# Guards against a booking that runs again because its claim is gone.
+def test_a_repeat_gets_the_answer_of_a_booking_whose_claim_the_table_lost(
+    deployment,
+):
+    caller, other, third = processes.make_callers(deployment)
+
+    async def run():
+        first = await caller.operate('confirm', {'x': 1}, 'key-1')
+        processes.lose_rows(deployment.table, 'claims/')
+        # A repeat may be refused until all hosts have written claims again.
+        answers = [first]
+        with trio.fail_after(processes.TIMEOUT_S):
+            for asked, key in ((other, 'key-1'), (third, 'key-2')):
+                answer = await asked.operate('confirm', {'x': 1}, key)
+                while answer[0] == 503:
+                    assert answer[1]['outcome'] == 'not_run'
+                    await trio.sleep(0.2)
+                    answer = await asked.operate('confirm', {'x': 1}, key)
+                answers.append(answer)
+        return answers
+
+    first, repeat, new = trio.run(run)
+    processes.assert_no_repeated_bookings(deployment)
+    assert first[0] == 200
+    assert repeat == first
+    assert new[0] == 200
+
+
 def test_a_request_that_crashes_engines_is_quarantined_after_two(
     deployment,
 ):
