Keep the path of each run of the soak's servers apart

Change: each run has its path; an order for a new path goes to the last run of a request. No check changes.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -84,6 +84,7 @@
         after: The last event that the caller had of another run.
         path: The addresses of the server and of all engines of the paths that
             it had.
+        current_path: The path that it has, with the layers of each engine.
     """
 
     request_id: str
@@ -97,6 +98,7 @@
     after: int = 0
     events: list[int] = dataclasses.field(default_factory=list)
     path: list[str] = dataclasses.field(default_factory=list)
+    current_path: typing.Sequence[tuple[str, int, int]] = ()
 
 
 @dataclasses.dataclass
@@ -216,7 +218,8 @@
         self.is_down = False
         self.backs_off = False
         self.is_endless = False
-        self.paths = {}
+        # The last run of each request, as a former one may not have ended yet.
+        self.open_streams = {}
         self.pauses = []
 
     def can_fall_silent(self):
@@ -232,9 +235,10 @@
 
     def take_order(self, order):
         if order['operation'] == 'repath':
-            if order['id'] not in self.paths:
+            run = self.open_streams.get(order['id'])
+            if run is None:
                 return 404
-            self.paths[order['id']] = read_path(order['path'])
+            run.current_path = read_path(order['path'])
             return 202
         return 409
 
@@ -269,7 +273,8 @@
         finally:
             run.ended_at = trio.current_time()
             run.is_sound = run.is_sound and not self.is_down
-            self.paths.pop(run.request_id, None)
+            if self.open_streams.get(run.request_id) is run:
+                del self.open_streams[run.request_id]
 
     async def _crash_under_request(self, content, headers):
         """Crashes this server, or another one of the request's path."""
@@ -334,7 +339,8 @@
 
     async def _run_stream(self, run, headers, stream):
         path = read_path(headers['hop-count'])
-        self.paths[run.request_id] = path
+        run.current_path = path
+        self.open_streams[run.request_id] = run
         run.path += [address for address, _, _ in path]
         event_count = int(headers.get('x-events', EVENTS))
         if not all(self.fleet.is_up(address) for address, _, _ in path):
@@ -366,13 +372,13 @@
 
         Gives up after STALL_S, not counting the silences of sound servers.
         """
-        for address, _, _ in self.paths[run.request_id]:
+        for address, _, _ in run.current_path:
             part = self.fleet.find_worker(address)
             if part is not None:
                 await part.wait_awake()
         with trio.move_on_after(STALL_S):
             while not self.is_down:
-                path = self.paths[run.request_id]
+                path = run.current_path
                 run.path += [a for a, _, _ in path if a not in run.path]
                 failed = [a for a, _, _ in path if not self.fleet.is_up(a)]
                 self.stalled = failed
