Keep a port that was found free from other processes

Cause: a free port is found before its listener starts; suites that run beside each other may draw the same one meanwhile.

Change: the port's number is reserved by a name that ends with the process.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,5 +1,6 @@
 """Allocates ports for processes and tests on one machine."""
 
+import collections
 import random
 import socket
 import typing
@@ -9,7 +10,12 @@
 PORT_RANGE: typing.Final = (15_000, 32_000)
 IP: typing.Final = '127.0.0.1'
 
+# Ports that a process has returned lately are kept from other processes, since
+# their listeners may not have started yet. Each takes a file descriptor.
+MAX_RESERVED: typing.Final = 128
+
 _allocated: set[int] = set()
+_reservations: collections.deque[socket.socket] = collections.deque()
 # Test runners seed the global generator, so that suites beside each other would
 # draw the same ports from it.
 _RNG: typing.Final = random.SystemRandom()
@@ -28,7 +34,7 @@
             and len(_allocated) < PORT_RANGE[1] - PORT_RANGE[0]
         ):
             continue
-        if not _is_free(port):
+        if not _is_free(port) or not _reserve(port):
             continue
         _allocated.add(port)
         ports.append(port)
@@ -44,3 +50,18 @@
             except OSError:
                 return False
     return True
+
+
+def _reserve(port: int) -> bool:
+    """Keeps a port from other processes; returns whether none has it."""
+    sock = socket.socket(socket.AF_UNIX)
+    try:
+        # A name without a file, which ends with the process.
+        sock.bind(f'\0sardinebend-port-{port}')
+    except OSError:
+        sock.close()
+        return False
+    _reservations.append(sock)
+    if len(_reservations) > MAX_RESERVED:
+        _reservations.popleft().close()
+    return True
