Let a process get a port again that it has reserved itself

Cause: since a port is reserved in the process that found it, and that process took its own reservation for another's. The same would have happened once a process had returned all ports of the range.

Change: reservations are kept by port, and a process passes its own. Two tests show what is for: a port that another process has found isn't free, and is free after that process has ended.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -1,6 +1,5 @@
 """Allocates ports for processes and tests on one machine."""
 
-import collections
 import random
 import socket
 import typing
@@ -15,7 +14,8 @@
 MAX_RESERVED: typing.Final = 128
 
 _allocated: set[int] = set()
-_reservations: collections.deque[socket.socket] = collections.deque()
+# By port, the oldest first.
+_reservations: dict[int, socket.socket] = {}
 # Test runners seed the global generator, so that suites beside each other would
 # draw the same ports from it.
 _RNG: typing.Final = random.SystemRandom()
@@ -53,7 +53,9 @@
 
 
 def _reserve(port: int) -> bool:
-    """Keeps a port from other processes; returns whether none has it."""
+    """Keeps a port from other processes; returns whether they lack it."""
+    if port in _reservations:
+        return True
     sock = socket.socket(socket.AF_UNIX)
     try:
         # A name without a file, which ends with the process.
@@ -61,7 +63,7 @@
     except OSError:
         sock.close()
         return False
-    _reservations.append(sock)
+    _reservations[port] = sock
     if len(_reservations) > MAX_RESERVED:
-        _reservations.popleft().close()
+        _reservations.pop(next(iter(_reservations))).close()
     return True
--- a/tests/cover/test_ports.py
+++ b/tests/cover/test_ports.py
@@ -1,6 +1,8 @@
 """Tests of the ports that tests and stand-ins get."""
 
 import socket
+import subprocess
+import sys
 
 import pytest
 
@@ -21,6 +23,45 @@
         assert ports.find_free(1) == [free_port]
 
 
+# Guards against listeners of two suites on one port, as a port is found free
+# before its listener starts.
+def test_a_port_that_another_process_has_found_is_not_free(monkeypatch):
+    other = subprocess.Popen(
+        [
+            sys.executable,
+            '-c',
+            'from standins import ports; '
+            'print(ports.find_free(1)[0], flush=True); input()',
+        ],
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    with other:
+        their_port = int(other.stdout.readline())
+        free_port = ports.find_free(1)[0]
+        ports._allocated.discard(free_port)
+        drawn = iter([their_port, free_port])
+        monkeypatch.setattr(ports, '_RNG', _Drawn(drawn))
+        assert ports.find_free(1) == [free_port]
+        other.communicate('\n')
+
+
+def test_a_port_found_by_a_process_that_ended_is_free_again(monkeypatch):
+    their_port = int(
+        subprocess.check_output(
+            [
+                sys.executable,
+                '-c',
+                'from standins import ports; print(ports.find_free(1)[0])',
+            ]
+        )
+    )
+    ports._allocated.discard(their_port)
+    monkeypatch.setattr(ports, '_RNG', _Drawn(iter([their_port])))
+    assert ports.find_free(1) == [their_port]
+
+
 class _Drawn:
     """Draws the given numbers."""
 
