Take bytes that a late host is about to send for no lost caller

Callers saw: streams through a host that was held up ended by a reset, though their engines were at work and the callers read everything. The only line was request_cancelled, no warning, as if the callers had left.

Cause: each second a host looks for callers that take nothing. It counted from the last look at which nothing was unsent. A look in the pass in which an event is sent finds it unsent; after a pause of the host the last look is long ago, so that the idle limit was over for all callers at once. A confirmation that comes at once, as mostly over loopback, hid that.

Ruled out: the order of looks and events alone; without the pause the last look is a second old, so that limits of a second or more don't end.

Change: only bytes that also waited at the look before count.

Why it works: what is unsent at two looks with nothing confirmed in between was there for the whole time.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
@@ -108,6 +108,8 @@
         self._idle_since = trio.current_time()
         self._log_fields: dict[str, str] = {}
         self._responder: responder_lib.Responder | None = None
+        # What the last look at the connection has found.
+        self._had_unsent = False
         self._confirmed_bytes = 0
         self._taken_at = trio.current_time()
 
@@ -153,9 +155,13 @@
         has_unsent = self._responder is not None and (
             self._responder.unsent_bytes > 0
         )
-        if not has_unsent or delivery.confirmed_bytes != self._confirmed_bytes:
+        # A late host may find what it is just sending: only bytes that also
+        # waited at the last look show a caller that takes nothing.
+        has_waited = has_unsent and self._had_unsent
+        if not has_waited or delivery.confirmed_bytes != self._confirmed_bytes:
             self._confirmed_bytes = delivery.confirmed_bytes
             self._taken_at = now
+        self._had_unsent = has_unsent
         is_stuck = now - self._taken_at > self._server.limits().idle_timeout_s
         if delivery.is_lost or is_stuck:
             # Wakes the tasks that send and receive. The connection may have
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -1,7 +1,9 @@
 """Tests of hosts that are held up themselves, on the virtual clock."""
 
 import contextlib
+import os
 import signal
+import socket
 import types
 import unittest.mock
 
@@ -11,6 +13,7 @@
 from sardinebend_adapter import main as adapter_main
 from sardinebend_gateway import caller_connections
 from sardinebend_gateway import crashes
+from sardinebend_gateway import http_server
 from sardinebend_gateway import relay
 from sardinebend_gateway import settings
 from sardinebend_peers import messages
@@ -27,6 +30,8 @@
 GRACE_S = 8.0
 # Requests that were sent later than this after the signal may not be cut.
 EXCUSED_S = 3.0
+LATE_CALLERS = 8
+LATE_EVENTS = 10
 
 
 async def send_stream(headers, stream):
@@ -350,3 +355,60 @@
             await trio.sleep(0.15)
             clock.jump(PAUSE_S)
     assert stated == [2]
+
+
+# Guards against a reset of callers that read everything: a late host finds the
+# event that it is about to send unsent, and nothing received since its last
+# look.
+async def test_callers_of_an_event_that_came_during_a_pause_are_no_lost_ones(
+    clock,
+):
+    connections_of_engine, callers, answers = [], [], []
+    is_over = trio.Event()
+
+    async def send_first_event(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        first = world_lib.chunk(world_lib.event(1))
+        await stream.send_all(world_lib.head(200, fixed, 'chunked') + first)
+        connections_of_engine.append(stream.socket.fileno())
+        await is_over.wait()
+        return world_lib.Answer(b'0\r\n\r\n')
+
+    async def ask_and_read(world):
+        async with await world.connect() as stream:
+            callers.append(stream.socket)
+            await stream.send_all(
+                world_lib.make_request(
+                    '/draft/x', 'POST', b'p', deadline_ms='60000'
+                )
+            )
+            answers.append(await world_lib.read_answer(stream, 'POST'))
+
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    config['routes'][2]['timeout_ms'] = 60000
+    server = world_lib.Server('llm-0', 'llm', send_first_event)
+    async with world_lib.running(server, config=config) as world:
+        async with trio.open_nursery() as nursery:
+            for _ in range(LATE_CALLERS):
+                nursery.start_soon(ask_and_read, world)
+            for number in range(2, LATE_EVENTS + 2):
+                # The host has looked at its callers meanwhile.
+                await trio.sleep(1.5 * http_server.LOST_CHECK_INTERVAL_S)
+                for sock in callers:
+                    # Confirmations come later, as over most networks.
+                    with contextlib.suppress(OSError):
+                        sock.setsockopt(
+                            socket.IPPROTO_TCP, socket.TCP_QUICKACK, 0
+                        )
+                for connection in connections_of_engine:
+                    # Sent without letting the host run.
+                    with contextlib.suppress(OSError):
+                        os.write(
+                            connection,
+                            world_lib.chunk(world_lib.event(number)),
+                        )
+                clock.jump(IDLE_LIMIT_S)
+            await trio.sleep(0.1)
+            is_over.set()
+    assert [is_whole for *_, is_whole in answers] == [True] * LATE_CALLERS
