Log a warning when the host itself gives a caller up

Callers saw: a stream or answer that ended by a reset, while the log, but for request_cancelled, named no request. That line says the same of a caller that has left, and it isn't a warning, so records that keep warnings show nothing.

Cause: a caller that takes nothing for the idle limit, or that is taken for lost, is ended by a shutdown of its socket, which its request reads as the caller's own close; a reset of callers that left isn't logged.

Change: connection_reset with the request's id and the reason, "caller takes nothing" or "caller lost", once, when the host decides it.

Test that failed before: test_gateway_request_ends, test_a_caller_that_the_host_gives_up_leaves_a_reset_in_the_log (no such line).

Why it works: this was the only path by which a host resets a request in progress on its own decision without a warning with the request's id (read; the others write request_failed, request_cut or connection_reset).

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
@@ -112,6 +112,7 @@
         self._had_unsent = False
         self._confirmed_bytes = 0
         self._taken_at = trio.current_time()
+        self._is_given_up = False
 
     async def run(self) -> None:
         """Serves requests until either side closes."""
@@ -164,11 +165,25 @@
         self._had_unsent = has_unsent
         is_stuck = now - self._taken_at > self._server.limits().idle_timeout_s
         if delivery.is_lost or is_stuck:
+            self._record_given_up(
+                'caller lost' if delivery.is_lost else 'caller takes nothing'
+            )
             # Wakes the tasks that send and receive. The connection may have
             # been reset meanwhile.
             with contextlib.suppress(OSError):
                 self._stream.socket.shutdown(socket.SHUT_RDWR)
 
+    def _record_given_up(self, reason: str) -> None:
+        """Logs, once, that the host itself ends a request's connection.
+
+        To the request it looks as if its caller had closed it.
+        """
+        responder = self._responder
+        is_open = responder is not None and not responder.is_finished
+        if is_open and not self._is_given_up:
+            self._log_reset(reason)
+        self._is_given_up = True
+
     def _reset(self, reason: str) -> None:
         if self._responder is not None and not self._responder.is_caller_gone:
             self._log_reset(reason)
--- a/tests/cover/test_gateway_request_ends.py
+++ b/tests/cover/test_gateway_request_ends.py
@@ -117,6 +117,24 @@
     assert (fields['sent_bytes'] > 0) == is_stream
 
 
+# Guards against a reset by the host whose only line says that the caller left.
+async def test_a_caller_that_the_host_gives_up_leaves_a_reset_in_the_log(
+    lines, clock
+):
+    servers = world_lib.engines((0, 4), script=begin_and_send_much)
+    async with world_lib.running(*servers) as world:
+        # The idle limit, 2 s, is over before the request's own.
+        async with await begin_request(world, '/draft/x'):
+            await wait_for_last_line(lines)
+    ((name, _),) = last_lines(lines)
+    assert name == 'request_cancelled'
+    (fields,) = [f for name, f in lines if name == 'connection_reset']
+    assert fields['request'] == 'r1'
+    assert fields['reason'] == 'caller takes nothing'
+    assert not fields['is_answered']
+    assert fields['unacknowledged_bytes'] > 0
+
+
 async def test_a_stream_that_a_stop_cuts_tells_what_it_was_doing(lines, clock):
     # Guards against streams that a planned stop ends without any line.
     servers = world_lib.engines((0, 4), script=begin_and_hang)
