Try an engine again that a begun stream couldn't reach once

Callers saw: a begun stream that was broken off after its engine had ended it, though the only other engine could be connected to again after 0.7 s.

Cause: an engine to which one connect failed was excluded from the request for good. mended that for engines that refuse and that are silent; one that isn't reached, as its link is cut or its machine silent for a moment, was left out, also by the search among silent engines.

Ruled out: the pause of 4 s after a time-out of a connect; such an engine is found by the search among the silent ones, once it isn't excluded.

Change: a begun stream tries it again after 0.1 s, twice as long after each failure, as after a refusal. A request that hasn't begun doesn't, as before: its caller may come back.

Test that failed before: test_gateway_refused_resumptions, test_an_engine_that_was_not_reached_at_once_is_tried_again[0.7].

Why it works: a failed connect sends nothing, takes no attempt and no retry, so the only cost is the connect itself.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -46,6 +46,7 @@
         self._exchange = exchange
         self._state = exchange.state
         self._refusals: dict[str, _Refusals] = {}
+        self._unreached_ids: set[str] = set()
         admitted = exchange.admitted
         self.tokens = (
             admitted.facts.prompt_tokens + admitted.expected_answer_tokens
@@ -64,6 +65,15 @@
                 last.times + 1, trio.current_time() + pause_s
             )
 
+    def record_unreached(self, endpoint_id: str) -> None:
+        """Records that an engine couldn't be connected to.
+
+        A request that hasn't begun isn't sent to it again: its caller may come
+        back. A begun stream tries it again, after a pause as for a refusal.
+        """
+        self._unreached_ids.add(endpoint_id)
+        self.record_refusal([endpoint_id])
+
     async def choose(self) -> paths_lib.Path | None:
         """Returns a path with free capacity, or `None` after a short wait."""
         exchange = self._exchange
@@ -77,7 +87,7 @@
             limit = trio.move_on_after(wait_s)
         with limit:
             while True:
-                path = self._search(self.excluded_ids)
+                path = self._search(self._list_excluded())
                 path = path or self._search_among_silent()
                 if path is not None:
                     self._state.try_take_from_limit(path[0].endpoint)
@@ -114,7 +124,7 @@
         """
         if not self.may_hedge():
             return None
-        excluded_ids = self.excluded_ids | set(refused_ids)
+        excluded_ids = self._list_excluded() | set(refused_ids)
         all_ids = {part.endpoint.endpoint_id for part in path}
         return self._search(excluded_ids | all_ids) or self._search(
             {*excluded_ids, path[0].endpoint.endpoint_id}
@@ -176,9 +186,9 @@
         """Returns whether the request has a path, whatever the load."""
         service = self._exchange.admitted.service
         if not service.has_layers:
-            return self._find_single_endpoint(self.excluded_ids) is not None
+            return self._find_single_endpoint(self._list_excluded()) is not None
         return self._state.path_cache_of(service).is_connected(
-            self.excluded_ids, self._list_past_attempts()
+            self._list_excluded(), self._list_past_attempts()
         )
 
     def explain_missing_path(self) -> str:
@@ -241,7 +251,7 @@
         finder = paths_lib.PathFinder(service.engine, usable, state.loads())
         return finder.find(
             self.tokens,
-            avoid=self.excluded_ids | self._list_pausing(),
+            avoid=self._list_excluded() | self._list_pausing(),
             avoid_first=self._list_barred_first(),
         )
 
@@ -262,6 +272,11 @@
         listed = self._state.endpoints.list_all(name)
         return {e.endpoint_id for e in listed} - ledger.refused_by
 
+    def _list_excluded(self) -> set[str]:
+        if self._exchange.out.is_started:
+            return self.excluded_ids
+        return self.excluded_ids | self._unreached_ids
+
     def _list_pausing(self) -> set[str]:
         now = trio.current_time()
         return {name for name, r in self._refusals.items() if r.until > now}
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -146,7 +146,7 @@
             'first engine unreachable, or the request may no longer be sent'
         )
         if not self._running:
-            self._paths.excluded_ids.add(first.endpoint_id)
+            self._paths.record_unreached(first.endpoint_id)
         if conn is not None:
             await conn.close()
         return None
--- a/tests/cover/test_gateway_refused_resumptions.py
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from sardinebend_store import connections
 from tests.common import gateway_world as world_lib
 from tests.common import silence
 
@@ -12,6 +13,9 @@
 BROKEN_AFTER = 3
 # Less than a started stream searches for another path.
 FAULT_S = 0.7
+GIVEN_UP_S = 4.0
+# A connect takes its time limit each time.
+UNREACHED_GIVEN_UP_S = 5.0
 FIRST, SECOND = (0, 2), (2, 4)
 
 
@@ -172,6 +176,38 @@
     assert_whole(answers[0])
 
 
+# Guards against giving up a begun stream because the only engine that is left
+# wasn't reached once: a link may be cut, or a machine silent, for a moment.
+@pytest.mark.parametrize('fault_s', [FAULT_S, float('inf')])
+async def test_an_engine_that_was_not_reached_at_once_is_tried_again(
+    fault_s, clock, monkeypatch
+):
+    async def script(engine, headers, stream):
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=True)
+        return await send_events(headers, stream)
+
+    connect_tcp = connections._connect_tcp
+
+    async def connect_after_fault(host, port):
+        if scene.broken_at is not None:
+            await trio.sleep_until(scene.broken_at + fault_s)
+        return await connect_tcp(host, port)
+
+    monkeypatch.setattr(connections, '_connect_tcp', connect_after_fault)
+    scene = Scene(script, (0, 4), (0, 4))
+    async with world_lib.running(*scene.engines) as world:
+        answer = await scene.ask(world)
+        took_s = trio.current_time() - scene.broken_at
+    if fault_s == FAULT_S:
+        assert_whole(answer)
+    else:
+        assert not answer[3]
+    assert took_s < UNREACHED_GIVEN_UP_S
+    assert len(scene.arrivals) <= 2
+
+
 # Guards against a search without end for an engine that goes on refusing.
 async def test_a_stream_that_all_engines_go_on_refusing_is_given_up(clock):
     async def script(engine, headers, stream):
@@ -185,6 +221,6 @@
         answer = await scene.ask(world)
         took_s = trio.current_time() - scene.broken_at
     assert not answer[3]
-    assert took_s < 4.0
+    assert took_s < GIVEN_UP_S
     assert len(set(scene.arrivals)) == 2
     assert len(scene.arrivals) <= 6
