Answer what a stop would cut before its answer has begun

Callers saw: a request that a stopping host had taken, and whose connection it closed at the end of its grace period without any answer, as the servers that had the request were silent.

Cause: the limit of a request knows nothing of the stop. One that was taken before the signal, or whose stream was predicted to be short, may have a deadline after the cut; its handler waited on, and the end of the host cancelled it.

Change: 0.1 s before the cut the host cancels the attempts of all requests without an answer whose deadline isn't before the cut. Their handlers answer as they do at a deadline: 504, or 503 if no server was sent the request. An answer that has begun goes on until the cut, as before.

Before, the four cases of test_a_request_is_answered_before_the_end_though_ servers_are_silent failed (status 0, closed): a stream sent 1.5 s after the signal, and a stream, a lookup and a booking sent 0.5 s before it. They get 504 now. The other tests of stops, streams, hedges and request ends pass.

Why it works: what is left at the cut has an answer that has begun, or a deadline within the last moment, at which its handler answers by itself.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -27,6 +27,8 @@
 BACKOFF_SPREAD: typing.Final = 1.5
 # Number of shared parts of a prompt that a log line shows.
 MAX_LOGGED_PARTS: typing.Final = 8
+# Reason for ending a request that would be cut off by a planned stop.
+HOST_ENDS: typing.Final = 'no answer before the end of the host'
 # Reason for refusing a request because endpoints crashed while they ran it.
 QUARANTINED: typing.Final = 'ends the endpoints that run it'
 
@@ -65,6 +67,8 @@
         out: Sends the answer.
         ending: Records how the request ends.
         ledger: Record of its attempts.
+        attempts_scope: Limits the attempts. Once it is cancelled, the request's
+            handler ends the request by itself.
         crash_detector: Detects crashed endpoints.
         content_fingerprint: Fingerprint of its content and its customer.
         part_fingerprints: Fingerprints of the parts of its prompt that other
@@ -85,6 +89,7 @@
         self.out = out
         self.ending = endings.Ending(state, req, admitted, out)
         self.ledger = forwarding.AttemptLedger(admitted.route)
+        self.attempts_scope = trio.CancelScope()
         self.crash_detector = crash_detector
         self.content_fingerprint = make_content_fingerprint(req, admitted)
         self.part_fingerprints = tuple(
@@ -106,6 +111,16 @@
         """Returns the time left until the deadline of the request."""
         return self.admitted.ends_at - trio.current_time()
 
+    async def send_timeout(self) -> None:
+        """Ends a request without an answer whose attempts were cancelled."""
+        is_over = self.time_left_s() <= 0
+        reason = 'route timeout' if is_over else HOST_ENDS
+        if self.ledger.sent_to:
+            await self.send_error(forwarding.Step.TIME_OUT, reason)
+        else:
+            reason = 'no capacity in time' if is_over else HOST_ENDS
+            await self.send_error(forwarding.Step.REFUSE, reason)
+
     def took_s(self) -> float:
         """Returns the time since the request arrived."""
         return self.ending.took_s()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -17,11 +17,7 @@
 
 
 class Forwarder:
-    """Serves the requests of all connections of a host.
-
-    Attributes:
-        open_requests: Number of admitted requests that haven't ended.
-    """
+    """Serves the requests of all connections of a host."""
 
     def __init__(
         self,
@@ -29,12 +25,18 @@
         engine_calls: calls.EngineCalls,
         crash_detector: crashes.CrashDetector,
     ) -> None:
-        self.open_requests = 0
+        # A dictionary for its order, which a set lacks.
+        self._open: dict[exchange_lib.Exchange, None] = {}
         self._ended = trio.Event()
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
 
+    @property
+    def open_requests(self) -> int:
+        """Number of admitted requests that haven't ended."""
+        return len(self._open)
+
     async def serve(
         self, req: request_reader.Request, out: responder.Responder
     ) -> None:
@@ -68,7 +70,7 @@
             )
             await self._refuse(facts, refusal, out)
             return
-        self.open_requests += 1
+        self._open[exchange] = None
         exchange.ending.start()
         try:
             await self._run(exchange)
@@ -80,7 +82,7 @@
             # Not by the type of the exception: a nursery of which several tasks
             # are cancelled raises a group of `Cancelled`.
             exchange.ending.close()
-            self.open_requests -= 1
+            del self._open[exchange]
             self._ended.set()
             self._ended = trio.Event()
 
@@ -94,6 +96,20 @@
         if exchange.out.is_ended:
             await exchange.out.flush()
 
+    def give_up_unanswered(self, cut_at: float) -> None:
+        """Lets the host itself answer requests that would be cut off.
+
+        Those whose answer has begun go on.
+
+        Args:
+            cut_at: When requests are cut off, by trio's clock.
+        """
+        for exchange in self._open:
+            if not exchange.out.is_started and (
+                exchange.admitted.ends_at >= cut_at
+            ):
+                exchange.attempts_scope.cancel()
+
     async def wait_idle(self) -> None:
         """Waits until no admitted request is in progress."""
         while self.open_requests:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -228,6 +228,9 @@
             await self._forwarder.wait_idle()
         with trio.move_on_at(stop.cut_at):
             self.server.close()
+            with trio.move_on_at(stop.gives_up_at):
+                await self.server.wait_closed()
+            self._forwarder.give_up_unanswered(stop.cut_at)
             await self.server.wait_closed()
         self.state.audit.log(
             events.STOPPED,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -50,10 +50,14 @@
 
     async def run(self) -> None:
         """Serves the request and answers the caller."""
-        async with trio.open_nursery() as nursery:
-            step = await self._run_attempts(nursery)
-            nursery.cancel_scope.cancel()
-        if step is forwarding.Step.PASS_ON and self._reply is not None:
+        step: forwarding.Step | None = None
+        with self._exchange.attempts_scope:
+            async with trio.open_nursery() as nursery:
+                step = await self._run_attempts(nursery)
+                nursery.cancel_scope.cancel()
+        if step is None:
+            await self._exchange.send_timeout()
+        elif step is forwarding.Step.PASS_ON and self._reply is not None:
             await self._exchange.send_reply(self._reply)
         else:
             await self._exchange.send_error(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -7,8 +7,6 @@
 
 import typing
 
-import trio
-
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import endings
 from sardinebend_gateway import errors
@@ -40,7 +38,8 @@
     async def run(self) -> None:
         """Serves the request and answers the caller."""
         exchange = self._exchange
-        with trio.move_on_after(max(0.0, exchange.time_left_s())):
+        exchange.attempts_scope.deadline = exchange.admitted.ends_at
+        with exchange.attempts_scope:
             await self._run_attempts()
             return
         if exchange.out.is_ended:
@@ -48,12 +47,8 @@
             return
         if exchange.out.is_started:
             self._abort_stream('route timeout')
-        elif exchange.ledger.sent_to:
-            await exchange.send_error(forwarding.Step.TIME_OUT, 'route timeout')
         else:
-            await exchange.send_error(
-                forwarding.Step.REFUSE, 'no capacity in time'
-            )
+            await exchange.send_timeout()
 
     async def _run_attempts(self) -> None:
         exchange = self._exchange
--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -19,6 +19,9 @@
 # For this long before requests in flight are cut off, no connection is
 # accepted, so that whatever has been read is still answered.
 CLOSING_S: typing.Final = 0.4
+# This long before the cut, the host itself answers requests that have no answer
+# and might outlast it.
+LAST_ANSWERS_S: typing.Final = 0.1
 
 
 def drain_wait_s(limit_s: float, signal_late_s: float) -> float:
@@ -71,6 +74,11 @@
         """When connections are no longer accepted, at the latest."""
         return max(self.started_at, self.cut_at - CLOSING_S)
 
+    @property
+    def gives_up_at(self) -> float:
+        """When requests without an answer are given up that may be cut off."""
+        return max(self.started_at, self.cut_at - LAST_ANSWERS_S)
+
     @property
     def refuses_at(self) -> float:
         """When all requests are refused."""
--- a/tests/cover/test_gateway_planned_stop.py
+++ b/tests/cover/test_gateway_planned_stop.py
@@ -119,3 +119,52 @@
 # Guards against predictions from requests that failed at once.
 async def test_failures_are_no_reason_to_expect_a_short_stream(clock):
     assert await ask_after_others(404, x_unknown='1') == 503
+
+
+async def keep_silent(headers, stream):
+    await trio.sleep_forever()
+
+
+# Guards against requests that a stopping host has taken, and whose connections
+# it only closes at the end of the grace period: their servers were silent.
+@pytest.mark.parametrize(
+    ('kind', 'sent_after_s'),
+    [('draft', 1.5), ('draft', -0.5), ('look', -0.5), ('book', -0.5)],
+)
+async def test_a_request_is_answered_before_the_end_though_servers_are_silent(
+    kind, sent_after_s, clock
+):
+    server = world_lib.Server('server-0', 'llm', send_short_stream)
+    server.service = 'llm' if kind == 'draft' else 'app'
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    for route in config['routes']:
+        route['timeout_ms'] = 20000
+    async with world_lib.running(
+        server, config=config, grace_s=GRACE_S
+    ) as world:
+        for number in range(service_times.MIN_SAMPLES):
+            # So that the host expects the next stream to be short.
+            if kind == 'draft':
+                await world.ask(
+                    '/draft/x', 'POST', b'p', request_id=f'before-{number}'
+                )
+        stream = await world.connect()
+        server.script = keep_silent
+        signal_at = trio.current_time() + max(0.0, -sent_after_s)
+        data = world_lib.make_request(
+            f'/{kind}/x', 'POST', b'p', request_id='last', deadline_ms='10000'
+        )
+        if sent_after_s < 0:
+            await stream.send_all(data)
+        await trio.sleep_until(signal_at)
+        world.gateway.begin_stop()
+        if sent_after_s > 0:
+            await trio.sleep(sent_after_s)
+            await stream.send_all(data)
+        with trio.fail_after(GRACE_S):
+            status, _, _, is_whole = await world_lib.read_answer(stream, 'POST')
+        await stream.aclose()
+    assert server.requests[-1][2]['request-id'] == 'last'
+    assert (status, is_whole) == (504, True)
+    assert trio.current_time() <= signal_at + GRACE_S
