Measure the silence of a draft's engines without the host's own pauses

What callers saw: after a pause of its host a draft at a sound engine was sent to a second one beside it; a stream was ended for a second attempt that had been sent shortly before the pause, and a third one was sent. After that, a draft at an engine that fell silent waited for 10.2 s instead of some 2 s.

Cause: the session of a draft measured how long its engines were silent by real time, and the timers for stalls and hedges ran on while the host stood still. Gaps between tokens, shared by all drafts of the host, included the pause, so that the wait derived from them rose to its upper limit.

Evidence: engines over HTTP, on the virtual clock, a host suspended for 7 s: attempts 1 and 2 instead of 1, with the wait before the first token and before the third; attempts 1, 2 and 3 instead of 1 and 2 beside a silent second one.

Change: the runner of a session knows which timers limit a wait for others. It puts them off by the delays of the host, and lets the host read what has come (READ_PASSES) before they are due. The session of a draft moves the times from which it counts silence by the same delays. Deadlines and backoffs stay on real time.

Why it works: the clock counts at most 0.12 s of a pause, so silence is what the host could have noticed.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/host_clock.py
@@ -83,6 +83,11 @@
             return trio.current_time()
         return self._delays.on_time(trio.current_time())
 
+    def held_up_s(self) -> float:
+        """Returns by how much the clock is behind trio's."""
+        now = trio.current_time()
+        return 0.0 if self._delays is None else now - self._delays.on_time(now)
+
     def recent_delay_s(self) -> float:
         """Returns for how long the host was held up recently, in all."""
         return self._real_delays.recent_delay_s()
@@ -200,8 +205,13 @@
         return due
 
 
-async def _cancel_after_passes(scopes: list[trio.CancelScope]) -> None:
+async def let_others_read() -> None:
+    """Makes `READ_PASSES` passes through the tasks of the host."""
     for _ in range(READ_PASSES):
         await trio.lowlevel.checkpoint()
+
+
+async def _cancel_after_passes(scopes: list[trio.CancelScope]) -> None:
+    await let_others_read()
     for scope in scopes:
         scope.cancel()
--- a/packages/sardinebend-policy/src/sardinebend_policy/draft_hedges.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/draft_hedges.py
@@ -81,6 +81,10 @@
         is_streaming = self.state is HedgeState.STREAMING
         return is_streaming and now >= self.sent_at + self._first_token_s
 
+    def add_delay(self, delay_s: float) -> None:
+        """Counts a time for which the host was held up as no silence."""
+        self.sent_at += delay_s
+
     def begin(self, route: routes.PipelineRoute) -> list[msg.Action]:
         """Begins a hedge along a route."""
         number = self._attempts.open_hedge(route)
--- a/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/drafts.py
@@ -138,6 +138,15 @@
             return []
         return self._handlers[type(event)](event, now)
 
+    def add_delay(self, delay_s: float) -> None:
+        """Counts a time for which the host was held up as no silence.
+
+        Args:
+            delay_s: Length of the delay in seconds, which has just ended.
+        """
+        self._watch.add_delay(delay_s)
+        self._hedge.add_delay(delay_s)
+
     # Start of an attempt.
 
     def _on_started(self, event: msg.Started, now: float) -> list[msg.Action]:
--- a/packages/sardinebend-policy/src/sardinebend_policy/stream_watch.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/stream_watch.py
@@ -57,6 +57,14 @@
         self._silent_since = None
         return self._next_first_token_probe(now)
 
+    def add_delay(self, delay_s: float) -> None:
+        """Counts a time for which the host was held up as no silence."""
+        self._began_at += delay_s
+        if self._last_at is not None:
+            self._last_at += delay_s
+        if self._silent_since is not None:
+            self._silent_since += delay_s
+
     def on_token(self, now: float) -> float:
         """Records a token; returns when to probe the stages."""
         if self._last_at is None:
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -78,7 +78,7 @@
         query_claimant: QueryClaimant,
         plan: ServiceCall,
     ) -> None:
-        super().__init__(session)
+        super().__init__(session, state.host_clock)
         self.outcome: outcomes.Outcome | None = None
         self.has_outcome = trio.Event()
         self._session = session
@@ -125,6 +125,9 @@
         """Performs an action without blocking; longer work gets a task."""
         self._handlers[type(action)](action)
 
+    def on_delay(self, delay_s: float) -> None:
+        """Does nothing, as the session measures no silence."""
+
     def make_timer_event(self, timer: msg.Timer) -> msg.Event:
         """Returns the event that a timer posts when it is due."""
         return msg.TimerDue(timer)
--- a/packages/sardinebend-router/src/sardinebend_router/drafting.py
+++ b/packages/sardinebend-router/src/sardinebend_router/drafting.py
@@ -18,6 +18,9 @@
 from sardinebend_router import state as state_lib
 from sardinebend_store import errors as platform_errors
 
+# Timers that limit how long engines may be silent.
+WAITS: typing.Final = frozenset((msg.Timer('stall'), msg.Timer('hedge')))
+
 ReportCrashes = typing.Callable[
     [tuple[quarantine.Crash, ...]], typing.Awaitable[None]
 ]
@@ -76,7 +79,7 @@
         report_crashes: ReportCrashes,
         timeouts_s: tuple[float, float],
     ) -> None:
-        super().__init__(session)
+        super().__init__(session, state.host_clock, WAITS)
         self.answer = Answer()
         self._session = session
         self._state = state
@@ -112,6 +115,10 @@
         """Performs an action without blocking; longer work gets a task."""
         self._handlers[type(action)](action)
 
+    def on_delay(self, delay_s: float) -> None:
+        """Counts a delay of the host as no silence of engines."""
+        self._session.add_delay(delay_s)
+
     def make_timer_event(self, timer: msg.Timer) -> msg.Event:
         """Returns the event that a timer posts when it is due."""
         return msg.TimerDue(timer)
--- a/packages/sardinebend-router/src/sardinebend_router/session_runner.py
+++ b/packages/sardinebend-router/src/sardinebend_router/session_runner.py
@@ -2,10 +2,13 @@
 
 import abc
 import collections
+import collections.abc
 import typing
 
 import trio
 
+from sardinebend_gateway import host_clock
+
 
 class Machine(typing.Protocol):
     """A state machine without I/O."""
@@ -17,8 +20,24 @@
 class SessionRunner(abc.ABC):
     """Runs one state machine: its timers, its tasks, its actions in order."""
 
-    def __init__(self, machine: Machine) -> None:
+    def __init__(
+        self,
+        machine: Machine,
+        clock: host_clock.HostClock,
+        waits: frozenset[typing.Any] = frozenset(),
+    ) -> None:
+        """Creates a runner.
+
+        Args:
+            machine: The state machine.
+            clock: The clock for the silence of others.
+            waits: Timers that limit a wait for others. Delays of the host put
+                them off, and what has come is read before they are due.
+        """
         self._machine = machine
+        self._clock = clock
+        self._waits = waits
+        self._held_up_s = 0.0
         self._events: collections.deque[typing.Any] = collections.deque()
         self._is_handling = False
         self._timers: dict[typing.Any, float] = {}
@@ -31,6 +50,7 @@
         """Runs the machine until `stop` is called."""
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
+            self._held_up_s = self._clock.held_up_s()
             nursery.start_soon(self._run_timers)
             self.post(first_event)
             await self._stop_requested.wait()
@@ -50,6 +70,7 @@
         if self._is_handling:
             return
         self._is_handling = True
+        self._note_delay()
         try:
             while self._events:
                 now = trio.current_time()
@@ -67,6 +88,10 @@
     def make_timer_event(self, timer: typing.Any) -> typing.Any:
         """Returns the event that a timer posts when it is due."""
 
+    @abc.abstractmethod
+    def on_delay(self, delay_s: float) -> None:
+        """Takes note that the host was held up, for a time in seconds."""
+
     def start_task(self, function: typing.Callable, *args: typing.Any) -> None:
         """Starts a task that is cancelled when `run` ends."""
         if self.nursery is not None:
@@ -83,6 +108,17 @@
         if at < self._wake_at and self._timer_scope is not None:
             self._timer_scope.cancel()
 
+    def _note_delay(self) -> None:
+        """Puts off waits for others by the time that the host was held up."""
+        held_up_s = self._clock.held_up_s()
+        delay_s = held_up_s - self._held_up_s
+        self._held_up_s = held_up_s
+        if delay_s <= 0:
+            return
+        for timer in self._waits & self._timers.keys():
+            self._timers[timer] += delay_s
+        self.on_delay(delay_s)
+
     async def _run_timers(self) -> None:
         while True:
             self._wake_at = min(self._timers.values(), default=float('inf'))
@@ -90,10 +126,21 @@
                 self._timer_scope = scope
                 await trio.sleep_until(self._wake_at)
             self._timer_scope = None
-            now = trio.current_time()
-            due = [timer for timer, at in self._timers.items() if at <= now]
-            for timer in due:
-                # Handling one timer may have moved another to a later time.
-                if self._timers.get(timer, float('inf')) <= now:
-                    del self._timers[timer]
-                    self.post(self.make_timer_event(timer))
+            self._note_delay()
+            due = self._list_due()
+            self._post_due(timer for timer in due if timer not in self._waits)
+            if not self._waits.isdisjoint(due):
+                await host_clock.let_others_read()
+                self._note_delay()
+                self._post_due(timer for timer in due if timer in self._waits)
+
+    def _list_due(self) -> list[typing.Any]:
+        now = trio.current_time()
+        return [timer for timer, at in self._timers.items() if at <= now]
+
+    def _post_due(self, timers: collections.abc.Iterable[typing.Any]) -> None:
+        for timer in timers:
+            # Handling another event may have moved it to a later time.
+            if timer in self._list_due():
+                del self._timers[timer]
+                self.post(self.make_timer_event(timer))
--- a/tests/cover/test_host_delays.py
+++ b/tests/cover/test_host_delays.py
@@ -24,6 +24,11 @@
 LONG_PAUSE_S = 20.0
 ANSWER_S = 0.5
 DRAIN_WAIT_S = 6.0
+TOKENS = 4
+TOKEN_S = 0.05
+# Longer than a sound engine is silent, shorter than the longest wait that is
+# derived from the gaps between tokens.
+FOUND_SILENT_S = 5.0
 # Interval at which a stopping host looks whether it is idle.
 POLL_S = 0.1
 
@@ -231,3 +236,137 @@
         endpoint = host.state.fleet.get('bookings-1')
         assert endpoint.unhealthy_until <= trio.current_time()
     assert status == 200
+
+
+class Engines:
+    """Engines over HTTP, some of whose streams wait once before a token.
+
+    Attributes:
+        wait_at: Index of the token before which a stream waits.
+        waiting_attempts: Numbers of the attempts that wait.
+        first_may_go_on: Set once a first attempt may go on. Others that wait
+            never do.
+        orders: Number of each attempt that was received, in order.
+    """
+
+    def __init__(self):
+        self.wait_at = 2
+        self.waiting_attempts = {1}
+        self.first_may_go_on = trio.Event()
+        self.orders = []
+
+    async def serve(self, stream):
+        """Answers one request."""
+        head, _, body = (await stream.receive_some(65536)).partition(
+            b'\r\n\r\n'
+        )
+        if not head.startswith(b'POST /v1/run'):
+            await send_json(stream, {'incarnation': 'i', 'running': 0})
+            return
+        while not body.endswith(b'}'):
+            body += await stream.receive_some(65536)
+        # The host may give up meanwhile.
+        with contextlib.suppress(trio.BrokenResourceError):
+            await self._run(stream, json.loads(body))
+
+    async def _run(self, stream, order):
+        number = order['attempt']
+        self.orders.append(number)
+        await stream.send_all(b'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n')
+        line = {'request': order['request'], 'attempt': number, 'text': 't'}
+        for index in range(order['start_index'], TOKENS):
+            await trio.sleep(TOKEN_S)
+            if index == self.wait_at and number in self.waiting_attempts:
+                if number != 1:
+                    await trio.sleep_forever()
+                await self.first_may_go_on.wait()
+            await stream.send_all(make_line(line | {'index': index}))
+        await stream.send_all(make_line({'final': True, 'count': TOKENS}))
+
+
+def make_line(value):
+    """Returns a line of an engine's stream."""
+    return json.dumps(value).encode() + b'\n'
+
+
+async def send_json(stream, value):
+    """Sends a whole answer."""
+    body = json.dumps(value).encode()
+    head = f'HTTP/1.1 200 OK\r\ncontent-length: {len(body)}\r\n\r\n'
+    await stream.send_all(head.encode() + body)
+
+
+@contextlib.asynccontextmanager
+async def engine_host():
+    """Yields a host with two engines, and the engines."""
+    running = Engines()
+    [listener] = await trio.open_tcp_listeners(0, host='127.0.0.1')
+    port = listener.socket.getsockname()[1]
+    endpoint = dict(embedded.make_tree({})['endpoints']['engine-1'])
+    endpoint['url'] = f'http://127.0.0.1:{port}'
+    endpoints = {'engine-1': endpoint, 'engine-2': endpoint}
+    host = embedded.make_host(port=0, extra={'endpoints': endpoints})
+    host._deps = host._deps._replace(make_driver=cli.make_driver)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(trio.serve_listeners, running.serve, [listener])
+        async with eh.started(host):
+            await trio.sleep(0.5)
+            yield host, running
+        nursery.cancel_scope.cancel()
+
+
+async def ask_for_draft(host):
+    """Asserts that a draft is answered; returns how long that took."""
+    began_at = trio.current_time()
+    status, _, _ = await eh.ask(
+        host, '/v1/completions', eh.draft(max_tokens=TOKENS)
+    )
+    assert status == 200
+    return trio.current_time() - began_at
+
+
+# Guards against a second attempt beside a sound stream, since the host was
+# suspended for longer than an engine may be silent.
+@pytest.mark.parametrize('wait_at', [0, 2])
+async def test_a_pause_of_the_host_is_no_silence_of_a_stream(clock, wait_at):
+    async with engine_host() as (host, running):
+        running.wait_at = wait_at
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_for_draft, host)
+            await trio.sleep(0.3)
+            clock.jump(2 * PAUSE_S)
+            # The engine was held up as well.
+            await trio.sleep(ANSWER_S)
+            running.first_may_go_on.set()
+    assert running.orders == [1]
+
+
+# Guards against a stream that is ended for a second attempt which was only
+# sent shortly before the host was suspended.
+async def test_a_pause_of_the_host_makes_no_second_attempt_overdue(clock):
+    async with engine_host() as (host, running):
+        running.waiting_attempts = {1, 2}
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_for_draft, host)
+            await eh.wait_until(lambda: 2 in running.orders)
+            await trio.sleep(0.3)
+            clock.jump(2 * PAUSE_S)
+            await trio.sleep(ANSWER_S)
+            running.first_may_go_on.set()
+    assert running.orders == [1, 2]
+
+
+# Guards against an engine that is found silent late, since the host took a
+# pause of its own for the gap that is usual between two tokens.
+async def test_a_pause_of_the_host_is_no_usual_gap_between_tokens(clock):
+    async with engine_host() as (host, running):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_for_draft, host)
+            await trio.sleep(0.3)
+            running.first_may_go_on.set()
+            clock.jump(PAUSE_S)
+        running.first_may_go_on = trio.Event()
+        took_s = await ask_for_draft(host)
+        running.first_may_go_on.set()
+    assert running.orders == [1, 1, 2]
+    assert took_s < FOUND_SILENT_S
