Let a pause in a connect leave an exchange the time for its answer

What callers saw: a host that was suspended while it connected gave the other end 1 ms for its answer. Probes and load reports of engines and cancels failed, though the other end was sound.

Cause: what an exchange had left after its connect was measured by real time, also where the limits are those of the host's clock.

Evidence: an origin with the host's clock, a limit of 1 s, an answer after 0.5 s, a pause of 3.5 s in the connect, on the virtual clock: "timed out".

Change: one limit holds for connect and exchange together. When it ends the connect, nothing was sent, and the error says so as before.

Failed before: test_a_pause_in_a_connect_leaves_time_for_the_answer. test_connect_and_answer_share_one_time_limit passed before, too: it guards against a limit that counts twice, and tells both errors apart.

Why it works: the clock that the caller gave measures the whole exchange.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -324,22 +324,23 @@
             errors.ExchangeFailed: The exchange failed; the request may have
                 been received.
         """
-        start = trio.current_time()
-        conn = await (self.connect if new_connection else self.acquire)(
-            timeout_s
-        )
-        remaining_s = max(0.001, timeout_s - (trio.current_time() - start))
+        open_connection = self.connect if new_connection else self.acquire
+        conn: Connection | None = None
         done = False
         try:
-            with self._fail_after(remaining_s):
+            with self._fail_after(timeout_s):
+                conn = await open_connection(timeout_s)
                 reply = await conn.exchange(
                     method, path, headers, body, max_bytes
                 )
                 done = True
         except trio.TooSlowError as exc:
-            raise errors.ExchangeFailed(f'{self.url}: timed out') from exc
+            text = f'{self.url}: timed out'
+            if conn is None:
+                raise errors.ConnectFailed(text) from exc
+            raise errors.ExchangeFailed(text) from exc
         finally:
-            if not done:
+            if conn is not None and not done:
                 await conn.close()
         await self.release(conn)
         return reply
--- a/tests/cover/test_host_delays.py
+++ b/tests/cover/test_host_delays.py
@@ -370,3 +370,60 @@
         running.first_may_go_on.set()
     assert running.orders == [1, 1, 2]
     assert took_s < FOUND_SILENT_S
+
+
+# Guards against exchanges that end without an answer, since the host was
+# suspended while it connected.
+async def test_a_pause_in_a_connect_leaves_time_for_the_answer(
+    clock, monkeypatch
+):
+    original = connections._connect_tcp
+
+    async def connect_late(*args):
+        stream = await original(*args)
+        clock.jump(PAUSE_S)
+        return stream
+
+    async with service_host(ANSWER_S) as (host, _):
+        url = host.state.fleet.get('bookings-1').spec.url
+        origin = connections.Origin(
+            url, fail_after=host.state.host_clock.fail_after
+        )
+        monkeypatch.setattr(connections, '_connect_tcp', connect_late)
+        reply = await origin.exchange('GET', '/health', timeout_s=2 * ANSWER_S)
+        await origin.close()
+    assert reply.status == 200
+
+
+# Guards against an exchange that may take its time limit twice.
+@pytest.mark.parametrize(
+    ('connect_s', 'expected'),
+    [
+        (0.2, contextlib.nullcontext()),
+        # The request may have been received.
+        (0.6, pytest.raises(platform_errors.ExchangeFailed)),
+        (2.0, pytest.raises(platform_errors.ConnectFailed)),
+    ],
+)
+async def test_connect_and_answer_share_one_time_limit(
+    clock, monkeypatch, connect_s, expected
+):
+    original = connections._connect_tcp
+
+    async def connect_slowly(*args):
+        await trio.sleep(connect_s)
+        return await original(*args)
+
+    async with service_host(ANSWER_S) as (host, called):
+        url = host.state.fleet.get('bookings-1').spec.url
+        origin = connections.Origin(
+            url, fail_after=host.state.host_clock.fail_after
+        )
+        monkeypatch.setattr(connections, '_connect_tcp', connect_slowly)
+        began_at = trio.current_time()
+        with expected:
+            await origin.exchange('GET', '/', timeout_s=2 * ANSWER_S)
+        took_s = trio.current_time() - began_at
+        await origin.close()
+    assert took_s < 2 * ANSWER_S + POLL_S
+    assert bool(called) == (connect_s < 2 * ANSWER_S)
