Read what has arrived of a caller's body in few passes

What callers saw: a host whose passes take long reads 64 KB of a body in each. With passes of 0.1 s it reads 0.64 MB a second, however long the bytes have been there, so that a caller's time is over before its body is read, or the limit for bodies ends the request with 408.

Cause: each read from a socket lets all other tasks run first.

Change: what has arrived of a body is read up to 1 MB in one pass. Each piece of 64 KB is added to the body, which has its room in the memory budget, before the next one is read, so no more memory is held than before. The product's own interface reads its bodies through hypercorn and isn't changed.

Failed before: test_a_large_body_is_read_in_few_passes, both framings. test_other_tasks_run_while_a_large_body_is_read guards against a fast caller that lets no other task run.

Why it works: a pass of a late host costs far more than the bytes read in it.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_connections.py
@@ -19,6 +19,9 @@
 from sardinebend_policy import catalog
 
 READ_BYTES: typing.Final = 65536
+# Bytes of a body that are read before another task runs; they take some 1 ms.
+# A late host has few turns, so what has arrived is read at once.
+MAX_READ_AT_A_TIME_BYTES: typing.Final = 1024 * 1024
 # A caller may pipeline its next request. Reading pauses once more than this
 # many bytes of it have arrived before the current one has ended.
 MAX_EARLY_BYTES: typing.Final = 65536
@@ -102,6 +105,7 @@
         )
         self._early_bytes = 0
         self._is_eof = False
+        self._read_at_a_time = 0
         self._is_idle = False
         # Whether the limit for the request that is being read is over.
         self._is_overdue = False
@@ -321,12 +325,12 @@
             await self._stream.send_all(self._conn.send(interim) or b'')
         with self._server.wait_limit(limits.idle_timeout_s):
             await request_reader.read_body(
-                body, self._next_event, limits.max_body_bytes
+                body, self._next_body_event, limits.max_body_bytes
             )
             return
         with self._reading_arrived_only(limits.idle_timeout_s):
             await request_reader.read_body(
-                body, self._next_event, limits.max_body_bytes
+                body, self._next_body_event, limits.max_body_bytes
             )
             return
         raise errors.BadRequest(408, 'timeout while reading the request body')
@@ -341,7 +345,14 @@
                 self._next_event, limits.max_body_bytes
             )
 
-    async def _next_event(self) -> typing.Any:
+    async def _next_body_event(self) -> typing.Any:
+        return await self._next_event(self._receive_body)
+
+    async def _next_event(
+        self,
+        receive: typing.Callable[[], typing.Awaitable[bytes]] | None = None,
+    ) -> typing.Any:
+        receive = receive or self._receive
         while True:
             try:
                 event = self._conn.next_event()
@@ -354,7 +365,21 @@
                 self._stream.socket
             ):
                 raise errors.BadRequest(408, 'timeout while reading a request')
-            self._conn.receive_data(await self._receive())
+            self._conn.receive_data(await receive())
+
+    async def _receive_body(self) -> bytes:
+        """Receives bytes of a body; waits only if none have arrived.
+
+        Only a few bytes are held besides those of the body, which has room for
+        them, as each piece is added to it before the next one is read.
+        """
+        if self._read_at_a_time < MAX_READ_AT_A_TIME_BYTES:
+            data = caller_sockets.read_arrived(self._stream.socket, READ_BYTES)
+            if data:
+                self._read_at_a_time += len(data)
+                return data
+        self._read_at_a_time = 0
+        return await self._receive()
 
     async def _receive(self) -> bytes:
         if self._is_eof:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import fcntl
+import os
 import socket
 import struct
 import termios
@@ -105,6 +106,25 @@
     return _read_count(conn, termios.FIONREAD)
 
 
+def read_arrived(conn: trio.socket.SocketType, max_bytes: int) -> bytes:
+    """Returns received bytes without letting other tasks run.
+
+    Args:
+        conn: The connection, which no other task reads.
+        max_bytes: Largest number of bytes.
+
+    Returns:
+        The bytes; empty if there are none, or if the connection has ended.
+    """
+    if not count_unread_bytes(conn):
+        return b''
+    try:
+        return os.read(conn.fileno(), max_bytes)
+    except OSError:
+        # The caller has reset the connection, as its next read shows.
+        return b''
+
+
 def count_unacknowledged_bytes(conn: trio.socket.SocketType) -> int:
     """Returns how many bytes the caller's machine lacks; 0 if unknown."""
     return _read_count(conn, termios.TIOCOUTQ)
--- a/tests/cover/test_gateway_passes.py
+++ b/tests/cover/test_gateway_passes.py
@@ -1,20 +1,25 @@
 """How many passes through its tasks a host needs; a late one makes few."""
 
+import contextlib
 import itertools
 import socket
 
+import pytest
 import trio
 
+from sardinebend_gateway import caller_connections
 from sardinebend_gateway import heartbeats
 from sardinebend_gateway import http_server
 from sardinebend_peers import codec
 from sardinebend_peers import messages
+from sardinebend_policy import catalog
 from sardinebend_store import connections
 from tests.common import gateway_world as world_lib
 
 CALLERS = 20
 # Passes of the host, and as many of the test before each.
 MAX_PASSES = 6
+BODY_BYTES = 4 * 1024 * 1024
 HEARTBEAT = messages.LoadHeartbeat('host-2', 'i', False, (), b'')
 
 
@@ -120,3 +125,77 @@
         for _ in range(MAX_PASSES):
             await trio.lowlevel.checkpoint()
     assert len(applied) == CALLERS
+
+
+class PunctualCaller(trio.abc.Instrument):
+    """Sends all that the kernel takes before each pass; counts the passes."""
+
+    def __init__(self, address, data):
+        self._sock = socket.create_connection(address)
+        self._sock.setblocking(False)
+        self._left = memoryview(data)
+        self.passes = 0
+
+    def before_io_wait(self, timeout):
+        self.passes += 1
+        with contextlib.suppress(BlockingIOError):
+            while self._left:
+                self._left = self._left[self._sock.send(self._left) :]
+
+    def close(self):
+        self._sock.close()
+
+
+async def count_passes_for_body(framing, data):
+    """Returns how many passes a server makes to read a body."""
+    read = trio.Event()
+    sizes = []
+
+    async def note_size(req, out):
+        sizes.append(req.content.size)
+        read.set()
+        await out.answer(200, [], b'done')
+
+    limits = catalog.Limits(max_body_bytes=BODY_BYTES)
+    server = http_server.Server(note_size, lambda: limits)
+    async with trio.open_nursery() as nursery:
+        await server.start(nursery, world_lib.IP, 0)
+        head = b'POST / HTTP/1.1\r\nhost: h\r\n' + framing + b'\r\n\r\n'
+        caller = PunctualCaller((world_lib.IP, server.port), head + data)
+        trio.lowlevel.add_instrument(caller)
+        await read.wait()
+        trio.lowlevel.remove_instrument(caller)
+        caller.close()
+        nursery.cancel_scope.cancel()
+    assert sizes == [BODY_BYTES]
+    return caller.passes
+
+
+BODIES = [
+    (b'content-length: %d' % BODY_BYTES, b'x' * BODY_BYTES),
+    (
+        b'transfer-encoding: chunked',
+        world_lib.chunk(b'x' * BODY_BYTES) + b'0\r\n\r\n',
+    ),
+]
+
+
+# Guards against callers whose time is over before a late host has read the
+# body that they have sent.
+@pytest.mark.parametrize(('framing', 'data'), BODIES)
+async def test_a_large_body_is_read_in_few_passes(framing, data):
+    passes = await count_passes_for_body(framing, data)
+    assert passes <= 4 * MAX_PASSES
+
+
+# Guards against a fast caller that lets no other task run.
+@pytest.mark.parametrize(('framing', 'data'), BODIES)
+async def test_other_tasks_run_while_a_large_body_is_read(
+    framing, data, monkeypatch
+):
+    at_a_time = 2 * caller_connections.READ_BYTES
+    monkeypatch.setattr(
+        caller_connections, 'MAX_READ_AT_A_TIME_BYTES', at_a_time
+    )
+    passes = await count_passes_for_body(framing, data)
+    assert passes >= BODY_BYTES / (at_a_time + caller_connections.READ_BYTES)
