Wait for the claims of hosts that were listed shortly before a return

What callers saw: a booking with a key, repeated after the table had come back from an older copy, ran a second time if the host that had sent the first was no longer listed (suspended, it would have written its claim again) or had been restarted just before the return.

Cause: only hosts that were listed when the return was noticed were waited for, each in the one incarnation known then. The row of a new process of a host stood for claims that only the old one knew.

Change: each host notes which processes (host and incarnation) it was told of within the last 60 s and waits for all of them. The limit of 60 s counts from when a process was last listed, so one that left before the return holds bookings up for less. As a host that confirms and then restarts overwrites its row, the row names the incarnations that have confirmed the era before.

Tests: of the five new tests of test_claims_after_return three failed on the former code (two ran a booking twice, one didn't hold it up), one failed without the field for earlier incarnations, the fifth guards against holding up bookings for a host that left long ago.

Why it works: what a process knew can only be written again by itself, so it is the process, not the host or its listing, that has to confirm.

--- a/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
+++ b/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
@@ -2,8 +2,8 @@
 
 The copy may lack claims of bookings that have run. Each host writes those again
 that it sent lately, then confirms the table's era in a row of its own. Until
-all hosts have done so, an absent claim doesn't show that nothing ran, and no
-host claims a booking.
+all hosts that ran lately have done so, an absent claim doesn't show that
+nothing ran, and no host claims a booking.
 """
 
 import typing
@@ -20,20 +20,37 @@
 
 CONFIRMATION_PREFIX: typing.Final = 'claim-hosts/'
 CHECK_INTERVAL_S: typing.Final = 0.5
-# What a host knew that doesn't confirm by then is taken as lost.
+# Restarts of a host in one era that others may still wait for.
+MAX_EARLIER: typing.Final = 8
+# What a process knew that doesn't confirm by then is taken as lost. The time
+# counts from the return, or from when it was last listed before.
 RECOVERY_LIMIT_S: typing.Final = 60.0
 
 
-class _Confirmation(typing.TypedDict):
+class _Confirmation(typing.TypedDict, total=False):
     """Value of the row in which a host confirms an era.
 
     Attributes:
         incarnation: Incarnation of the host's process.
         era: Era in which it has written its claims again.
+        earlier: Incarnations of the host that have confirmed this era before.
     """
 
+    incarnation: typing.Required[str]
+    era: typing.Required[int]
+    earlier: list[str]
+
+
+class _Process(typing.NamedTuple):
+    """The process of another host.
+
+    Attributes:
+        host_id: The host.
+        incarnation: Incarnation of the process; empty if not known.
+    """
+
+    host_id: str
     incarnation: str
-    era: int
 
 
 class ClaimRecovery:
@@ -47,9 +64,10 @@
         self._complete_era = 0
         self._confirmed_era = 0
         self._noticed_era = 0
-        self._noticed_at = 0.0
-        # Incarnations of the other hosts; empty where not known.
-        self._required: dict[str, str] = {}
+        # When each process was last listed, of those that were lately.
+        self._listed_at: dict[_Process, float] = {}
+        # Until when each process that may have sent bookings is waited for.
+        self._awaited: dict[_Process, float] = {}
         self._changed = trio.Event()
 
     @property
@@ -72,20 +90,31 @@
 
     async def tick(self) -> None:
         """Recovers the claims of this host, then looks at the others."""
+        self._record_listed()
         era = self._table.era
         if era > self._noticed_era:
             self._noticed_era = era
-            self._noticed_at = trio.current_time()
-            known = self._state.membership.list_incarnations()
-            self._required = {**known, **self._required}
+            for process, listed_at in self._listed_at.items():
+                self._awaited[process] = listed_at + RECOVERY_LIMIT_S
         if era > self._confirmed_era:
             await self._recover(era)
         if era > self._complete_era and await self._have_all_confirmed(era):
             self._complete_era = era
-            self._required = {}
+            self._awaited = {}
             self._changed.set()
             self._changed = trio.Event()
 
+    def _record_listed(self) -> None:
+        """Records the processes that are listed; forgets old ones."""
+        now = trio.current_time()
+        for item in self._state.membership.list_incarnations().items():
+            self._listed_at[_Process(*item)] = now
+        self._listed_at = {
+            process: listed_at
+            for process, listed_at in self._listed_at.items()
+            if now - listed_at <= RECOVERY_LIMIT_S
+        }
+
     async def _recover(self, era: int) -> None:
         for kept in self._state.claims.list_rows(trio.current_time()):
             if not await self._write_again(kept):
@@ -94,16 +123,27 @@
         read = await self._table.read(key)
         if isinstance(read, result.Err):
             return
-        version = read.ok_value.version if read.ok_value else 0
+        row = read.ok_value
         value: _Confirmation = {
             'incarnation': self._state.incarnation,
             'era': era,
+            'earlier': self._list_earlier(row, era),
         }
-        write = store.Write(key, version, dict(value))
+        write = store.Write(key, row.version if row else 0, dict(value))
         answer = await self._table.transact([write])
         if isinstance(answer, result.Ok):
             self._confirmed_era = era
 
+    def _list_earlier(self, row: store.Row | None, era: int) -> list[str]:
+        """Returns the host's incarnations that its row says have confirmed."""
+        found = None if row is None else _convert(row, _Confirmation)
+        if found is None or found['era'] != era:
+            return []
+        earlier = [*found.get('earlier', []), found['incarnation']]
+        return [item for item in earlier if item != self._state.incarnation][
+            -MAX_EARLIER:
+        ]
+
     async def _write_again(self, kept: claims.KeptRow) -> bool:
         """Writes a claim unless the table has it; returns whether it does."""
         value = typing.cast(dict[str, typing.Any], kept.row)
@@ -128,22 +168,34 @@
     async def _have_all_confirmed(self, era: int) -> bool:
         if self._confirmed_era < era:
             return False
-        if trio.current_time() - self._noticed_at > RECOVERY_LIMIT_S:
-            logs.get().warning('claims of some hosts are lost')
-            return True
         rows = await self._table.scan(CONFIRMATION_PREFIX)
         if isinstance(rows, result.Err):
             return False
-        confirmed: dict[str, str] = {}
+        confirmed: set[_Process] = set()
         for row in rows.ok_value:
             value = _convert(row, _Confirmation)
             if value is not None and value['era'] >= era:
                 host_id = row.key.removeprefix(CONFIRMATION_PREFIX)
-                confirmed[host_id] = value['incarnation']
-        return all(
-            host_id in confirmed and incarnation in ('', confirmed[host_id])
-            for host_id, incarnation in self._required.items()
-        )
+                # Any process of a host whose incarnation isn't known counts.
+                incarnations = [
+                    '',
+                    value['incarnation'],
+                    *value.get('earlier', []),
+                ]
+                confirmed.update(
+                    _Process(host_id, item) for item in incarnations
+                )
+        missing = self._awaited.keys() - confirmed
+        if any(
+            self._awaited[process] >= trio.current_time() for process in missing
+        ):
+            return False
+        if missing:
+            hosts = sorted({process.host_id for process in missing})
+            logs.get().warning(
+                'claims of some hosts are lost', extra={'hosts': hosts}
+            )
+        return True
 
 
 def _convert(row: store.Row, shape: typing.Any) -> typing.Any:
--- a/tests/common/booking_world.py
+++ b/tests/common/booking_world.py
@@ -202,18 +202,48 @@
         self.request_hosts: dict[str, str] = {}
         self.session_runners: dict[str, SimSessionRunner] = {}
         self.recoveries: dict[str, SimRecovery] = {}
-        tree = make_tree()
         for index, name in enumerate(HOSTS):
-            host = world_lib.SimHost(name, tree, index, nursery)
-            host.state.membership.apply_listing(
-                (membership.Member(other, 'd', other, other), False)
-                for other in HOSTS
+            self._start_host(name, index, HOSTS)
+
+    def _start_host(
+        self, name: str, seed: int, listed: typing.Iterable[str]
+    ) -> world_lib.SimHost:
+        host = world_lib.SimHost(name, make_tree(), seed, self.nursery)
+        self.hosts[name] = host
+        self.list_hosts(host, listed)
+        recovery = SimRecovery(host.state, world_lib.HostTable(self, host))
+        recovery.host = host
+        self.recoveries[name] = recovery
+        self.nursery.start_soon(host.run_until_killed, recovery.run)
+        return host
+
+    def list_hosts(
+        self, host: world_lib.SimHost, listed: typing.Iterable[str]
+    ) -> None:
+        """Gives a host the platform's list."""
+        host.state.membership.apply_listing(
+            (membership.Member(name, 'd', name, name), False) for name in listed
+        )
+
+    def restart_host(self, name: str) -> None:
+        """Kills a host and starts it anew; the others hear of it at once."""
+        old = self.hosts[name]
+        old.kill()
+        host = self._start_host(name, len(HOSTS), HOSTS)
+        host.state.incarnation = f'{old.state.incarnation}-again'
+        self.send_heartbeats()
+
+    def send_heartbeats(self) -> None:
+        """Lets all hosts hear from all others that are live."""
+        now = trio.current_time()
+        for sender in self.hosts.values():
+            if not sender.is_live or sender.is_frozen:
+                continue
+            heartbeat = membership.Heartbeat(
+                sender.name, sender.state.incarnation, 1, 0, False, True
             )
-            self.hosts[name] = host
-            recovery = SimRecovery(host.state, world_lib.HostTable(self, host))
-            recovery.host = host
-            self.recoveries[name] = recovery
-            nursery.start_soon(host.run_until_killed, recovery.run)
+            for receiver in self.hosts.values():
+                receiver.state.membership.record_heartbeat(heartbeat, now)
 
     async def query_claimant(
         self, requester: str, host: str, incarnation: str, nonce: str
--- a/tests/cover/test_claims_after_return.py
+++ b/tests/cover/test_claims_after_return.py
@@ -108,3 +108,85 @@
 def test_a_claim_whose_answer_comes_after_the_return_is_not_sent_by_it():
     faults = (('claim_sent', 'table_slow'), ('claim_written', 'table_returns'))
     assert matrix.run_cell(matrix.BOOKING, faults).violations == []
+
+
+# Guards against a booking that runs again because the host that sent it is no
+# longer listed, and isn't waited for.
+async def test_a_suspended_host_that_is_no_longer_listed_is_waited_for(clock):
+    async with open_world() as world:
+        first = await ask(world, 'r0', 'a')
+        world.hosts['a'].freeze()
+        await trio.sleep(RECOVERED_S)
+        for name in ('b', 'c'):
+            world.list_hosts(world.hosts[name], ('b', 'c'))
+        world.table.return_from_copy({})
+        refused = await ask(world, 'r1', 'b')
+        world.hosts['a'].thaw()
+        await trio.sleep(RECOVERED_S)
+        repeat = await ask(world, 'r2', 'b')
+    assert isinstance(refused, outcomes.NotRun)
+    assert repeat == first
+    assert len(world.executions) == 1
+
+
+# Guards against a host that counts as recovered because its next process, which
+# knows nothing of what the last one sent, has confirmed.
+async def test_a_host_that_was_restarted_before_the_return_has_lost_claims(
+    clock,
+):
+    async with open_world() as world:
+        world.send_heartbeats()
+        await ask(world, 'r0', 'a')
+        await trio.sleep(RECOVERED_S)
+        world.restart_host('a')
+        await trio.sleep(RECOVERED_S)
+        world.table.return_from_copy({})
+        refused = await ask(world, 'r1', 'b')
+    assert isinstance(refused, outcomes.NotRun)
+    assert len(world.executions) == 1
+
+
+async def test_a_host_that_left_long_ago_holds_up_no_booking(clock):
+    async with open_world() as world:
+        await trio.sleep(RECOVERED_S)
+        world.hosts['a'].kill()
+        for name in ('b', 'c'):
+            world.list_hosts(world.hosts[name], ('b', 'c'))
+        await trio.sleep(claim_recovery.RECOVERY_LIMIT_S)
+        world.table.return_from_copy({})
+        outcome = await ask(world, 'r0', 'b')
+    assert isinstance(outcome, outcomes.Answered)
+
+
+async def test_a_host_that_left_holds_bookings_up_from_when_it_left(clock):
+    async with open_world() as world:
+        await trio.sleep(RECOVERED_S)
+        world.hosts['a'].kill()
+        for name in ('b', 'c'):
+            world.list_hosts(world.hosts[name], ('b', 'c'))
+        await trio.sleep(claim_recovery.RECOVERY_LIMIT_S - 10.0)
+        world.table.return_from_copy({})
+        refused = await ask(world, 'r0', 'b')
+        await trio.sleep(10.0)
+        served = await ask(world, 'r1', 'b')
+    assert isinstance(refused, outcomes.NotRun)
+    assert isinstance(served, outcomes.Answered)
+
+
+# Guards against a wait for a process whose successor has overwritten the row in
+# which it had confirmed the era.
+async def test_a_host_that_has_confirmed_and_restarted_holds_up_no_booking(
+    clock,
+):
+    async with open_world() as world:
+        world.send_heartbeats()
+        await trio.sleep(RECOVERED_S)
+        world.hosts['b'].freeze()
+        world.table.return_from_copy({})
+        await trio.sleep(RECOVERED_S)
+        world.restart_host('a')
+        await trio.sleep(RECOVERED_S)
+        world.hosts['b'].thaw()
+        await trio.sleep(RECOVERED_S)
+        outcome = await ask(world, 'r0', 'b')
+    assert isinstance(outcome, outcomes.Answered)
