Spare a store that has come back the whole reads of all hosts

What was seen: after an outage of a second or more from which the store came back from an older copy, nearly every host read whole tables from it: 115 whole reads at 77 hosts, 40 at 24, where 6 do (two readers, three tables). Reads in the busiest second grew with the fleet: 77 at 24 hosts, 211 at 77, 10 before the outage.

Cause: the evidence of the readers grows too old during the outage, so all hosts ask the store themselves, and learn from it that their version is of another era. A host that must read a table whole never asked its reader.

Change: a host that learns from the store that its history is lost first waits for its reader, up to the time within which a reader asks again. It takes what has no gaps and is of the present era; otherwise, and whenever nobody reads for it, it reads the store as before.

Why it works: the relay already sends a table whole to a host of another era and answers as soon as it has a newer one; only the question was missing.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/follower.py
@@ -191,6 +191,8 @@
         self._on_rows = on_rows
         self._poll_times = poll_times
         self._must_read_all = True
+        # Whether the reader may have the rows that the store must be asked for.
+        self._may_ask_reader = False
         # Whether the last request failed while this host was held up.
         self._failed_late = False
         self._retry_delay_s = RETRY_S
@@ -246,8 +248,10 @@
 
         Returns the number of rows; `None` if the store must be asked.
         """
-        if self.peers is None or self._must_read_all:
+        if self.peers is None:
             return None
+        if self._must_read_all:
+            return await self._read_from_reader(self.peers)
         # The wait ends before the current evidence becomes too old, so that the
         # store can be asked in time.
         remaining_s = self._poll_times.max_peer_age_s - self.evidence_age_s()
@@ -275,12 +279,44 @@
             # peer. The store's version also counts writes to other tables, so
             # this peer reaches it even if the table doesn't change.
             return 0 if wait_s >= MIN_WAIT_S else None
+        self._apply_relayed(relayed)
+        return len(relayed.changes.rows)
+
+    async def _read_from_reader(self, peers: PeerTables) -> int | None:
+        """Applies rows that this host's reader has since the store lost them.
+
+        Once a store has come back from an older copy, all hosts that asked it
+        learn of that at the same time; the reader spares it their whole reads.
+
+        Returns the number of rows; `None` if the store must be asked.
+        """
+        if not self._may_ask_reader:
+            return None
+        self._may_ask_reader = False
+        # A reader that has lost the store asks it again within this time.
+        wait_s = min(MAX_RETRY_S, self._poll_times.max_peer_age_s)
+        answer = await peers.query_reader(self.table, self.version, wait_s)
+        if isinstance(answer, result.Err):
+            return None
+        relayed = answer.ok_value
+        version = relayed.changes.version
+        era = feeds.era_of(version)
+        is_of_former_era = era < self._state.edges.store.era
+        has_gaps = era > feeds.era_of(self.version) and not relayed.is_whole
+        age_s = clocks.now() - relayed.evidence_at
+        is_old = age_s >= self._poll_times.max_peer_age_s
+        if is_of_former_era or has_gaps or is_old or version < self.version:
+            return None
+        self._apply_relayed(relayed)
+        self._must_read_all = False
+        return len(relayed.changes.rows)
+
+    def _apply_relayed(self, relayed: Relayed) -> None:
         self._record_contact(relayed.evidence_at)
         if relayed.since_outage_s is not None:
             regained_at = clocks.now() - relayed.since_outage_s
             self.regained_at = max(self.regained_at, regained_at)
         self._apply(relayed.changes, relayed.evidence_at, relayed.is_whole)
-        return len(relayed.changes.rows)
 
     async def _follow_store(self) -> int:
         """Applies changes from the store; returns the number of rows."""
@@ -340,6 +376,7 @@
         self._state.metrics.count('store_failures', table=self.table)
         if isinstance(exc, store_errors.HistoryLost):
             self._must_read_all = True
+            self._may_ask_reader = self.has_rows
             return
         host_clock = self._state.host_clock
         may_be_sound = not (self.is_store_lost or self._failed_late)
