Let a begun stream wait for a retry if the budget has none

Callers saw: a begun stream that was broken off at once after its engine had ended it, or had refused to resume it, "no retry budget", though other engines were free and the caller would have waited.

Cause: the retry budget of a service is shared by all requests of a host. It grows with each new request, but a begun stream asked for a retry only once, at the moment of its failure, when other streams of the same engine had just spent the last ones.

Ruled out: a larger budget; its size follows from the limit on repeats, which this doesn't touch.

One that hasn't begun is ended as before.

Why it works: a stream is only sent again with a retry in hand, so that the budget holds as before; what it waits for comes at the pace of the requests.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -87,7 +87,7 @@
             if (
                 step is forwarding.Step.RETRY
                 and is_repeat
-                and not exchange.try_spend_retry()
+                and not await self._take_retry()
             ):
                 self._reason += ', no retry budget'
                 step = exchange.ledger.final_step(end)
@@ -95,6 +95,27 @@
                 await self._finish(step, self._reason, reply)
                 return
 
+    async def _take_retry(self) -> bool:
+        """Takes a retry from the shared budget.
+
+        A begun stream waits for one: each new request adds to the budget.
+
+        Returns:
+            Whether it has got one.
+        """
+        exchange = self._exchange
+        if exchange.try_spend_retry():
+            return True
+        if not exchange.out.is_started:
+            return False
+        clock = exchange.state.host_clock
+        with clock.move_on_after(stream_paths.RESUME_WAIT_S):
+            while True:
+                await trio.sleep(stream_paths.POLL_S)
+                if exchange.try_spend_retry():
+                    return True
+        return False
+
     def _next_step(self, end: forwarding.End) -> forwarding.Step:
         """Returns what to do after an attempt that didn't answer.
 
--- a/tests/cover/test_gateway_refused_resumptions.py
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -208,6 +208,47 @@
     assert len(scene.arrivals) <= 2
 
 
+# Guards against giving up a begun stream because other requests have used up
+# the retry budget for a moment; each new request adds to it.
+@pytest.mark.parametrize('has_others', [True, False])
+async def test_a_begun_stream_waits_for_a_retry(has_others, clock):
+    async def script(engine, headers, stream):
+        if headers['request-id'] != 'r1':
+            return await send_events({**headers, 'last-event-id': '7'}, stream)
+        if scene.broken_at is None:
+            await send_events(headers, stream, BROKEN_AFTER)
+            return scene.break_off(engine, listens=True)
+        return await send_events(headers, stream)
+
+    async def send_others():
+        while scene.broken_at is None:
+            await trio.sleep(EVENT_S)
+        await trio.sleep(FAULT_S)
+        for number in range(2, 5):
+            await world.ask(
+                '/draft/x', 'POST', b'p', request_id=f'r{number}', model='m'
+            )
+
+    scene = Scene(script, (0, 4), (0, 4), (0, 4))
+    # A retry for each two requests.
+    async with world_lib.running(
+        *scene.engines, extra_retries=0, retry_ratio=1.0
+    ) as world:
+        budget = world.gateway.state.budget_of('llm')
+        budget.record_success(trio.current_time())
+        async with trio.open_nursery() as nursery:
+            if has_others:
+                nursery.start_soon(send_others)
+            budget.try_spend(trio.current_time())
+            answer = await scene.ask(world)
+            took_s = trio.current_time() - scene.broken_at
+    if has_others:
+        assert_whole(answer)
+    else:
+        assert not answer[3]
+    assert took_s < GIVEN_UP_S
+
+
 # Guards against a search without end for an engine that goes on refusing.
 async def test_a_stream_that_all_engines_go_on_refusing_is_given_up(clock):
     async def script(engine, headers, stream):
