Follow a claim that the table has while others are written again

What callers saw: while hosts wrote their claims again after a return, for up to 60 s beside a host that never does (one that is gone, or of the previous release), a repeat of a booking that another host was running, or a key used for another body, waited 3 s and was refused with "table-unavailable".

Cause: only claims that had ended were looked at before the wait.

Change: any claim of another request is followed as at any other time, unless it was released, as a later claim may have been lost then. One given up when its host is asked leads to a new claim, which waits as before.

Why it works: a claim in the table forbids a second run whatever else the copy lacks; only to claim anew needs all claims.

--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -184,9 +184,9 @@
     async def _write_claim(self, action: msg.WriteClaim) -> None:
         self._claim = action.row
         if not self._platform.recovery.is_complete:
-            ended = await self._read_ended_claim()
-            if ended is not None:
-                self.post(ended)
+            found = await self._read_other_claim()
+            if found is not None:
+                self.post(found)
                 return
             recovery = self._platform.recovery
             if not await recovery.wait_until_complete(RECOVERY_WAIT_S):
@@ -216,17 +216,19 @@
         else:
             self.post(msg.TableUnavailable())
 
-    async def _read_ended_claim(self) -> msg.ClaimConflict | None:
-        """Returns the claim of another request with the key if it has ended."""
+    async def _read_other_claim(self) -> msg.ClaimConflict | None:
+        """Returns another request's claim of the key, unless it was released.
+
+        No claim that the table may lack changes what it leads to: a replay, or
+        a question to its host. A claim may have been lost after a release.
+        """
         answer = await self._platform.table.read(self._session.request.row_key)
         row = answer.ok_value if isinstance(answer, result.Ok) else None
         if row is None:
             return None
         value = typing.cast(claims.ClaimRow, row.value)
-        if value['state'] not in (
-            claims.RowState.DONE,
-            claims.RowState.UNKNOWN,
-        ):
+        is_own = value['nonce'] == self._session.request.nonce
+        if is_own or value['state'] == claims.RowState.RELEASED:
             return None
         return msg.ClaimConflict(value, row.version)
 
--- a/tests/cover/test_claims_after_return.py
+++ b/tests/cover/test_claims_after_return.py
@@ -190,3 +190,19 @@
         await trio.sleep(RECOVERED_S)
         outcome = await ask(world, 'r0', 'b')
     assert isinstance(outcome, outcomes.Answered)
+
+
+# Guards against refusals of what no lost claim could change: the table has the
+# claim of another request with the key, and its host is asked.
+async def test_a_claim_that_the_table_has_is_followed_before_all_recovered(
+    clock,
+):
+    async with open_world() as world:
+        world.is_silent = True
+        world.nursery.start_soon(world.request, 'r0', 'a')
+        await trio.sleep(0.1)
+        world.hosts['c'].kill()
+        world.table.return_from_copy(world.table.copy_rows())
+        repeat = await ask(world, 'r1', 'b')
+    assert isinstance(repeat, outcomes.OutcomeUnknown)
+    assert len(world.executions) == 1
