--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -7,6 +7,8 @@
 
 import typing
 
+import trio
+
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import endings
 from sardinebend_gateway import errors
