Let a stream go on beside another attempt that answers at once

Callers saw: a stream cut at its first event, or closed without an answer, though one of its attempts delivered events and the other one a complete answer (404 in the test).

Cause: whether the stream has begun was looked at when an attempt had read its answer, and the answer sent some passes later. Meanwhile the other attempt, that hadn't noticed its end, could begin the stream; the second head was then refused by the host itself, which aborts.

Change: an answer without a stream counts as a failure of its attempt if the stream has begun by the time it is handled; once such an answer has been taken, no attempt takes the lead, and none that ends later replaces it.

Why it works: both decisions are now made without a pass in between.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -26,6 +26,7 @@
 
 # Attempts of one stream that may run at the same time.
 MAX_AT_ONCE: typing.Final = 2
+ANSWERED_BESIDE: typing.Final = 'answered beside a stream that has begun'
 SUPERSEDED: typing.Final = 'another attempt has delivered the next event'
 
 
@@ -55,6 +56,7 @@
         self._refused_ids: set[str] = set()
         self._end = forwarding.End.UNREACHED
         self._reply: exchange_lib.Reply | None = None
+        self._is_answered = False
         self._abort_error: errors.ConnectionAborted | None = None
 
     async def run(
@@ -78,7 +80,7 @@
 
     def take_lead(self, attempt: object, resume_after: bytes | None) -> bool:
         """See `Rivals.take_lead`."""
-        if self._exchange.out.is_ended:
+        if self._exchange.out.is_ended or self._is_answered:
             return False
         own_scope = self._running.get(
             typing.cast(stream_attempt.StreamAttempt, attempt)
@@ -211,8 +213,20 @@
         reply: exchange_lib.Reply | None,
     ) -> None:
         """Records the result of an attempt that has ended by itself."""
+        if self._is_answered:
+            # It hadn't noticed yet that another attempt has answered.
+            return
+        if (
+            end is forwarding.End.ANSWERED
+            and reply is not None
+            and self._exchange.out.is_started
+        ):
+            # Another attempt has begun the stream since this answer was read.
+            end, progress.reason = forwarding.End.FAILED, ANSWERED_BESIDE
+            reply = None
         self._end, self._reply = end, reply
         if end is forwarding.End.ANSWERED:
+            self._is_answered = True
             self._cancel_all()
             return
         self._exchange.ledger.record_end(end)
--- a/tests/cover/test_gateway_silent_servers.py
+++ b/tests/cover/test_gateway_silent_servers.py
@@ -143,6 +143,43 @@
     assert_all_whole(answers, 1)
 
 
+# Guards against a stream that is cut because one of its attempts delivers the
+# first event as the other one answers the request without a stream.
+@pytest.mark.parametrize('passes', range(10))
+async def test_a_stream_goes_on_beside_another_answer_at_once(passes, clock):
+    arrivals = []
+    both_wait = trio.Event()
+
+    async def stream_or_answer(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        arrivals.append(headers)
+        if len(arrivals) == 2:
+            await trio.sleep(EVENT_S)
+            both_wait.set()
+            return Answer(world_lib.head(404, fixed))
+        await stream.send_all(world_lib.head(200, fixed, 'chunked'))
+        await both_wait.wait()
+        for _ in range(passes):
+            await trio.lowlevel.checkpoint()
+        events = [chunk(event(n)) for n in range(1, EVENTS + 1)]
+        return Answer(events[0], EVENT_S, *events[1:], LAST_CHUNK)
+
+    servers = make_engines(*[stream_or_answer] * 4)
+    answers = {}
+    async with world_lib.running(*servers) as world:
+        state = world.gateway.state
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, world, answers, 0)
+            while not arrivals:
+                await trio.sleep(0.01)
+            [first] = [server for server in servers if server.requests]
+            state.record_silence(state.endpoints.get(first.name), 'test')
+    assert len(arrivals) == 2
+    [(status, _, body, is_whole)] = answers.values()
+    assert is_whole
+    assert (status, bool(body)) in ((200, True), (404, False))
+
+
 # Guards against taking away the streams of an engine to which another request
 # can't connect, for instance because this host's own link is busy.
 async def test_a_stream_goes_on_though_connects_to_its_engine_time_out(
