Resume a plain stream at a silent endpoint if none is left

Callers saw: a begun stream of a service without layers that was broken off after its endpoint had ended it, though the only other endpoint was silent for a second and went on.

Ruled out: new requests.

Change: a begun stream without layers is also resumed at a silent endpoint.

Test that failed before: test_gateway_refused_resumptions, test_a_stream_is_resumed_at_a_silent_engine_if_no_other_is_left[False]; the case with layers passed. After: that file, 11 tests, green.

Why it works: silence is no evidence of an end, and the other choice was to cut the stream.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -244,14 +244,18 @@
         now = clocks.now()
         usable = state.endpoints.list_usable_or_silent(service.name, now)
         has_silent = any(state.endpoints.is_silent(e, now) for e in usable)
-        if not has_silent or service.engine is None or self._is_connected():
-            return None
-        if not service.has_layers:
+        if not has_silent or self._is_connected():
             return None
+        excluded_ids = self._list_excluded() | self._list_pausing()
+        if not service.has_layers or service.engine is None:
+            # A caller whose stream hasn't begun may come back.
+            if not self._exchange.out.is_started:
+                return None
+            return self._find_single_endpoint(excluded_ids, usable)
         finder = paths_lib.PathFinder(service.engine, usable, state.loads())
         return finder.find(
             self.tokens,
-            avoid=self._list_excluded() | self._list_pausing(),
+            avoid=excluded_ids,
             avoid_first=self._list_barred_first(),
         )
 
@@ -282,18 +286,23 @@
         return {name for name, r in self._refusals.items() if r.until > now}
 
     def _find_single_endpoint(
-        self, excluded_ids: typing.Collection[str]
+        self,
+        excluded_ids: typing.Collection[str],
+        usable: typing.Iterable[endpoints_lib.Endpoint] | None = None,
     ) -> paths_lib.Path | None:
-        """Returns a path of one endpoint that holds the whole model."""
+        """Returns a path of one endpoint that holds the whole model.
+
+        Args:
+            excluded_ids: Ids of endpoints that aren't chosen.
+            usable: Those to choose from; by default all that get new requests.
+        """
         state = self._state
         now = clocks.now()
         name = self._exchange.admitted.service.name
         excluded_ids = self._list_barred_first().union(excluded_ids)
-        candidates = [
-            e
-            for e in state.endpoints.list_usable(name, now)
-            if e.endpoint_id not in excluded_ids
-        ]
+        if usable is None:
+            usable = state.endpoints.list_usable(name, now)
+        candidates = [e for e in usable if e.endpoint_id not in excluded_ids]
         endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
         if endpoint is None:
             return None
--- a/tests/cover/test_gateway_refused_resumptions.py
+++ b/tests/cover/test_gateway_refused_resumptions.py
@@ -149,8 +149,9 @@
 
 # Guards against giving up a begun stream beside a silent engine, because the
 # engine that broke it off would still be a path for others.
+@pytest.mark.parametrize('has_layers', [True, False])
 async def test_a_stream_is_resumed_at_a_silent_engine_if_no_other_is_left(
-    clock,
+    has_layers, clock
 ):
     async def script(engine, headers, stream):
         if scene.broken_at is None:
@@ -159,12 +160,15 @@
         return await send_events(headers, stream)
 
     scene = Scene(script, (0, 4), (0, 4))
+    config = world_lib.make_config()
+    if not has_layers:
+        config['services'][1].pop('engine')
     answers = []
 
     async def ask(world):
         answers.append(await scene.ask(world))
 
-    async with world_lib.running(*scene.engines) as world:
+    async with world_lib.running(*scene.engines, config=config) as world:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask, world)
             while not scene.arrivals:
