Pass on what has arrived before a planned stop cuts its requests

Callers saw: a stream cut at the end of a planned stop, though its engine had sent the end of it 1.2 s before, to a host that was held up meanwhile.

Cause: the end of the stop is a time limit. A host that goes on after a pause finds it over and ends its tasks before it reads its sockets; the same class as the idle limits (stops over processes) and the limits for others.

Change: at the cut, a host with requests in flight makes as many passes as it makes for a time limit of others, for 0.1 s at most; 0.6 s are left until the process is killed. A host without requests ends as before.

Why it works: the end of an answer takes some four passes through the host, and the kernel takes it without waiting for the caller.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -13,6 +13,7 @@
 from sardinebend_gateway import follower as follower_lib
 from sardinebend_gateway import forwarder
 from sardinebend_gateway import heartbeats
+from sardinebend_gateway import host_clock
 from sardinebend_gateway import http_server
 from sardinebend_gateway import members
 from sardinebend_gateway import placement_controller
@@ -229,6 +230,7 @@
         with trio.move_on_at(stop.cut_at):
             self.server.close()
             await self.server.wait_closed()
+        await self._pass_on_arrived()
         self.state.audit.log(
             events.STOPPED,
             in_flight=self.server.in_flight,
@@ -239,6 +241,18 @@
             after_s=round(trio.current_time() - stop.started_at, 3),
         )
 
+    async def _pass_on_arrived(self) -> None:
+        """Lets requests end whose answers have arrived, before they are cut.
+
+        A host that was held up finds the end of its stop over before it has
+        read them.
+        """
+        until = trio.current_time() + planned_stop.LAST_READ_S
+        for _ in range(host_clock.READ_PASSES):
+            if not self.server.in_flight or trio.current_time() >= until:
+                return
+            await trio.lowlevel.checkpoint()
+
     def _apply_shared_rows(self, rows: typing.Iterable[feeds.FeedRow]) -> None:
         for row in rows:
             row_guard.apply_row(
--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -16,6 +16,9 @@
 MIN_CUT_SHARE: typing.Final = 5 / 6
 # Time left at the end of the grace period to end the process.
 EXIT_MARGIN_S: typing.Final = 0.6
+# Requests are cut off by up to this much later if a host has yet to read what
+# has arrived.
+LAST_READ_S: typing.Final = 0.1
 # For this long before requests in flight are cut off, no connection is
 # accepted, so that whatever has been read is still answered.
 CLOSING_S: typing.Final = 0.4
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -412,3 +412,47 @@
             await trio.sleep(0.1)
             is_over.set()
     assert [is_whole for *_, is_whole in answers] == [True] * LATE_CALLERS
+
+
+# Guards against cutting a stream whose end has come, since a host that was held
+# up finds the end of its stop over before it reads its sockets.
+async def test_a_stream_whose_end_came_during_a_pause_is_not_cut(clock):
+    connections_of_engine, answers = [], []
+    is_over = trio.Event()
+
+    async def send_first_event(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        first = world_lib.chunk(world_lib.event(1))
+        await stream.send_all(world_lib.head(200, fixed, 'chunked') + first)
+        connections_of_engine.append(stream.socket.fileno())
+        await is_over.wait()
+
+    async def ask_and_read(world):
+        answers.append(
+            await world.ask('/draft/x', 'POST', b'p', deadline_ms='20000')
+        )
+
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    config['routes'][2]['timeout_ms'] = 20000
+    server = world_lib.Server('llm-0', 'llm', send_first_event)
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, [server], grace_s=GRACE_S)
+        await world.start(config)
+        nursery.start_soon(ask_and_read, world)
+        await trio.sleep(0.1)
+        world.gateway.begin_stop()
+        stop = world.gateway.state.planned_stop
+        await trio.sleep_until(stop.cut_at - PAUSE_S)
+        # Sent without letting the host run.
+        [connection] = connections_of_engine
+        os.write(connection, world_lib.chunk(world_lib.event(2)))
+        os.write(connection, b'0\r\n\r\n')
+        clock.jump(PAUSE_S + 0.1)
+        while not answers:
+            await trio.sleep(0.01)
+        is_over.set()
+        nursery.cancel_scope.cancel()
+    [(status, _, body, is_whole)] = answers
+    assert (status, is_whole) == (200, True)
+    assert body == world_lib.event(1) + world_lib.event(2)
