--- a/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/planned_stop.py
@@ -16,6 +16,9 @@
 MIN_CUT_SHARE: typing.Final = 5 / 6
 # Time left at the end of the grace period to end the process.
 EXIT_MARGIN_S: typing.Final = 0.6
+# For up to this much longer, a host reads what has arrived before it gives
+# requests up, and before it cuts them off.
+LAST_READ_S: typing.Final = 0.1
 # For this long before requests in flight are cut off, no connection is
 # accepted, so that whatever has been read is still answered.
 CLOSING_S: typing.Final = 0.4
--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -412,3 +412,55 @@
             await trio.sleep(0.1)
             is_over.set()
     assert [is_whole for *_, is_whole in answers] == [True] * LATE_CALLERS
+
+
+# Guards against cutting a stream whose end has come, or giving it up, since a
+# host that was held up finds the times of its stop over before it reads its
+# sockets.
+@pytest.mark.parametrize('is_begun', [True, False])
+async def test_a_stream_whose_end_came_during_a_pause_is_not_cut(
+    is_begun, clock
+):
+    connections_of_engine, answers = [], []
+    is_over = trio.Event()
+
+    async def send_first_event(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        first = world_lib.chunk(world_lib.event(1))
+        begin = world_lib.head(200, fixed, 'chunked') + first
+        if is_begun:
+            await stream.send_all(begin)
+        connections_of_engine.append((stream.socket.fileno(), begin))
+        await is_over.wait()
+
+    async def ask_and_read(world):
+        answers.append(
+            await world.ask('/draft/x', 'POST', b'p', deadline_ms='20000')
+        )
+
+    config = world_lib.make_config()
+    config['services'][1].pop('engine')
+    config['routes'][2]['timeout_ms'] = 20000
+    server = world_lib.Server('llm-0', 'llm', send_first_event)
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, [server], grace_s=GRACE_S)
+        await world.start(config)
+        nursery.start_soon(ask_and_read, world)
+        await trio.sleep(0.1)
+        world.gateway.begin_stop()
+        stop = world.gateway.state.planned_stop
+        await trio.sleep_until(stop.cut_at - PAUSE_S)
+        # Sent without letting the host run.
+        [(connection, begin)] = connections_of_engine
+        if not is_begun:
+            os.write(connection, begin)
+        os.write(connection, world_lib.chunk(world_lib.event(2)))
+        os.write(connection, b'0\r\n\r\n')
+        clock.jump(PAUSE_S + 0.1)
+        while not answers:
+            await trio.sleep(0.01)
+        is_over.set()
+        nursery.cancel_scope.cancel()
+    [(status, _, body, is_whole)] = answers
+    assert (status, is_whole) == (200, True)
+    assert body == world_lib.event(1) + world_lib.event(2)
