Take no pause of the host for the silence of a booking's claimant

What callers saw: "unknown" (504, claimant-lost) for a repeated booking, when the host was suspended for 3.5 s while it asked the host that holds the claim, which answered the next question.

Cause: a claimant may be silent for 2 s before the outcome counts as unknown. That time was measured by real time, so that one unanswered question beside a pause used it up.

Change: the session of a booking moves the time at which it last heard of the claimant by delays of the host, as it does with the limit for a reply.

Failed before: test_a_pause_of_the_host_is_no_silence_of_a_claimant.

Why it works: the host asks as often as it would have without the pause.

--- a/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/bookings.py
@@ -125,6 +125,7 @@
             delay_s: Length of the delay in seconds, which has just ended.
         """
         self._reply_until += delay_s
+        self._claimant_heard_at += delay_s
 
     # Before the claim: a failure here leaves no claim, and nothing has been
     # sent to the service.
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -128,7 +128,7 @@
         self._handlers[type(action)](action)
 
     def on_delay(self, delay_s: float) -> None:
-        """Lets a delay of the host end no wait for a reply."""
+        """Counts a delay of the host as no silence of services or hosts."""
         self._session.add_delay(delay_s)
 
     def make_timer_event(self, timer: msg.Timer) -> msg.Event:
--- a/tests/cover/test_host_delays.py
+++ b/tests/cover/test_host_delays.py
@@ -10,8 +10,10 @@
 
 from sardinebend_peers import links
 from sardinebend_peers import messages
+from sardinebend_policy import claims
 from sardinebend_policy import host_delays
 from sardinebend_policy import membership
+from sardinebend_policy import outcomes
 from sardinebend_router import cli
 from sardinebend_router import embedded
 from sardinebend_store import connections
@@ -40,14 +42,22 @@
     Attributes:
         delay_s: That delay.
         settings_version: What it says of its settings.
+        claim: What it says of each claim.
     """
 
+    claim = claims.ClaimantAnswer(
+        claims.ClaimantState.DONE,
+        outcomes.Answered(0, 200, 'application/json', b'{}'),
+    )
+
     def __init__(self):
         self.delay_s = 0.0
         self.settings_version = 1
 
     async def answer(self, message):
         await trio.sleep(self.delay_s)
+        if isinstance(message, messages.ClaimQuestion):
+            return messages.ClaimReply(self.claim)
         if isinstance(message, messages.SettingsReply):
             self.settings_version = message.version
         return messages.MembershipHeartbeat(
@@ -469,3 +479,30 @@
         took_s = trio.current_time() - called_at
     assert b'unknown' in answer.lower()
     assert took_s < ANSWER_S + 2 * host_delays.MAX_STEP_S
+
+
+# Guards against a repeat of a booking whose outcome is unknown to its caller,
+# since the host was suspended while it asked the host that holds the claim.
+async def test_a_pause_of_the_host_is_no_silence_of_a_claimant(clock):
+    row = {
+        'host': 'peer',
+        'incarnation': 'i',
+        'nonce': 'n',
+        'digest': claims.digest_body('bookings.confirm', b'{}'),
+        'state': claims.RowState.CLAIMED,
+    }
+    booking = eh.make_request(
+        '/v1/services/bookings/confirm', b'{}', idempotency_key='k'
+    )
+    async with two_hosts() as (host, peer):
+        write = store.Write(claims.make_row_key('demo', 'k'), 0, row)
+        await host._deps.table.transact([write])
+        # The first question gets no answer.
+        peer.delay_s = LONG_PAUSE_S
+        stream = await eh.send_raw(host, booking)
+        await trio.sleep(0.2)
+        clock.jump(PAUSE_S)
+        peer.delay_s = 0.0
+        async with stream:
+            answer = await eh.read_all(stream)
+    assert answer.startswith(b'HTTP/1.1 200')
