Write settings again that the product's table has lost

What operators saw: after the table had come back from an older copy, a change of settings was told as accepted and came into force nowhere. Settings that only the hosts still knew were gone once the last of them restarted.

Cause: nobody wrote settings again. The next change was applied to the copy's tree and got the version of the lost one, which all hosts had in force, so none took it, yet each counted as having it.

All rows are conditional on the versions read, so one of several hosts succeeds. The entry in the audit trail names the version that the copy had; hosts at another one load the whole tree.

Why it works: versions in force never go back in a process, so the highest one heard is the last that was committed.

Not covered: entries of the audit trail and ids of the changes that were lost; a host that hasn't heard of the lost change and changes settings within the gap still makes a second tree of that version.

--- a/packages/sardinebend-router/src/sardinebend_router/settings_changes.py
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_changes.py
@@ -50,7 +50,8 @@
         Raises:
             sardinebend_settings.errors.SettingsError: The change is refused.
         """
-        answer = await self._settings.change(change, author)
+        in_force = self._state.settings.tree
+        answer = await self._settings.change(change, author, in_force)
         if isinstance(answer, result.Err):
             return answer
         committed = answer.ok_value
--- a/packages/sardinebend-router/src/sardinebend_router/settings_store.py
+++ b/packages/sardinebend-router/src/sardinebend_router/settings_store.py
@@ -15,6 +15,7 @@
 
 import result
 
+from sardinebend_router import logs
 from sardinebend_settings import changes
 from sardinebend_settings import errors as settings_errors
 from sardinebend_settings import tree as tree_lib
@@ -48,6 +49,7 @@
         when: Time of the commit, seconds since 1970.
         why: The operator's reason.
         nodes: Value before and after, by node path.
+        base_version: Version of the tree before, if it isn't the last one.
     """
 
     version: int
@@ -57,6 +59,7 @@
     when: float
     why: str
     nodes: dict[str, AuditedNode]
+    base_version: typing.NotRequired[int]
 
 
 class _VersionValue(typing.TypedDict):
@@ -165,18 +168,80 @@
             return answer
         return result.Ok(Committed(1, first))
 
+    async def write_again(
+        self, tree: tree_lib.Tree, host_id: str
+    ) -> result.Result[bool, store.TableError]:
+        """Writes a tree that the table has lost with an older copy.
+
+        Only nodes that differ are written, all on condition of the versions
+        that were read, so that of several hosts one succeeds.
+
+        Args:
+            tree: The tree in force at a host.
+            host_id: That host.
+
+        Returns:
+            Whether anything was written. Nothing is if the table has this
+            version or a newer one, or has never come back from a copy.
+        """
+        if not self._table.era:
+            return result.Ok(False)
+        stored = await self.load()
+        if isinstance(stored, result.Err):
+            return stored
+        return await self._write_again(stored.ok_value, tree, host_id)
+
+    async def _write_again(
+        self, stored: StoredTree, tree: tree_lib.Tree, host_id: str
+    ) -> result.Result[bool, store.TableError]:
+        if not self._table.era or stored.tree.version >= tree.version:
+            return result.Ok(False)
+        edits: list[changes.Edit] = [
+            {
+                'node': path,
+                'expected_version': stored.node_versions.get(path, 0),
+                'value': tree.nodes.get(path),
+            }
+            for path in sorted({*tree.nodes, *stored.tree.nodes})
+            if tree.nodes.get(path) != stored.tree.nodes.get(path)
+        ]
+        change: changes.Change = {
+            'change_id': f'written-again-{self._table.era}-{tree.version}',
+            'why': 'the table came back from an older copy',
+            'edits': edits,
+        }
+        writes = self._make_writes(stored, tree, change, Author('', host_id))
+        answer = await self._table.transact(writes)
+        if isinstance(answer, result.Err):
+            return answer
+        logs.get().warning(
+            'settings written again',
+            extra={'version': tree.version, 'stored': stored.tree.version},
+        )
+        return result.Ok(True)
+
     async def change(
-        self, change: changes.Change, author: Author
+        self,
+        change: changes.Change,
+        author: Author,
+        in_force: tree_lib.Tree,
     ) -> result.Result[Committed, store.TableError]:
         """Commits a change; a repeat with the same change id has no effect.
 
+        Args:
+            change: The change.
+            author: Who makes it, and where.
+            in_force: The tree in force at that host, which is written again
+                first if the table has lost it. Otherwise the change would make
+                another tree of a version that hosts already have.
+
         Raises:
             sardinebend_settings.errors.SettingsError: The change is refused.
         """
         error: store.TableError = platform_errors.Unavailable('busy')
         may_be_committed = False
         for _ in range(MAX_ATTEMPTS):
-            answer = await self._change_once(change, author)
+            answer = await self._change_once(change, author, in_force)
             if isinstance(answer, result.Ok):
                 return answer
             error = answer.err_value
@@ -186,7 +251,10 @@
         return result.Err(_choose_error(error, may_be_committed))
 
     async def _change_once(
-        self, change: changes.Change, author: Author
+        self,
+        change: changes.Change,
+        author: Author,
+        in_force: tree_lib.Tree,
     ) -> result.Result[Committed, store.TableError]:
         committed = await self._find_committed(change)
         if (
@@ -199,6 +267,15 @@
         stored = await self.load()
         if isinstance(stored, result.Err):
             return stored
+        written = await self._write_again(
+            stored.ok_value, in_force, author.host_id
+        )
+        if isinstance(written, result.Err):
+            return written
+        if written.ok_value:
+            stored = await self.load()
+            if isinstance(stored, result.Err):
+                return stored
         try:
             return await self._try_change(stored.ok_value, change, author)
         except settings_errors.VersionConflict:
@@ -268,6 +345,8 @@
                 for edit in change['edits']
             },
         }
+        if stored.tree.version != tree.version - 1:
+            entry['base_version'] = stored.tree.version
         root = {'version': tree.version, 'change_id': change['change_id']}
         change_row = {'version': tree.version}
         return [
@@ -312,6 +391,8 @@
     for entry in entries:
         if entry['version'] != version + 1:
             return None
+        if entry.get('base_version', version) != version:
+            return None
         version = entry['version']
         for path, value in entry['nodes'].items():
             changed[path] = value['after']
--- a/packages/sardinebend-router/src/sardinebend_router/watching.py
+++ b/packages/sardinebend-router/src/sardinebend_router/watching.py
@@ -160,15 +160,37 @@
             await self.poll_settings()
 
     async def poll_settings(self) -> None:
-        """Applies the settings in the table if they are newer."""
+        """Applies the settings in the table if they are newer.
+
+        If they are older, the table has lost what is in force here, and it is
+        written again. Another host may do so first; the next poll tells.
+        """
         answer = await self._settings.read_version()
         now = trio.current_time()
         if isinstance(answer, result.Ok):
             self._table_reached_at = now
-            if answer.ok_value > self._state.settings.tree.version:
+            tree = self._state.settings.tree
+            if answer.ok_value > tree.version:
                 await self._apply_newer_settings()
+            elif answer.ok_value < tree.version:
+                await self._write_settings_again()
         self._update_isolation(now)
 
+    async def _write_settings_again(self) -> None:
+        try:
+            answer = await self._settings.write_again(
+                self._state.settings.tree, self._state.own.host_id
+            )
+        except settings_errors.SettingsError as exc:
+            error: Exception = exc
+        else:
+            if isinstance(answer, result.Ok):
+                return
+            error = answer.err_value
+        logs.get().warning(
+            'settings not written again', extra={'error': str(error)}
+        )
+
     async def _apply_newer_settings(self) -> None:
         tree = self._state.settings.tree
         entries = await self._settings.read_audit_entries(tree.version)
