Take a malformed claim for one of unknown outcome

What operators would see: a row in the place of a claim that lacks a field, or has one of another type, ended the tasks of the host that read it with a KeyError, and so the host.

Cause: claims were read from the table without a check of their shape.

Change: the row is converted and checked where it is read. A malformed one may stand for a booking that ran, so a booking with its key ends as unknown and isn't sent; it is logged.

--- a/packages/sardinebend-policy/src/sardinebend_policy/claims.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/claims.py
@@ -5,6 +5,7 @@
 import hashlib
 import typing
 
+from sardinebend_policy import errors
 from sardinebend_policy import outcomes
 
 MAX_NONCES: typing.Final = 20_000
@@ -155,6 +156,20 @@
         return self._states.get(nonce, unknown)
 
 
+def check_row(row: ClaimRow) -> None:
+    """Checks a row whose fields have the right types.
+
+    Raises:
+        errors.MalformedClaim: Its state isn't one, or it lacks the answer.
+    """
+    if row['state'] not in set(RowState):
+        raise errors.MalformedClaim(f'state {row["state"][:40]!r}')
+    if row['state'] == RowState.DONE and not {'status', 'content_type'} <= set(
+        row
+    ):
+        raise errors.MalformedClaim('the answer is missing')
+
+
 def is_superseded(found: ClaimRow, known: ClaimRow) -> bool:
     """Returns whether a row says less than the one of a sent booking.
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/errors.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/errors.py
@@ -23,6 +23,13 @@
     """
 
 
+class MalformedClaim(PolicyError):
+    """Raised when a row isn't a claim of a booking.
+
+    Another program wrote it. It counts as a claim of unknown outcome.
+    """
+
+
 class UnexpectedEvent(PolicyError):
     """Raised when a state machine receives an event that can't occur.
 
--- a/packages/sardinebend-router/src/sardinebend_router/booking.py
+++ b/packages/sardinebend-router/src/sardinebend_router/booking.py
@@ -14,6 +14,7 @@
 from sardinebend_policy import booking_messages as msg
 from sardinebend_policy import bookings
 from sardinebend_policy import claims
+from sardinebend_policy import errors as policy_errors
 from sardinebend_policy import outcomes
 from sardinebend_policy import quarantine
 from sardinebend_router import claim_recovery
@@ -21,6 +22,7 @@
 from sardinebend_router import services
 from sardinebend_router import session_runner
 from sardinebend_router import state as state_lib
+from sardinebend_store import documents
 from sardinebend_store import errors as platform_errors
 from sardinebend_store import store
 
@@ -204,8 +206,8 @@
         error = answer.err_value
         if isinstance(error, platform_errors.Conflict):
             row = error.rows.get(write.key)
-            value = typing.cast(claims.ClaimRow, row.value) if row else None
-            self.post(msg.ClaimConflict(value, row.version if row else 0))
+            claim = self._read_claim(row) if row else None
+            self.post(msg.ClaimConflict(claim, row.version if row else 0))
         elif isinstance(error, platform_errors.Unclear):
             self.post(msg.ClaimUnclear())
         else:
@@ -221,11 +223,36 @@
         row = answer.ok_value if isinstance(answer, result.Ok) else None
         if row is None:
             return None
-        value = typing.cast(claims.ClaimRow, row.value)
-        is_own = value['nonce'] == self._session.request.nonce
-        if is_own or value['state'] == claims.RowState.RELEASED:
+        claim = self._read_claim(row)
+        is_own = claim['nonce'] == self._session.request.nonce
+        if is_own or claim['state'] == claims.RowState.RELEASED:
             return None
-        return msg.ClaimConflict(value, row.version)
+        return msg.ClaimConflict(claim, row.version)
+
+    def _read_claim(self, row: store.Row) -> claims.ClaimRow:
+        """Returns the claim that a row holds.
+
+        A row that another program wrote may stand for a booking that ran, so it
+        counts as a claim of unknown outcome.
+        """
+        try:
+            claim = documents.convert(row.value, claims.ClaimRow)
+            claims.check_row(claim)
+        except (
+            platform_errors.MalformedDocument,
+            policy_errors.MalformedClaim,
+        ) as exc:
+            logs.get().warning(
+                'claim is malformed', extra={'key': row.key, 'error': str(exc)}
+            )
+            return {
+                'host': '',
+                'incarnation': '',
+                'nonce': '',
+                'digest': self._session.request.digest,
+                'state': claims.RowState.UNKNOWN,
+            }
+        return claim
 
     async def _read_row(self) -> None:
         answer = await self._platform.table.read(self._session.request.row_key)
@@ -233,8 +260,7 @@
         if row is None:
             self.post(msg.RowRead(None, 0))
         else:
-            value = typing.cast(claims.ClaimRow, row.value)
-            self.post(msg.RowRead(value, row.version))
+            self.post(msg.RowRead(self._read_claim(row), row.version))
 
     async def _write_outcome(self, action: msg.WriteOutcome) -> None:
         written = await self._try_write_outcome(action)
@@ -263,9 +289,10 @@
             # The table came back from a copy without the claim.
             claim = typing.cast(dict[str, typing.Any], self._claim)
             row = store.Row(key, 0, claim)
-        if row is None or row.value['nonce'] != nonce:
+        if row is None:
             return True
-        if row.value['state'] != claims.RowState.CLAIMED:
+        found = self._read_claim(row)
+        if found['nonce'] != nonce or found['state'] != claims.RowState.CLAIMED:
             return True
         value: dict[str, typing.Any] = {**row.value, 'state': action.state}
         answer = action.answer
