Let a host that has just started wait for the claims that others await

What callers saw: a booking with a key ran a second time if it was repeated, after the table had come back from an older copy, at a host that had been restarted shortly before: the claims of its own former process were lost.

Cause: a host waits for the processes that it was told of; one that has just started knows neither its former process nor any that left before.

Change: a host states in the row in which it confirms an era whether it waits for others, and writes it again once it doesn't, one more write a host and era. A host that has run for less than 60 s waits until no row says so, for 60 s at most. Others go by what they know, so hosts don't wait for each other in a circle. Rows without the field count as not waiting.

Test: test_a_host_that_has_just_started_waits_for_those_others_await; the former code ran the booking twice.

--- a/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
+++ b/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
@@ -36,11 +36,14 @@
         incarnation: Incarnation of the host's process.
         era: Era in which it has written its claims again.
         earlier: Incarnations of the host that have confirmed this era before.
+        awaits_others: Whether it waits for processes that haven't confirmed. A
+            host that has just started may not know of them itself.
     """
 
     incarnation: typing.Required[str]
     era: typing.Required[int]
     earlier: list[str]
+    awaits_others: bool
 
 
 class _Process(typing.NamedTuple):
@@ -65,6 +68,9 @@
         self._table = table
         self._complete_era = 0
         self._confirmed_era = 0
+        # The last era in which this host has stated that it awaits no others.
+        self._settled_era = 0
+        self._started_at = trio.current_time()
         self._noticed_era = 0
         self._noticed_at = 0.0
         # When each process was last listed, of those that were lately.
@@ -130,20 +136,25 @@
         for kept in self._state.claims.list_rows(trio.current_time()):
             if not await self._write_again(kept):
                 return
+        if await self._confirm(era, awaits_others=True):
+            self._confirmed_era = era
+
+    async def _confirm(self, era: int, awaits_others: bool) -> bool:
+        """Writes this host's row; returns whether it was written."""
         key = CONFIRMATION_PREFIX + self._state.own.host_id
         read = await self._table.read(key)
         if isinstance(read, result.Err):
-            return
+            return False
         row = read.ok_value
         value: _Confirmation = {
             'incarnation': self._state.incarnation,
             'era': era,
             'earlier': self._list_earlier(row, era),
+            'awaits_others': awaits_others,
         }
         write = store.Write(key, row.version if row else 0, dict(value))
         answer = await self._table.transact([write])
-        if isinstance(answer, result.Ok):
-            self._confirmed_era = era
+        return isinstance(answer, result.Ok)
 
     def _list_earlier(self, row: store.Row | None, era: int) -> list[str]:
         """Returns the host's incarnations that its row says have confirmed."""
@@ -183,10 +194,13 @@
         if isinstance(rows, result.Err):
             return False
         confirmed: set[_Process] = set()
+        others_await = False
         for row in rows.ok_value:
             value = _convert(row, _Confirmation)
             if value is not None and value['era'] >= era:
                 host_id = row.key.removeprefix(CONFIRMATION_PREFIX)
+                if host_id != self._state.own.host_id:
+                    others_await |= value.get('awaits_others', False)
                 # Any process of a host whose incarnation isn't known counts.
                 incarnations = [
                     '',
@@ -196,10 +210,17 @@
                 confirmed.update(
                     _Process(host_id, item) for item in incarnations
                 )
+        now = trio.current_time()
         missing = self._awaited.keys() - confirmed
-        if any(
-            self._awaited[process] >= trio.current_time() for process in missing
-        ):
+        if any(self._awaited[process] >= now for process in missing):
+            return False
+        if self._settled_era < era:
+            if not await self._confirm(era, awaits_others=False):
+                return False
+            self._settled_era = era
+        knows_all = self._noticed_at - self._started_at >= RECOVERY_LIMIT_S
+        is_over = now - self._noticed_at > RECOVERY_LIMIT_S
+        if others_await and not (knows_all or is_over):
             return False
         if missing:
             hosts = sorted({process.host_id for process in missing})
--- a/tests/cover/test_claims_after_return.py
+++ b/tests/cover/test_claims_after_return.py
@@ -223,3 +223,21 @@
     assert isinstance(refused, outcomes.NotRun)
     assert refused.retry_after_s
     assert took_s < 0.1
+
+
+# Guards against a host that runs a booking again because it has just started,
+# and doesn't know which hosts ran before it, its own former process included.
+async def test_a_host_that_has_just_started_waits_for_those_others_await(clock):
+    async with open_world() as world:
+        world.send_heartbeats()
+        await ask(world, 'r0', 'a')
+        await trio.sleep(RECOVERED_S)
+        world.restart_host('a')
+        await trio.sleep(RECOVERED_S)
+        world.table.return_from_copy({})
+        await trio.sleep(RECOVERED_S)
+        refused = await ask(world, 'r1', 'a')
+        await trio.sleep(claim_recovery.RECOVERY_LIMIT_S)
+        served = await ask(world, 'r2', 'a')
+    assert isinstance(refused, outcomes.NotRun)
+    assert isinstance(served, outcomes.Answered)
