--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -30,6 +30,8 @@
 GRACE_S = 8.0
 # Requests that were sent later than this after the signal may not be cut.
 EXCUSED_S = 3.0
+# Takes a host several reads.
+LONG_ANSWER_BYTES = 80 * 1024
 LATE_CALLERS = 8
 LATE_EVENTS = 10
 
@@ -464,3 +466,40 @@
     [(status, _, body, is_whole)] = answers
     assert (status, is_whole) == (200, True)
     assert body == world_lib.event(1) + world_lib.event(2)
+
+
+# Guards against giving up a request whose answer has come, since a host that was
+# held up finds the time to do so over before it has read its sockets.
+async def test_an_answer_that_came_during_a_pause_is_not_given_up(clock):
+    connections_of_service, answers = [], []
+
+    async def keep_connection(headers, stream):
+        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
+        answer = world_lib.head(200, fixed, body=b'x' * LONG_ANSWER_BYTES)
+        connections_of_service.append((stream.socket.fileno(), answer))
+        await trio.sleep_forever()
+
+    async def ask_and_read(world):
+        answers.append(await world.ask('/look/x', 'GET', deadline_ms='20000'))
+
+    config = world_lib.make_config()
+    for route in config['routes']:
+        route['timeout_ms'] = 20000
+    server = world_lib.Server('app-0', 'app', keep_connection)
+    async with trio.open_nursery() as nursery:
+        world = world_lib.World(nursery, [server], grace_s=GRACE_S)
+        await world.start(config)
+        nursery.start_soon(ask_and_read, world)
+        await trio.sleep(0.1)
+        world.gateway.begin_stop()
+        stop = world.gateway.state.planned_stop
+        await trio.sleep_until(stop.cut_at - PAUSE_S)
+        # Sent without letting the host run.
+        [(connection, answer)] = connections_of_service
+        assert os.write(connection, answer) == len(answer)
+        clock.jump(PAUSE_S + 0.1)
+        while not answers:
+            await trio.sleep(0.01)
+        nursery.cancel_scope.cancel()
+    [(status, _, body, is_whole)] = answers
+    assert (status, len(body), is_whole) == (200, LONG_ANSWER_BYTES, True)
