--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -468,8 +468,8 @@
     assert body == world_lib.event(1) + world_lib.event(2)
 
 
-# Guards against giving up a request whose answer has come, since a host that was
-# held up finds the time to do so over before it has read its sockets.
+# Guards against giving up a request whose answer has come, since a host that
+# was held up finds the time to do so over before it has read its sockets.
 async def test_an_answer_that_came_during_a_pause_is_not_given_up(clock):
     connections_of_service, answers = [], []
 
