--- a/tests/cover/test_claims_after_return.py
+++ b/tests/cover/test_claims_after_return.py
@@ -241,3 +241,15 @@
         served = await ask(world, 'r2', 'a')
     assert isinstance(refused, outcomes.NotRun)
     assert isinstance(served, outcomes.Answered)
+
+
+# Guards against a second run, if the host that sent the first has died together
+# with its claim and the booking is repeated after the wait for it.
+async def test_a_booking_of_a_host_that_died_is_never_run_again(clock):
+    async with open_world() as world:
+        await ask(world, 'r0', 'a')
+        world.hosts['a'].kill()
+        world.table.return_from_copy({})
+        await trio.sleep(claim_recovery.RECOVERY_LIMIT_S + RECOVERED_S)
+        await ask(world, 'r1', 'b')
+    assert len(world.executions) == 1
