Don't take a hedge that lost for the server at which a stream went on

Cause: the check. The first server had delivered all 34 events that the caller had, and worked until the cut, which excuses a stream that was sent within 3 s of the signal. But a hedge had sent event 11 in the meantime, which the caller had from the first server already. For the check, any later run with events was the one at which the stream went on, so it judged the hedge, which the host had ended long before.

Change: a stream went on at another server only if that one has sent at least what the caller has. The check of broken answers beside silences asks the same, and now judges the server that delivered instead of passing over it.

Of the new cases of test_a_stream_cut_at_a_planned_stop_counts_if_nothing_ excuses_it, "hedge lost", worked until the cut, failed before; the others, in which the stream counts, passed before and pass now. The check is as strict: a first server that ended early, or a stream sent too late, still counts.

--- a/tests/nocover/test_gateway_soak.py
+++ b/tests/nocover/test_gateway_soak.py
@@ -111,6 +111,10 @@
         ('hedge read late', 'draft', 102.1, 107.4, 107.4, False),
         ('hedge read late', 'draft', 102.1, 107.4, 106.0, True),
         ('hedge went on', 'draft', 102.1, 107.4, 107.4, True),
+        ('hedge went on', 'draft', 102.1, 107.4, 106.0, True),
+        ('hedge lost', 'draft', 102.1, 107.4, 107.4, False),
+        ('hedge lost', 'draft', 102.1, 107.4, 106.0, True),
+        ('hedge lost', 'draft', 103.1, 107.4, 107.4, True),
     ],
 )
 def test_a_stream_cut_at_a_planned_stop_counts_if_nothing_excuses_it(
@@ -156,6 +160,9 @@
         runs[1].events, runs[1].ended_at = [], run.at + 1
     if case == 'hedge went on':
         run.events, runs[1].events = [1], [2]
+    if case == 'hedge lost':
+        # It has sent an event that the first server had delivered.
+        runs[1].after, runs[1].events = 0, [1]
     found = checks.find_unanswered_at_planned_stop(fleet, record, runs)
     assert bool(found) == is_counted
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -277,14 +277,25 @@
 
 
 def _is_superseded(record, run, runs):
-    """Returns whether a stream went on at another server than a run's."""
-    if max(run.events, default=run.after) < record.body.count(b'id: '):
+    """Returns whether a stream went on at another server than a run's.
+
+    It didn't at one that sent only events that the caller had already.
+    """
+    count = record.body.count(b'id: ')
+    if _last_event(run) < count:
         return True
     return any(
-        other.events and run.at < other.at <= record.ended_at for other in runs
+        other.events
+        and _last_event(other) >= count
+        and run.at < other.at <= record.ended_at
+        for other in runs
     )
 
 
+def _last_event(run):
+    return max(run.events, default=run.after)
+
+
 def _was_sound(fleet, record, run):
     """Returns whether a run's servers were sound until its caller lost it."""
     times = record.at, record.ended_at
