--- a/tests/cover/test_soak_order.py
+++ b/tests/cover/test_soak_order.py
@@ -19,13 +19,19 @@
     order = []
 
     async def run():
-        for _ in range(passes):
-            await trio.lowlevel.checkpoint()
+        async with trio.open_nursery() as nursery:
+            # Trio draws nothing to order a single task.
+            nursery.start_soon(pass_by)
+            nursery.start_soon(pass_by)
         await trio.sleep(start_s)
         async with trio.open_nursery() as nursery:
             for number in range(TASKS):
                 nursery.start_soon(add, number)
 
+    async def pass_by():
+        for _ in range(passes):
+            await trio.lowlevel.checkpoint()
+
     async def add(number):
         order.append(number)
 
