--- a/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
+++ b/packages/sardinebend-router/src/sardinebend_router/claim_recovery.py
@@ -58,6 +58,18 @@
     incarnation: str
 
 
+class _Confirmations(typing.NamedTuple):
+    """What the rows of all hosts say about an era.
+
+    Attributes:
+        processes: The processes that have confirmed it.
+        others_await: Whether another host waits for further ones.
+    """
+
+    processes: frozenset[_Process]
+    others_await: bool
+
+
 class ClaimRecovery:
     """Recovers this host's claims, and tells when all hosts have."""
 
@@ -190,28 +202,11 @@
     async def _have_all_confirmed(self, era: int) -> bool:
         if self._confirmed_era < era:
             return False
-        rows = await self._table.scan(CONFIRMATION_PREFIX)
-        if isinstance(rows, result.Err):
+        found = await self._read_confirmations(era)
+        if found is None:
             return False
-        confirmed: set[_Process] = set()
-        others_await = False
-        for row in rows.ok_value:
-            value = _convert(row, _Confirmation)
-            if value is not None and value['era'] >= era:
-                host_id = row.key.removeprefix(CONFIRMATION_PREFIX)
-                if host_id != self._state.own.host_id:
-                    others_await |= value.get('awaits_others', False)
-                # Any process of a host whose incarnation isn't known counts.
-                incarnations = [
-                    '',
-                    value['incarnation'],
-                    *value.get('earlier', []),
-                ]
-                confirmed.update(
-                    _Process(host_id, item) for item in incarnations
-                )
         now = trio.current_time()
-        missing = self._awaited.keys() - confirmed
+        missing = self._awaited.keys() - found.processes
         if any(self._awaited[process] >= now for process in missing):
             return False
         if self._settled_era < era:
@@ -220,7 +215,7 @@
             self._settled_era = era
         knows_all = self._noticed_at - self._started_at >= RECOVERY_LIMIT_S
         is_over = now - self._noticed_at > RECOVERY_LIMIT_S
-        if others_await and not (knows_all or is_over):
+        if found.others_await and not (knows_all or is_over):
             return False
         if missing:
             hosts = sorted({process.host_id for process in missing})
@@ -229,6 +224,25 @@
             )
         return True
 
+    async def _read_confirmations(self, era: int) -> _Confirmations | None:
+        """Returns what all rows say; `None` if they can't be read."""
+        rows = await self._table.scan(CONFIRMATION_PREFIX)
+        if isinstance(rows, result.Err):
+            return None
+        processes: set[_Process] = set()
+        others_await = False
+        for row in rows.ok_value:
+            value = _convert(row, _Confirmation)
+            if value is None or value['era'] < era:
+                continue
+            host_id = row.key.removeprefix(CONFIRMATION_PREFIX)
+            if host_id != self._state.own.host_id:
+                others_await |= value.get('awaits_others', False)
+            # Any process of a host whose incarnation isn't known counts.
+            known = ['', value['incarnation'], *value.get('earlier', [])]
+            processes.update(_Process(host_id, item) for item in known)
+        return _Confirmations(frozenset(processes), others_await)
+
 
 def _convert(row: store.Row, shape: typing.Any) -> typing.Any:
     """Returns the value of a row; `None` if another program wrote it."""
