--- a/tests/cover/test_gateway_host_delays.py
+++ b/tests/cover/test_gateway_host_delays.py
@@ -416,34 +416,37 @@
     assert [is_whole for *_, is_whole in answers] == [True] * LATE_CALLERS
 
 
-# Guards against cutting a stream whose end has come, or giving it up, since a
-# host that was held up finds the times of its stop over before it reads its
-# sockets.
-@pytest.mark.parametrize('is_begun', [True, False])
-async def test_a_stream_whose_end_came_during_a_pause_is_not_cut(
-    is_begun, clock
-):
-    connections_of_engine, answers = [], []
-    is_over = trio.Event()
-
-    async def send_first_event(headers, stream):
+async def ask_around_a_late_cut(clock, name, ask, make_pieces):
+    """Plays a planned stop whose last moments a pause of the host covers.
+
+    Args:
+        clock: The virtual clock.
+        name: The service that is asked.
+        ask: Asks the host; gets the world.
+        make_pieces: Makes what the service sends before and during the pause;
+            gets the first headers of its answer.
+
+    Returns:
+        What the caller got.
+    """
+    pieces, answers = [], []
+
+    async def send_before_pause(headers, stream):
         fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
-        first = world_lib.chunk(world_lib.event(1))
-        begin = world_lib.head(200, fixed, 'chunked') + first
-        if is_begun:
-            await stream.send_all(begin)
-        connections_of_engine.append((stream.socket.fileno(), begin))
-        await is_over.wait()
+        before, meanwhile = make_pieces(fixed)
+        if before:
+            await stream.send_all(before)
+        pieces.append((stream.socket.fileno(), meanwhile))
+        await trio.sleep_forever()
 
     async def ask_and_read(world):
-        answers.append(
-            await world.ask('/draft/x', 'POST', b'p', deadline_ms='20000')
-        )
+        answers.append(await ask(world))
 
     config = world_lib.make_config()
     config['services'][1].pop('engine')
-    config['routes'][2]['timeout_ms'] = 20000
-    server = world_lib.Server('llm-0', 'llm', send_first_event)
+    for route in config['routes']:
+        route['timeout_ms'] = 20000
+    server = world_lib.Server(f'{name}-0', name, send_before_pause)
     async with trio.open_nursery() as nursery:
         world = world_lib.World(nursery, [server], grace_s=GRACE_S)
         await world.start(config)
@@ -453,53 +456,49 @@
         stop = world.gateway.state.planned_stop
         await trio.sleep_until(stop.cut_at - PAUSE_S)
         # Sent without letting the host run.
-        [(connection, begin)] = connections_of_engine
-        if not is_begun:
-            os.write(connection, begin)
-        os.write(connection, world_lib.chunk(world_lib.event(2)))
-        os.write(connection, b'0\r\n\r\n')
+        [(connection, meanwhile)] = pieces
+        assert os.write(connection, meanwhile) == len(meanwhile)
         clock.jump(PAUSE_S + 0.1)
         while not answers:
             await trio.sleep(0.01)
-        is_over.set()
         nursery.cancel_scope.cancel()
-    [(status, _, body, is_whole)] = answers
+    return answers[0]
+
+
+# Guards against cutting a stream whose end has come, or giving it up, since a
+# host that was held up finds the times of its stop over before it reads its
+# sockets.
+@pytest.mark.parametrize('is_begun', [True, False])
+async def test_a_stream_whose_end_came_during_a_pause_is_not_cut(
+    is_begun, clock
+):
+    events = [world_lib.event(number) for number in (1, 2)]
+
+    def make_pieces(fixed):
+        begin = world_lib.head(200, fixed, 'chunked')
+        begin += world_lib.chunk(events[0])
+        end = world_lib.chunk(events[1]) + b'0\r\n\r\n'
+        return (begin, end) if is_begun else (b'', begin + end)
+
+    status, _, body, is_whole = await ask_around_a_late_cut(
+        clock,
+        'llm',
+        lambda world: world.ask('/draft/x', 'POST', b'p', deadline_ms='20000'),
+        make_pieces,
+    )
     assert (status, is_whole) == (200, True)
-    assert body == world_lib.event(1) + world_lib.event(2)
+    assert body == b''.join(events)
 
 
 # Guards against giving up a request whose answer has come, since a host that
 # was held up finds the time to do so over before it has read its sockets.
 async def test_an_answer_that_came_during_a_pause_is_not_given_up(clock):
-    connections_of_service, answers = [], []
-
-    async def keep_connection(headers, stream):
-        fixed = [('Request-Id', headers['request-id']), world_lib.SEAL]
-        answer = world_lib.head(200, fixed, body=b'x' * LONG_ANSWER_BYTES)
-        connections_of_service.append((stream.socket.fileno(), answer))
-        await trio.sleep_forever()
-
-    async def ask_and_read(world):
-        answers.append(await world.ask('/look/x', 'GET', deadline_ms='20000'))
+    long_body = b'x' * LONG_ANSWER_BYTES
 
-    config = world_lib.make_config()
-    for route in config['routes']:
-        route['timeout_ms'] = 20000
-    server = world_lib.Server('app-0', 'app', keep_connection)
-    async with trio.open_nursery() as nursery:
-        world = world_lib.World(nursery, [server], grace_s=GRACE_S)
-        await world.start(config)
-        nursery.start_soon(ask_and_read, world)
-        await trio.sleep(0.1)
-        world.gateway.begin_stop()
-        stop = world.gateway.state.planned_stop
-        await trio.sleep_until(stop.cut_at - PAUSE_S)
-        # Sent without letting the host run.
-        [(connection, answer)] = connections_of_service
-        assert os.write(connection, answer) == len(answer)
-        clock.jump(PAUSE_S + 0.1)
-        while not answers:
-            await trio.sleep(0.01)
-        nursery.cancel_scope.cancel()
-    [(status, _, body, is_whole)] = answers
-    assert (status, len(body), is_whole) == (200, LONG_ANSWER_BYTES, True)
+    status, _, body, is_whole = await ask_around_a_late_cut(
+        clock,
+        'app',
+        lambda world: world.ask('/look/x', 'GET', deadline_ms='20000'),
+        lambda fixed: (b'', world_lib.head(200, fixed, body=long_body)),
+    )
+    assert (status, body, is_whole) == (200, long_body, True)
