Accept a fractional bound on retries; decode how engines read prompts

Cause: the field was declared as a whole number. It is now any amount, rounded down. Test that failed before: test_a_bound_on_retries_may_be_a_fraction.

The published figures of an engine that say how long reading a prompt holds up its streams (steps in a pass, tokens read in a step, time for context and for pairs) are decoded, for the decisions that need them next. Nothing uses them yet. Measured: the tests of the adapter, settings and the simulation pass.

--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -84,6 +84,12 @@
         usual_answer: Mean number of tokens in an answer.
         load_s: Time to load a whole model.
         cards: Kinds of accelerators by name.
+        stride: Token steps in one pass of an engine that generates tokens.
+        chunk_tokens: Most prompt tokens that are read in one token step.
+        context_ms_per_token: Time added to a step per token of context of each
+            request that generates tokens.
+        read_ms_per_pair: Time to read a prompt, added per pair of a token and
+            any earlier token.
     """
 
     layers: int
@@ -98,6 +104,10 @@
     usual_answer: float
     load_s: float
     cards: dict[str, CardKind]
+    stride: int = 1
+    chunk_tokens: float = 512.0
+    context_ms_per_token: float = 0.0
+    read_ms_per_pair: float = 0.0
 
 
 class Service(typing.NamedTuple):
--- a/packages/sardinebend-simulation/src/sardinebend_simulation/deployments.py
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/deployments.py
@@ -115,11 +115,15 @@
 
     def engine_model(self) -> catalog.EngineModel:
         """Returns the figures of the engines as the policies use them."""
+        # The simulated engines charge no time for context or for pairs.
         fields = {
             name: getattr(self.engine, name)
             for name in catalog.EngineModel._fields
+            if hasattr(self.engine, name)
         }
-        return catalog.EngineModel(**fields)
+        return catalog.EngineModel(
+            **fields, stride=self.engine.tokens_per_event
+        )
 
     def make_endpoints(self) -> list[endpoints_lib.Endpoint]:
         """Returns all endpoints; none holds layers yet."""
--- a/tests/cover/test_odd_settings.py
+++ b/tests/cover/test_odd_settings.py
@@ -84,6 +84,15 @@
     assert cfg.metrics.port == 7355
 
 
+# Guards against a host that doesn't start at a deployment played at a share of
+# its size, whose bounds are fractions.
+def test_a_bound_on_retries_may_be_a_fraction():
+    cfg = node_settings.parse(
+        make_text(('bounds', 'budget_extra_retries'), 74.1)
+    )
+    assert cfg.host.extra_retries == 74
+
+
 # Guards against a host that starts, or goes on after a reload, with values that
 # no host can use, and against messages that don't say which field is wrong.
 @hypothesis.given(st.sampled_from(PATHS), VALUES)
--- a/tests/cover/test_platform_adapter.py
+++ b/tests/cover/test_platform_adapter.py
@@ -123,6 +123,23 @@
     assert catalog.services['app'].engine is None
 
 
+def test_the_figures_of_an_engine_are_decoded_in_ms_and_tokens():
+    config = world_lib.make_config()
+    config['services'][1]['engine'] |= {
+        'stride': 5,
+        'chunk': 512,
+        'context_per_k': 0.01024,
+        'pairs_per_m': 0.166,
+    }
+    catalog = state_codec.PlatformState().decode_catalog(
+        json.dumps(config).encode()
+    )
+    engine = catalog.services['llm'].engine
+    assert (engine.stride, engine.chunk_tokens) == (5, 512.0)
+    assert engine.context_ms_per_token == pytest.approx(1.024e-5)
+    assert engine.read_ms_per_pair == pytest.approx(1.66e-7)
+
+
 def test_a_stream_route_without_resumption_is_not_repeatable():
     config = world_lib.make_config()
     config['routes'][2]['stream_resume'] = False
