Say by the configuration where ranks and reading matter

Two customers join whose callers pay for batch drafts, and whose streams pause while engines read the prompts of others. What answers this must be on only where a deployment calls for it.

A service has ranks if its streamed routes differ in priority. Reading can break pauses if a full pass of the slowest card and the mean wait for the one in progress outlast the shortest pause that a route expects. Worked out from the site files: 1.5 x 188 ms of 250 ms on the two new deployments; at most 1.5 x 164 ms of 300 ms, 1.5 x 117 of 250 and 1.5 x 104 of 200 on the earlier ones. Nothing uses the two yet.

--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -109,6 +109,33 @@
     context_ms_per_token: float = 0.0
     read_ms_per_pair: float = 0.0
 
+    def longest_pass_ms(self) -> float:
+        """Returns the time of a pass that reads prompts at the full rate.
+
+        It is that of the slowest card, over all layers, without the time that
+        running requests add.
+        """
+        chunk_ms = self.chunk_tokens / self.read_tokens_per_ms
+        return self.stride * max(
+            (
+                self.step_ms * card.step_factor + chunk_ms * card.read_factor
+                for card in self.cards.values()
+            ),
+            default=0.0,
+        )
+
+    def reading_can_break_pauses(self, gap_target_s: float) -> bool:
+        """Returns whether prompts that are read can hold up streams too long.
+
+        A stream that reaches an engine waits for the pass in progress, half of
+        it on average, and then for its own.
+
+        Args:
+            gap_target_s: Longest expected gap between events of the streams.
+        """
+        wait_passes = 1.5
+        return wait_passes * self.longest_pass_ms() > gap_target_s * 1e3
+
 
 class Service(typing.NamedTuple):
     """A group of endpoints that do the same work."""
@@ -185,6 +212,32 @@
         """Returns the customer that an API key belongs to, if any."""
         return (self._customers or {}).get(key)
 
+    def list_stream_routes(self, service: str) -> list[Route]:
+        """Returns the streamed routes that a service serves."""
+        return [
+            route
+            for route in self.routes()
+            if route.is_stream
+            and any(name == service for name, _ in route.split)
+        ]
+
+    def has_ranks(self, service: str) -> bool:
+        """Returns whether the streamed routes of a service differ in priority."""
+        routes = self.list_stream_routes(service)
+        return len({route.priority for route in routes}) > 1
+
+    def reading_can_break_pauses(self, service: str) -> bool:
+        """Returns whether prompts that are read can hold up a service's streams.
+
+        That is so by the figures of its engines and the shortest of the gaps
+        that its routes expect.
+        """
+        engine = self.services[service].engine
+        gaps_s = [r.gap_target_s for r in self.list_stream_routes(service)]
+        return bool(
+            engine and gaps_s and engine.reading_can_break_pauses(min(gaps_s))
+        )
+
     def routes(self) -> typing.Iterator[Route]:
         """Yields all routes."""
         for by_prefix in self._routes.values():
