--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -222,12 +222,12 @@
         ]
 
     def has_ranks(self, service: str) -> bool:
-        """Returns whether the streamed routes of a service differ in priority."""
+        """Returns whether a service's streamed routes differ in priority."""
         routes = self.list_stream_routes(service)
         return len({route.priority for route in routes}) > 1
 
     def reading_can_break_pauses(self, service: str) -> bool:
-        """Returns whether prompts that are read can hold up a service's streams.
+        """Returns whether reading can hold up a service's streams too long.
 
         That is so by the figures of its engines and the shortest of the gaps
         that its routes expect.
