Tell hosts what all have in flight by rank and customer

Callers of the urgent rank were refused as often as those of the batch, since a host knew only its own requests: whoever filled the fleet over other hosts looked small to it. `fleet_shares` counts each stream once, from its first attempt to the end of its last, and heartbeats (field 14) carry the totals by rank and the largest customers, where the ranks of a service's routes differ. `state.share_view` adds the peers' reports; hosts that aren't heard count as the mean of those that are. Nothing is asked of the store. First state of the interface for the other parts: `state.shares`, `state.share_view(service)`.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -16,6 +16,7 @@
 from sardinebend_peers import codec
 from sardinebend_peers import errors as peer_errors
 from sardinebend_peers import messages
+from sardinebend_policy import errors as policy_errors
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import quarantine
 
@@ -139,6 +140,7 @@
                 )
                 for s in statements
             ),
+            self._state.shares.report(),
         )
         return codec.encode(codec.Envelope(0, False, heartbeat))
 
@@ -209,3 +211,20 @@
                 heartbeat.crossing_tokens,
             ),
         )
+        self._record_shares(heartbeat, now)
+
+    def _record_shares(
+        self, heartbeat: messages.LoadHeartbeat, now: float
+    ) -> None:
+        """Records a peer's shares; logs ones that can't be right."""
+        try:
+            self._state.shares.record_peer(
+                heartbeat.host, heartbeat.shares, now
+            )
+        except policy_errors.InvalidArgument as exc:
+            self._state.audit.log(
+                events.ENTRY_SKIPPED,
+                table='shares',
+                key=heartbeat.host,
+                reason=str(exc),
+            )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -19,6 +19,7 @@
 from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import endpoint_limits as limits_lib
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import fleet_shares
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import part_evidence
 from sardinebend_policy import path_cache
@@ -77,6 +78,7 @@
             `Follower.confirmed_at`).
         endpoints: All known endpoints.
         endpoint_limits: Limits that endpoints state on what they take.
+        shares: Streams in flight by rank and customer, of all hosts.
         stream_gaps: History of the gaps between events of streams, by engine.
         answer_buffers: The buffered parts of incomplete answers.
         request_bodies: The bodies of the requests in progress.
@@ -121,6 +123,7 @@
         self.endpoint_limits = limits_lib.EndpointLimits(rng)
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
+        self.shares = fleet_shares.FleetShares()
         self.stream_gaps = stream_gaps.StreamGapHistory()
         self.answer_buffers = answer_buffers.AnswerBuffers()
         self.request_bodies = request_bodies.RequestBodies(
@@ -171,6 +174,10 @@
             previous=old.version if old else None,
             routes=sum(1 for _ in catalog.routes()),
         )
+        self.shares.configure(
+            filter(catalog.has_ranks, catalog.services),
+            catalog.customer_names(),
+        )
         for name, service in catalog.services.items():
             before = old.services.get(name) if old else None
             if before is None or before.engine != service.engine:
@@ -202,6 +209,10 @@
         """Returns the load of each endpoint, summed over all hosts."""
         return self.inflight.loads(clocks.now(), self.live_count)
 
+    def share_view(self, service: str) -> fleet_shares.ShareView:
+        """Returns what all hosts have in flight for a service."""
+        return self.shares.view(service, clocks.now(), self.live_count)
+
     def link_use(self, engine: catalog_lib.EngineModel) -> float:
         """Returns the utilization of the links between failure domains.
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -54,6 +54,14 @@
         self._running: dict[stream_attempt.StreamAttempt, trio.CancelScope] = {}
         self._opening_hedges = 0
         self._refused_ids: set[str] = set()
+        admitted = exchange.admitted
+        # As one request, however many attempts run at once.
+        self._share = (
+            admitted.service.name,
+            admitted.priority,
+            exchange.customer_name or '',
+            paths.tokens,
+        )
         self._end = forwarding.End.UNREACHED
         self._reply: exchange_lib.Reply | None = None
         self._is_answered = False
@@ -169,6 +177,8 @@
         end: forwarding.End | None = None
         reply = None
         with trio.CancelScope() as scope:
+            if not self._running:
+                self._state.shares.begin(*self._share)
             self._running[attempt] = scope
             try:
                 end, reply = await attempt.run(conn)
@@ -178,6 +188,8 @@
                 self._cancel_all()
             finally:
                 del self._running[attempt]
+                if not self._running:
+                    self._state.shares.end(*self._share)
                 with trio.CancelScope(shield=True):
                     await conn.close()
         if self._abort_error is not None:
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -13,6 +13,7 @@
 from sardinebend_peers import errors
 from sardinebend_peers import messages
 from sardinebend_policy import claims
+from sardinebend_policy import fleet_shares
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
 from sardinebend_policy import part_evidence
@@ -174,6 +175,17 @@
         limits=[
             _IDL.EndpointLimit(**limit._asdict()) for limit in message.limits
         ],
+        shares=None
+        if message.shares is None
+        else [_make_shares(shares) for shares in message.shares],
+    )
+
+
+def _make_shares(shares: fleet_shares.ServiceShares) -> typing.Any:
+    return _IDL.ServiceShares(
+        name_hash=shares.service,
+        ranks=[n for rank, use in shares.ranks for n in (rank, *use)],
+        customers=[n for name, use in shares.customers for n in (name, *use)],
     )
 
 
@@ -347,6 +359,28 @@
             for verdict in item.verdicts or ()
         ),
         tuple(_decode_endpoint_limit(limit) for limit in item.limits or ()),
+        None
+        if item.shares is None
+        else tuple(_decode_shares(shares) for shares in item.shares),
+    )
+
+
+def _decode_shares(item: typing.Any) -> fleet_shares.ServiceShares:
+    return fleet_shares.ServiceShares(
+        _check_type(item.name_hash, int),
+        _decode_uses(item.ranks or ()),
+        _decode_uses(item.customers or ()),
+    )
+
+
+def _decode_uses(
+    numbers: typing.Sequence[int],
+) -> tuple[tuple[int, fleet_shares.Use], ...]:
+    """Returns use by rank or customer; an incomplete last item is ignored."""
+    fields = iter(numbers)
+    return tuple(
+        (key, fleet_shares.Use(requests, tokens))
+        for key, requests, tokens in zip(fields, fields, fields, strict=False)
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -3,6 +3,7 @@
 import typing
 
 from sardinebend_policy import claims
+from sardinebend_policy import fleet_shares
 from sardinebend_policy import membership
 from sardinebend_policy import part_evidence
 from sardinebend_policy import quarantine
@@ -171,6 +172,8 @@
         verdicts: Some of the quarantines in force.
         limits: Some of the endpoints' limits, known from their answers or from
             peers.
+        shares: What the sender has in flight by rank and customer; `None` if it
+            doesn't say.
     """
 
     host: str
@@ -186,6 +189,7 @@
     parts_served: tuple[part_evidence.PartServed, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
+    shares: fleet_shares.Report | None = None
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -83,6 +83,14 @@
   4: i64 age_ms,
 }
 
+// The items of a list are flat, three numbers each: a rank or the hash of a
+// customer's name, requests and tokens.
+struct ServiceShares {
+  1: i64 name_hash,
+  2: list<i64> ranks,
+  3: list<i64> customers,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -97,6 +105,7 @@
   11: optional list<PartServed> parts_served,
   12: optional list<Verdict> verdicts,
   13: optional list<EndpointLimit> limits,
+  14: optional list<ServiceShares> shares,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -1,6 +1,7 @@
 """Tests of frames: round trips, malformed bytes, other releases."""
 
 import contextlib
+import random
 
 import hypothesis
 from hypothesis import strategies as st
@@ -13,6 +14,8 @@
 from sardinebend_peers import errors
 from sardinebend_peers import messages
 from sardinebend_policy import claims
+from sardinebend_policy import fleet_shares
+from sardinebend_policy import liveness
 from sardinebend_policy import membership
 from sardinebend_policy import outcomes
 from sardinebend_policy import part_evidence
@@ -43,6 +46,12 @@
         ),
     ),
 )
+USES = st.lists(
+    st.tuples(
+        st.integers(-9, 2**32), st.builds(fleet_shares.Use, NUMBER, NUMBER)
+    ),
+    max_size=3,
+).map(tuple)
 RUNS = st.builds(quarantine.Run, TEXT, TEXT)
 CRASH_REPORTS = st.builds(
     messages.CrashReport, TEXT, st.frozensets(RUNS, max_size=4)
@@ -98,6 +107,11 @@
             ),
             max_size=3,
         ).map(tuple),
+        st.none()
+        | st.lists(
+            st.builds(fleet_shares.ServiceShares, NUMBER, USES, USES),
+            max_size=3,
+        ).map(tuple),
     ),
     st.just(messages.Ack()),
 )
@@ -211,3 +225,51 @@
         )
         with pytest.raises(errors.MalformedFrame):
             codec.decode(data)
+
+
+def make_full_shares(services, ranks, customers=280):
+    """Returns the shares of a host with 750 streams of 2,000 tokens."""
+    shares = fleet_shares.FleetShares()
+    shares.configure([f'model-{n}' for n in range(services)], ())
+    for n in range(750):
+        shares.begin(
+            f'model-{n % services}',
+            n % ranks,
+            f'customer-{n % customers}',
+            2000,
+        )
+    return shares.report()
+
+
+@pytest.mark.parametrize(
+    ('services', 'ranks'), [(1, 2), (1, 9), (4, 3), (14, 2), (14, 3)]
+)
+def test_shares_take_at_most_2_kb_a_second_at_360_hosts(services, ranks):
+    peers = 359
+    rate_per_s = liveness.LARGE_HEARTBEAT_PEERS / liveness.Liveness(
+        random.Random(1)
+    ).heartbeat_interval_s(peers)
+    beat = messages.LoadHeartbeat('host', 'i', False, (), b'')
+    sizes = [
+        len(codec.encode(codec.Envelope(0, False, message)))
+        for message in (
+            beat,
+            beat._replace(shares=make_full_shares(services, ranks)),
+        )
+    ]
+    assert (sizes[1] - sizes[0]) * rate_per_s <= 2048
+
+
+def test_shares_with_an_incomplete_item_keep_the_others():
+    idl = codec._IDL
+    beat = messages.LoadHeartbeat('host', 'i', False, (), b'')
+    frame = idl.Frame(call_id=0, is_reply=False)
+    codec._ENCODERS[messages.LoadHeartbeat](frame, beat)
+    frame.host_beat.shares = [
+        idl.ServiceShares(name_hash=7, ranks=[3, 1, 90, 4], customers=None)
+    ]
+    data = thrift_utils.serialize(frame, compact.TCompactProtocolFactory())
+    use = fleet_shares.Use(1, 90)
+    assert codec.decode(data).message == beat._replace(
+        shares=(fleet_shares.ServiceShares(7, ((3, use),), ()),)
+    )
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -13,6 +13,7 @@
 from sardinebend_policy import endpoints
 from sardinebend_policy import errors
 from sardinebend_policy import fleet
+from sardinebend_policy import fleet_shares
 from sardinebend_policy import forwarding
 from sardinebend_policy import inflight
 from sardinebend_policy import lease
@@ -49,6 +50,7 @@
     'endpoints',
     'errors',
     'fleet',
+    'fleet_shares',
     'forwarding',
     'inflight',
     'lease',
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -212,6 +212,10 @@
         """Returns the customer that an API key belongs to, if any."""
         return (self._customers or {}).get(key)
 
+    def customer_names(self) -> set[str]:
+        """Returns the names of all customers that have a key."""
+        return {customer.name for customer in (self._customers or {}).values()}
+
     def list_stream_routes(self, service: str) -> list[Route]:
         """Returns the streamed routes that a service serves."""
         return [
