Show shares on the metrics and status pages, and check them in the soak

Operators could not see whose requests fill the fleet: metrics had no gauge with a label. Hosts now show streams and tokens by rank, here and in the fleet, and the tokens of the ten largest customers, where ranks differ.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -20,6 +20,7 @@
 from sardinebend_gateway import relay
 from sardinebend_gateway import row_guard
 from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import share_metrics
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
@@ -67,6 +68,7 @@
         self.state = state_lib.State(
             cfg, edges, random.Random(self.incarnation)
         )
+        share_metrics.register(self.state)
         self._quarantine = shared_quarantine.SharedQuarantine(
             self.state, lambda: self.placement_controller.holds_lease
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/metrics.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/metrics.py
@@ -12,6 +12,7 @@
 PREFIX: typing.Final = 'sardinebend'
 
 Labels = tuple[tuple[str, str], ...]
+LabelledGauge = typing.Callable[[], typing.Iterable[tuple[Labels, float]]]
 
 
 class Metrics:
@@ -22,6 +23,7 @@
             collections.Counter()
         )
         self._gauges: dict[str, typing.Callable[[], float]] = {}
+        self._labelled_gauges: dict[str, LabelledGauge] = {}
         self._times: dict[str, histogram.HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -38,6 +40,10 @@
         """Registers a gauge, which is read each time the page is rendered."""
         self._gauges[name] = gauge
 
+    def register_gauges(self, name: str, gauges: LabelledGauge) -> None:
+        """Registers gauges of one name that differ in their labels."""
+        self._labelled_gauges[name] = gauges
+
     def record_time(self, name: str, seconds: float) -> None:
         """Adds a duration to a histogram."""
         times = self._times.get(name)
@@ -56,6 +62,9 @@
             lines.append(f'{PREFIX}_{name}_total{_format(labels)} {value}')
         for name, gauge in sorted(self._gauges.items()):
             lines.append(f'{PREFIX}_{name} {gauge():g}')
+        for name, gauges in sorted(self._labelled_gauges.items()):
+            for labels, reading in gauges():
+                lines.append(f'{PREFIX}_{name}{_format(labels)} {reading:g}')
         for name, times in sorted(self._times.items()):
             for quantile in QUANTILES:
                 seconds = times.get_value_at_percentile(quantile) / 1e6
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/status.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/status.py
@@ -5,6 +5,7 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import members as members_lib
 from sardinebend_gateway import placement_controller as placement_controller_lib
+from sardinebend_gateway import share_metrics
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
 
@@ -24,6 +25,26 @@
     fewest_holders: int
 
 
+class Shares(typing.TypedDict):
+    """What all hosts have in flight for a service, as far as this one knows.
+
+    Attributes:
+        requests_by_rank: Requests by rank.
+        tokens_by_rank: Their prompt and expected answer tokens.
+        tokens_by_customer: The same tokens of the largest customers.
+        other_tokens: Those of all other customers.
+        heard_hosts: Number of other hosts whose reports count.
+        age_s: Age of the oldest of these reports.
+    """
+
+    requests_by_rank: dict[int, int]
+    tokens_by_rank: dict[int, int]
+    tokens_by_customer: dict[str, int]
+    other_tokens: int
+    heard_hosts: int
+    age_s: float
+
+
 class ServiceStatus(typing.TypedDict):
     """One service's endpoints.
 
@@ -35,6 +56,8 @@
         retries_left: Whether this host's retry budget allows another retry.
         coverage: Coverage by failure domain; empty if the service's endpoints
             hold no layers.
+        shares: What is in flight; `None` where the ranks of its routes don't
+            differ.
     """
 
     name: str
@@ -43,6 +66,7 @@
     doubted: int
     retries_left: bool
     coverage: list[Coverage]
+    shares: Shares | None
 
 
 class Status(typing.TypedDict):
@@ -109,6 +133,22 @@
         'doubted': sum(state.endpoints.is_unhealthy(e, now) for e in listed),
         'retries_left': state.budget_of(service.name).can_spend(now),
         'coverage': _make_coverage(state, service),
+        'shares': _make_shares(state, service.name),
+    }
+
+
+def _make_shares(state: state_lib.State, service: str) -> Shares | None:
+    if service not in state.shares.shared_services:
+        return None
+    view = state.share_view(service)
+    tokens, others = share_metrics.rank_customers(view)
+    return {
+        'requests_by_rank': {r: u.requests for r, u in view.by_rank.items()},
+        'tokens_by_rank': {r: u.tokens for r, u in view.by_rank.items()},
+        'tokens_by_customer': tokens,
+        'other_tokens': others,
+        'heard_hosts': view.heard_hosts,
+        'age_s': round(view.age_s, 3),
     }
 
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/fleet_shares.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/fleet_shares.py
@@ -5,6 +5,7 @@
 aren't heard are assumed to equal the mean of those that are.
 """
 
+import array
 import typing
 import zlib
 
@@ -33,6 +34,13 @@
         """Returns the sum of both."""
         return Use(self.requests + other.requests, self.tokens + other.tokens)
 
+    def subtract(self, other: 'Use') -> 'Use':
+        """Returns the difference, with 0 in place of a negative number."""
+        return Use(
+            max(0, self.requests - other.requests),
+            max(0, self.tokens - other.tokens),
+        )
+
     def scale(self, factor: float) -> 'Use':
         """Returns a multiple, rounded."""
         return Use(round(self.requests * factor), round(self.tokens * factor))
@@ -41,6 +49,8 @@
 NO_USE: typing.Final = Use(0, 0)
 
 _Key = typing.TypeVar('_Key', int, str)
+# Key, requests and tokens in turn; takes less memory than tuples.
+_Numbers: typing.TypeAlias = 'array.array[int]'
 
 
 class ServiceShares(typing.NamedTuple):
@@ -80,20 +90,33 @@
     heard_hosts: int
 
 
-class _Totals:
+class _Totals(typing.Generic[_Key]):
     """Use by rank and by customer."""
 
     def __init__(self) -> None:
         self.ranks: dict[int, Use] = {}
-        self.customers: dict[str, Use] = {}
-        self.others = NO_USE
+        self.customers: dict[_Key, Use] = {}
+
+
+class _ScaledSums(typing.NamedTuple):
+    """The peers' use of a service times a factor, as in `ShareView`."""
+
+    factor: float
+    ranks: dict[int, Use]
+    customers: dict[str, Use]
+    others: Use
 
 
 class _PeerShares(typing.NamedTuple):
-    """A peer's report, by hash of the service, and when it was received."""
+    """A peer's report and when it was received.
+
+    Attributes:
+        at: The time.
+        services: Use by rank and by customer, by hash of the service.
+    """
 
     at: float
-    services: dict[int, ServiceShares]
+    services: dict[int, tuple[_Numbers, _Numbers]]
 
 
 def hash_name(name: str) -> int:
@@ -102,14 +125,21 @@
 
 
 class FleetShares:
-    """Counts this host's use and adds what its peers report."""
+    """Counts this host's use and adds what its peers report.
+
+    Attributes:
+        shared_services: Services whose shares are reported to peers.
+    """
 
     def __init__(self) -> None:
-        self._own: dict[str, _Totals] = {}
+        self._own: dict[str, _Totals[str]] = {}
+        # In the order of receipt.
         self._peers: dict[str, _PeerShares] = {}
-        # Sums of the peers' reports by service, until one is added or dropped.
-        self._sums: dict[str, _Totals] = {}
-        self._shared_services: tuple[str, ...] = ()
+        # Sums of these, by hash of the service and of the customer.
+        self._sums: dict[int, _Totals[int]] = {}
+        # Multiples of these by service, until they change.
+        self._scaled: dict[str, _ScaledSums] = {}
+        self.shared_services: tuple[str, ...] = ()
         self._names: dict[int, str] = {hash_name(''): ''}
 
     def configure(
@@ -124,11 +154,11 @@
             customers: Names of all customers. Of two with the same hash the
                 first in order stands for both.
         """
-        self._shared_services = tuple(sorted(services))
+        self.shared_services = tuple(sorted(services))
         self._names = {hash_name(''): ''}
         for name in sorted(customers):
             self._names.setdefault(hash_name(name), name)
-        self._sums.clear()
+        self._scaled.clear()
 
     def begin(
         self, service: str, rank: int, customer: str, tokens: int
@@ -162,9 +192,9 @@
             The use of each service, an empty report if nothing is in flight,
             or `None` if the configuration calls for none.
         """
-        if not self._shared_services:
+        if not self.shared_services:
             return None
-        used = [name for name in self._shared_services if name in self._own]
+        used = [name for name in self.shared_services if name in self._own]
         ranks = sum(len(self._own[name].ranks) for name in used)
         largest = sorted(
             (
@@ -200,8 +230,8 @@
             errors.InvalidArgument: A count is negative or beyond all sense. The
                 report doesn't count, and the peer's last one neither.
         """
-        self._peers.pop(host, None)
-        self._sums.clear()
+        self._drop(host)
+        self._drop_expired(now)
         if report is None:
             return
         for shares in report:
@@ -213,9 +243,18 @@
                         f'from 0 to {MAX_REQUESTS} requests and {MAX_TOKENS}'
                         ' tokens',
                     )
-        self._drop_expired(now)
-        services = {shares.service: shares for shares in report}
-        self._peers[host] = _PeerShares(now, services)
+        peer = _PeerShares(
+            now,
+            {
+                shares.service: (
+                    _flatten(shares.ranks),
+                    _flatten(shares.customers),
+                )
+                for shares in report
+            },
+        )
+        self._peers[host] = peer
+        self._add_to_sums(peer, 1)
 
     def view(self, service: str, now: float, live_hosts: int) -> ShareView:
         """Returns what all hosts have in flight for a service.
@@ -228,10 +267,10 @@
                 with one have on average, or as this host if there is none.
         """
         self._drop_expired(now)
-        own = self._own.get(service) or _Totals()
+        own = self._own.get(service) or _Totals[str]()
         heard = len(self._peers)
-        factor = float(max(1, live_hosts))
         if not heard:
+            factor = float(max(1, live_hosts))
             return ShareView(
                 {rank: use.scale(factor) for rank, use in own.ranks.items()},
                 {
@@ -242,51 +281,68 @@
                 0.0,
                 0,
             )
+        # This host's own use is known, so only the peers' is scaled up.
         factor = max(1.0, (live_hosts - 1) / heard)
-        peers = self._sums.get(service)
-        if peers is None:
-            peers = self._sums[service] = self._sum_peers(service)
-        # Oldest first: a report is put at the end when it is recorded.
-        oldest = next(iter(self._peers.values()))
+        peers = self._scale_peers(service, factor)
+        by_rank = dict(peers.ranks)
+        for rank, use in own.ranks.items():
+            _add(by_rank, rank, use)
+        by_customer = dict(peers.customers)
+        for name, use in own.customers.items():
+            _add(by_customer, name, use)
         return ShareView(
-            _join(own.ranks, peers.ranks, factor),
-            _join(own.customers, peers.customers, factor),
-            peers.others.scale(factor),
-            max(0.0, now - oldest.at),
+            by_rank,
+            by_customer,
+            peers.others,
+            max(0.0, now - next(iter(self._peers.values())).at),
             heard,
         )
 
+    def _scale_peers(self, service: str, factor: float) -> _ScaledSums:
+        """Returns a multiple of the peers' sums, with customers by name."""
+        scaled = self._scaled.get(service)
+        if scaled is not None and scaled.factor == factor:
+            return scaled
+        sums = self._sums.get(hash_name(service)) or _Totals[int]()
+        others = NO_USE
+        for use in sums.ranks.values():
+            others = others.add(use)
+        customers: dict[str, Use] = {}
+        for customer, use in sums.customers.items():
+            name = self._names.get(customer)
+            if name is not None:
+                _add(customers, name, use.scale(factor))
+                others = others.subtract(use)
+        ranks = {rank: use.scale(factor) for rank, use in sums.ranks.items()}
+        scaled = _ScaledSums(factor, ranks, customers, others.scale(factor))
+        self._scaled[service] = scaled
+        return scaled
+
     def _drop_expired(self, now: float) -> None:
         while self._peers:
             host, oldest = next(iter(self._peers.items()))
             if now - oldest.at <= inflight.PEER_COUNTS_TTL_S:
                 return
-            del self._peers[host]
-            self._sums.clear()
-
-    def _sum_peers(self, service: str) -> _Totals:
-        totals = _Totals()
-        hashed = hash_name(service)
-        for peer in self._peers.values():
-            shares = peer.services.get(hashed)
-            if shares is None:
-                continue
-            all_use = named = NO_USE
-            for rank, use in shares.ranks:
-                _add(totals.ranks, _clamp_rank(rank), use)
-                all_use = all_use.add(use)
-            for customer, use in shares.customers:
-                name = self._names.get(customer)
-                if name is not None:
-                    _add(totals.customers, name, use)
-                    named = named.add(use)
-            totals.others = totals.others.add(
-                Use(
-                    max(0, all_use.requests - named.requests),
-                    max(0, all_use.tokens - named.tokens),
-                )
-            )
-        return totals
+            self._drop(host)
+
+    def _drop(self, host: str) -> None:
+        peer = self._peers.pop(host, None)
+        if peer is not None:
+            self._add_to_sums(peer, -1)
+
+    def _add_to_sums(self, peer: _PeerShares, sign: int) -> None:
+        """Adds a peer's report to the sums, or subtracts it."""
+        self._scaled.clear()
+        for service, (ranks, customers) in peer.services.items():
+            sums = self._sums.setdefault(service, _Totals[int]())
+            for rank, requests, tokens in _iterate(ranks):
+                use = Use(sign * requests, sign * tokens)
+                _add(sums.ranks, _clamp_rank(rank), use)
+            for customer, requests, tokens in _iterate(customers):
+                use = Use(sign * requests, sign * tokens)
+                _add(sums.customers, customer, use)
+            if not sums.ranks and not sums.customers:
+                del self._sums[service]
 
 
 def _clamp_rank(rank: int) -> int:
@@ -301,24 +357,28 @@
     return 0 <= use.requests <= MAX_REQUESTS and 0 <= use.tokens <= MAX_TOKENS
 
 
-def _add(totals: dict[_Key, Use], key: _Key, use: Use) -> None:
-    totals[key] = totals.get(key, NO_USE).add(use)
+def _flatten(uses: tuple[tuple[int, Use], ...]) -> _Numbers:
+    return array.array('q', [n for key, use in uses for n in (key, *use)])
 
 
-def _subtract(totals: dict[_Key, Use], key: _Key, use: Use) -> None:
-    old = totals.get(key, NO_USE)
-    if old.requests <= use.requests:
+def _iterate(numbers: _Numbers) -> typing.Iterator[tuple[int, ...]]:
+    fields = iter(numbers)
+    return zip(fields, fields, fields, strict=True)
+
+
+def _add(totals: dict[_Key, Use], key: _Key, use: Use) -> None:
+    """Adds to a total; one that becomes zero is removed."""
+    total = totals.get(key, NO_USE).add(use)
+    if total == NO_USE:
         totals.pop(key, None)
     else:
-        totals[key] = Use(
-            old.requests - use.requests, max(0, old.tokens - use.tokens)
-        )
+        totals[key] = total
 
 
-def _join(
-    own: dict[_Key, Use], peers: dict[_Key, Use], factor: float
-) -> dict[_Key, Use]:
-    joined = {key: use.scale(factor) for key, use in peers.items()}
-    for key, use in own.items():
-        _add(joined, key, use)
-    return joined
+def _subtract(totals: dict[_Key, Use], key: _Key, use: Use) -> None:
+    """Subtracts from a total, down to zero."""
+    total = totals.get(key, NO_USE).subtract(use)
+    if total.requests:
+        totals[key] = total
+    else:
+        totals.pop(key, None)
--- a/tests/cover/test_gateway_shares.py
+++ b/tests/cover/test_gateway_shares.py
@@ -10,6 +10,7 @@
 import trio
 
 from sardinebend_gateway import clocks
+from sardinebend_gateway import status
 from sardinebend_peers import messages
 from sardinebend_policy import fleet_shares
 from tests.common import decision_log
@@ -56,6 +57,7 @@
 async def test_a_host_learns_what_another_one_runs_and_when_it_has_ended(clock):
     servers = silent.make_engines(silent.stream_events, silent.stream_events)
     async with two_hosts(*servers) as (first, second):
+        gateway = second.gateway
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask, first, '/batch/x')
             nursery.start_soon(ask, first, '/draft/x')
@@ -66,6 +68,15 @@
                 view = world.gateway.state.share_view('llm')
                 assert view.by_rank == {1: Use(1, 50), BATCH_RANK: Use(1, 50)}
                 assert view.by_customer == {'vanua': Use(2, 100)}
+            page = gateway.state.metrics.render()
+            labels = f'{{of="fleet",rank="{BATCH_RANK}",service="llm"}}'
+            assert f'sardinebend_streams_by_rank{labels} 1' in page
+            found = status.make_status(
+                gateway.state, gateway.members, gateway.placement_controller
+            )
+            app, llm = found['services']
+            assert app['shares'] is None
+            assert llm['shares']['tokens_by_customer'] == {'vanua': 100}
         await trio.sleep(1.0)
         for world in (first, second):
             view = world.gateway.state.share_view('llm')
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -64,6 +64,9 @@
         found += find_runs_at_leaving_servers(fleet)
         found += find_crashes_after_quarantine(fleet)
         found += find_unready_hosts(fleet)
+    found += [
+        f'{text}: counted, but nothing runs' for text in fleet.leftover_shares
+    ]
     unsent = runs.keys() - {record.request_id for record in fleet.requests}
     found += [f'{name}: run, but never sent' for name in unsent]
     share = served_share(fleet)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -608,6 +608,16 @@
     return any(began < end and ended > start for began, ended in windows)
 
 
+def make_config():
+    """Returns a configuration in which routes of a service differ in rank."""
+    config = world_lib.make_config()
+    draft = next(r for r in config['routes'] if r['name'] == 'draft')
+    config['routes'].append(
+        {**draft, 'name': 'batch', 'prefix': '/batch/', 'priority': 3}
+    )
+    return config
+
+
 class Fleet(Disturbances):
     """All components and records of one soak.
 
@@ -636,7 +646,8 @@
         self.revoked_keys: dict[str, float] = {}
         self.ended_at = 0.0
         self.unready_at_end: list[str] = []
-        self.config = world_lib.make_config()
+        self.leftover_shares: list[str] = []
+        self.config = make_config()
         self.keys = {world_lib.KEY: None}
         self.workers = {
             worker.name: worker
--- a/tests/soak/process_fleet.py
+++ b/tests/soak/process_fleet.py
@@ -310,6 +310,7 @@
         self.revoked_keys = {}
         self.ended_at = 0.0
         self.unready_at_end = []
+        self.leftover_shares = []
         self.keys = {world_lib.KEY: None}
         self.config = world_lib.make_config()
         self.store_port = ports.find_free(1)[0]
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -108,9 +108,27 @@
     """Records which running hosts callers aren't sent to."""
     fleet.ended_at = trio.current_time()
     for host in fleet.hosts:
-        if host.is_up and not host.is_ready():
+        if not host.is_up:
+            continue
+        if not host.is_ready():
             fleet.unready_at_end.append(host.name)
             fleet.add_log(f'{host.name} is not ready: {_explain_unready(host)}')
+        leftover_shares = _list_leftover_shares(host)
+        if leftover_shares:
+            fleet.leftover_shares.append(f'{host.name}: {leftover_shares}')
+
+
+def _list_leftover_shares(host):
+    """Returns the use that a host still counts without a stream at an engine.
+
+    Hosts in other processes don't show it.
+    """
+    gateway = getattr(host.world, 'gateway', None)
+    if gateway is None or gateway.state.inflight.requests:
+        return []
+    state = gateway.state
+    services = state.catalog.services if state.catalog else ()
+    return [use for s in services for use in state.shares.own(s).items()]
 
 
 def _explain_unready(host):
