Let paths go by how slow engines are now

What callers saw: while 40 in 100 of the engines are twelve times slower, 25 to 50 in 100 of what is owed is late by pauses. Paths went by published figures, so nearly every one passed through several slow engines.

Cause: `Load.slowness` is read by the cost of a path, and nothing wrote it. A stream shows how slow its path is, not which of its ten engines is to blame.

Change: `sardinebend_policy.slowness` keeps what is known of slow engines. An event that comes later than the route allows, and than the known loads explain, raises a doubt about the engines of its path; a host asks one doubted engine each 0.25 s for its pace, which reports state, and shares it by heartbeats (field 15), also what was found not to be slow. A path that is fast clears its engines, and evidence fades after 3 s. A host that was late itself doubts nobody. It is active only where reading can hold up streams beyond what routes allow.

The strategy of test_codec got the new field, which it would else have drawn without bounds.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/calls.py
@@ -85,18 +85,21 @@
         self, endpoint: endpoints_lib.Endpoint
     ) -> ReportResult:
         codec = self._state.edges.engines
+        asked_at = clocks.now()
         answer = await self._call(endpoint, codec.report(), REPORT_TIMEOUT_S)
         if isinstance(answer, result.Err):
             return answer
         if answer.ok_value.status != 200:
             return result.Err(NoReport.INVALID)
         try:
-            return result.Ok(codec.decode_report(answer.ok_value.body))
+            report = codec.decode_report(answer.ok_value.body)
         except errors.Malformed as exc:
             row_guard.log_skipped(
                 self._state, 'report', endpoint.endpoint_id, str(exc)
             )
             return result.Err(NoReport.INVALID)
+        self._state.record_pace(endpoint, report.pace, asked_at)
+        return result.Ok(report)
 
     async def place(
         self, endpoint: endpoints_lib.Endpoint, span: endpoints_lib.Span
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/edges.py
@@ -97,11 +97,13 @@
         is_busy: Whether it is carrying out an order.
         orders_begun: Number of orders begun since its start.
         stalled: Addresses of endpoints that its requests wait for.
+        pace: Factor by which it is slower than published.
     """
 
     is_busy: bool
     orders_begun: int
     stalled: tuple[str, ...]
+    pace: float = 1.0
 
 
 class Call(typing.NamedTuple):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -46,6 +46,12 @@
 ENDPOINT_LIMIT = Event(
     'endpoint_limit', 'endpoint, limit_per_s, previous_per_s, source', True
 )
+ENDPOINT_SLOW = Event(
+    'endpoint_slow',
+    'endpoint, factor by which it is slower than published, previous factor,'
+    ' age_s of the evidence',
+    True,
+)
 ENDPOINT_CRASHED = Event(
     'endpoint_crashed',
     'endpoint, born, evidence, requests, contents, prompt_parts',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -23,6 +23,7 @@
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
 from sardinebend_gateway import shared_table
+from sardinebend_gateway import slow_endpoints
 from sardinebend_gateway import start_check
 from sardinebend_gateway import state as state_lib
 from sardinebend_gateway import stored_part_evidence
@@ -86,6 +87,9 @@
             self.incarnation,
             lambda: self._endpoints.may_be_outdated(),
         )
+        self._slow_endpoints = slow_endpoints.SlowEndpoints(
+            self.state, self._calls
+        )
         self._forwarder = forwarder.Forwarder(
             self.state, self._calls, self._crashes
         )
@@ -152,6 +156,7 @@
                 'first row': lambda: self.members.publish(False),
                 'own row': self.members.keep_published,
                 'keeper': self.placement_controller.run,
+                'slow endpoints': self._slow_endpoints.run,
             }
             for name, job in jobs.items():
                 nursery.start_soon(self.supervisor.run, name, job)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -26,6 +26,8 @@
 MAX_CROSSING_TOKENS: typing.Final = 2**31 - 1
 # More limits would also make it too long; others are sent next time.
 MAX_REPORTED_LIMITS: typing.Final = 12
+# Statements on slow engines take some 16 bytes each.
+MAX_REPORTED_SLOWNESS: typing.Final = 16
 # Shortest time between heartbeats, however much there is to report.
 MIN_INTERVAL_S: typing.Final = 0.05
 # Datagrams that are applied before another task of the host runs. A host whose
@@ -139,9 +141,26 @@
                 )
                 for s in statements
             ),
+            self._make_slowness(now),
         )
         return codec.encode(codec.Envelope(0, False, heartbeat))
 
+    def _make_slowness(
+        self, now: float
+    ) -> tuple[messages.EndpointSlowness, ...]:
+        """Returns some of what is known of slow engines."""
+        known = self._state.slowness.statements_to_send(now)
+        if len(known) > MAX_REPORTED_SLOWNESS:
+            known = self._state.rng.sample(known, MAX_REPORTED_SLOWNESS)
+        return tuple(
+            messages.EndpointSlowness(
+                s.endpoint_id,
+                round(s.factor * 100),
+                math.ceil((now - s.at) * 1000),
+            )
+            for s in known
+        )
+
     async def _receive(self, sock: socket.socket) -> None:
         while True:
             await trio.lowlevel.wait_readable(sock)
@@ -197,6 +216,10 @@
             self._state.record_peer_limit(
                 incarnation, limit.rate_per_s, limit.age_ms
             )
+        for slow in heartbeat.slowness:
+            self._state.record_peer_slowness(
+                slow.endpoint_id, slow.percent / 100, slow.age_ms
+            )
         self._state.inflight.record_peer_counts(
             heartbeat.host,
             inflight_lib.PeerCounts(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -30,6 +30,7 @@
 from sardinebend_policy import retries
 from sardinebend_policy import service_times
 from sardinebend_policy import silences
+from sardinebend_policy import slowness as slowness_lib
 from sardinebend_policy import stream_gaps
 from sardinebend_policy import suspects as suspects_lib
 
@@ -43,6 +44,7 @@
 NEVER: typing.Final = float('-inf')
 # Limits that are older have expired.
 MAX_LIMIT_AGE_MS: typing.Final = int(limits_lib.LIMIT_TTL_S * 1000)
+MAX_SLOWNESS_AGE_MS: typing.Final = int(slowness_lib.MAX_AGE_S * 1000)
 # Source of evidence that this host received itself, for the log.
 OWN: typing.Final = 'own answer'
 # Time for which a request that crashes endpoints is refused; the same as the
@@ -78,6 +80,7 @@
         endpoints: All known endpoints.
         endpoint_limits: Limits that endpoints state on what they take.
         stream_gaps: History of the gaps between events of streams, by engine.
+        slowness: Engines that are slower than published.
         answer_buffers: The buffered parts of incomplete answers.
         request_bodies: The bodies of the requests in progress.
         leaving: Incarnations of endpoints that announced that they leave, to
@@ -122,6 +125,7 @@
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
         self.stream_gaps = stream_gaps.StreamGapHistory()
+        self.slowness = slowness_lib.SlownessTable()
         self.answer_buffers = answer_buffers.AnswerBuffers()
         self.request_bodies = request_bodies.RequestBodies(
             lambda: request_bodies.make_limit(self.cfg.memory_mb)
@@ -213,6 +217,44 @@
         links = domains * (domains - 1) / 2
         return tokens * paths_lib.link_ms_per_token(engine) / 1000 / links
 
+    def watches_slowness(self, service: catalog_lib.Service) -> bool:
+        """Returns whether paths go by how slow engines are now."""
+        return (
+            service.has_layers
+            and self.catalog is not None
+            and service.name in self.catalog.services
+            and self.catalog.reading_can_break_pauses(service.name)
+        )
+
+    def record_pace(
+        self, endpoint: endpoints_lib.Endpoint, factor: float, at: float
+    ) -> None:
+        """Records how slow an engine says that it is.
+
+        Args:
+            endpoint: The engine; other endpoints are ignored.
+            factor: Its factor.
+            at: When it was asked.
+        """
+        catalog = self.catalog
+        service = catalog.services.get(endpoint.service) if catalog else None
+        if service is not None and self.watches_slowness(service):
+            self.slowness.record(endpoint.endpoint_id, factor, at)
+
+    def record_peer_slowness(
+        self, endpoint_id: str, factor: float, age_ms: int
+    ) -> None:
+        """Records how slow an engine is according to another host.
+
+        Args:
+            endpoint_id: The engine; ignored if it isn't listed.
+            factor: Its factor.
+            age_ms: Time since that was found; what is too old is ignored.
+        """
+        known = self.endpoints.get(endpoint_id)
+        if known is not None and 0 <= age_ms <= MAX_SLOWNESS_AGE_MS:
+            self.record_pace(known, factor, clocks.now() - age_ms / 1000)
+
     def budget_of(self, service: str) -> retries.RetryBudget:
         """Returns this host's share of a service's retry budget."""
         budget = self._budgets.get(service)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -6,6 +6,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import stream_paces
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
 
@@ -48,6 +49,7 @@
         self.partial_event_since: float | None = None
         self._partial_event_at = self.last_progress_at
         self.is_waiting_for_caller = False
+        self._pace = stream_paces.StreamPace(exchange)
         self.failed_ids: set[str] = set()
         self.reason = ''
         self._exposures = [
@@ -88,6 +90,9 @@
         """
         waited_s = self.idle_s()
         self.longest_wait_s = max(self.longest_wait_s, waited_s)
+        self._pace.record_event(
+            self.path, waited_s if self.has_received_event else None
+        )
         if self.has_received_event:
             first = self.path[0].endpoint.endpoint_id
             self.exchange.state.stream_gaps.record(
--- /dev/null
+++ b/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
@@ -0,0 +1,80 @@
+"""What the events of streams tell of their engines, also at a late host."""
+
+import types
+
+import pytest
+
+from sardinebend_gateway import clocks
+from sardinebend_gateway import stream_paces
+from sardinebend_policy import catalog
+from sardinebend_policy import endpoints
+from sardinebend_policy import paths
+from sardinebend_policy import slowness
+
+GAP_TARGET_S = 0.25
+ENGINE = catalog.EngineModel(
+    layers=80,
+    layer_mb=1750.0,
+    token_layer_mb=0.01475,
+    step_ms=1.02,
+    per_request_ms=0.00764,
+    read_tokens_per_ms=196.0,
+    activation_mb=0.059,
+    pipe_mb_per_ms=0.83,
+    usual_prompt=772.0,
+    usual_answer=230.0,
+    load_s=14.0,
+    cards={'big': catalog.CardKind(72000.0, 2.4, 3.2)},
+    stride=5,
+)
+
+
+def make_path():
+    span = endpoints.Span(0, ENGINE.layers)
+    endpoint = endpoints.Endpoint(
+        'a', 'drafts', '10.0.0.1:80', 'east', 96, False, 1, 'big', span
+    )
+    return (paths.Part(endpoint, span),)
+
+
+def make_pace(is_on_time, is_watched=True):
+    state = types.SimpleNamespace(
+        slowness=slowness.SlownessTable(),
+        watches_slowness=lambda _: is_watched,
+        host_clock=types.SimpleNamespace(
+            was_on_time_since=lambda _: is_on_time
+        ),
+        loads=dict,
+    )
+    admitted = types.SimpleNamespace(
+        service=types.SimpleNamespace(engine=ENGINE),
+        route=types.SimpleNamespace(gap_target_s=GAP_TARGET_S),
+    )
+    exchange = types.SimpleNamespace(state=state, admitted=admitted)
+    return stream_paces.StreamPace(exchange), state.slowness
+
+
+@pytest.mark.parametrize(
+    ('is_on_time', 'waited_s', 'is_watched', 'doubted'),
+    [
+        (True, 2.0, True, ['a']),
+        (True, GAP_TARGET_S, True, []),
+        # A host with a pause of its own doubts nobody.
+        (False, 2.0, True, []),
+        (True, 2.0, False, []),
+    ],
+)
+async def test_a_pause_that_callers_notice_raises_a_doubt(
+    is_on_time, waited_s, is_watched, doubted
+):
+    path = make_path()
+    pace, table = make_pace(is_on_time, is_watched)
+    pace.record_event(path, None)
+    pace.record_event(path, waited_s)
+    assert table.doubtful(clocks.now()) == doubted
+
+
+async def test_the_time_to_the_first_event_raises_no_doubt():
+    pace, table = make_pace(True)
+    pace.record_event(make_path(), None)
+    assert not table.doubtful(clocks.now())
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -174,6 +174,9 @@
         limits=[
             _IDL.EndpointLimit(**limit._asdict()) for limit in message.limits
         ],
+        slowness=[
+            _IDL.EndpointSlowness(**slow._asdict()) for slow in message.slowness
+        ],
     )
 
 
@@ -347,6 +350,7 @@
             for verdict in item.verdicts or ()
         ),
         tuple(_decode_endpoint_limit(limit) for limit in item.limits or ()),
+        tuple(_decode_slowness(slow) for slow in item.slowness or ()),
     )
 
 
@@ -365,6 +369,15 @@
     )
 
 
+def _decode_slowness(item: typing.Any) -> messages.EndpointSlowness:
+    percent, age_ms = _check_optional_count(item.percent), item.age_ms
+    return messages.EndpointSlowness(
+        _check_type(item.endpoint_id, str),
+        _check_type(percent, int),
+        _check_type(_check_optional_count(age_ms), int),
+    )
+
+
 def _decode_part_crash(item: typing.Any) -> messages.PartCrashReport:
     crash = part_evidence.PartCrash(
         _check_type(item.part, str),
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -148,6 +148,20 @@
     age_ms: int
 
 
+class EndpointSlowness(typing.NamedTuple):
+    """How slow an engine was found to be.
+
+    Attributes:
+        endpoint_id: The engine.
+        percent: Time that it takes, in percent of its published figures.
+        age_ms: Time since that was found.
+    """
+
+    endpoint_id: str
+    percent: int
+    age_ms: int
+
+
 class LoadHeartbeat(typing.NamedTuple):
     """A heartbeat with the sender's load and gossip; not answered.
 
@@ -171,6 +185,8 @@
         verdicts: Some of the quarantines in force.
         limits: Some of the endpoints' limits, known from their answers or from
             peers.
+        slowness: Some of the engines that are slow, or were doubted and found
+            not to be, known from their reports or from peers.
     """
 
     host: str
@@ -186,6 +202,7 @@
     parts_served: tuple[part_evidence.PartServed, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
+    slowness: tuple[EndpointSlowness, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -83,6 +83,12 @@
   4: i64 age_ms,
 }
 
+struct EndpointSlowness {
+  1: string endpoint_id,
+  2: i32 percent,
+  3: i64 age_ms,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -97,6 +103,7 @@
   11: optional list<PartServed> parts_served,
   12: optional list<Verdict> verdicts,
   13: optional list<EndpointLimit> limits,
+  15: optional list<EndpointSlowness> slowness,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -98,6 +98,10 @@
             ),
             max_size=3,
         ).map(tuple),
+        st.lists(
+            st.builds(messages.EndpointSlowness, TEXT, NUMBER, NUMBER),
+            max_size=3,
+        ).map(tuple),
     ),
     st.just(messages.Ack()),
 )
