Bound the questions about slow engines over all hosts

What callers saw: nothing; the operator paid for them.

Change: the interval between two questions of a host grows with the fleet, so that all together ask at most 50 engines a second. Which engine is asked is drawn by the number of late events on its paths, and events in time end a doubt also while no engine is known to be slow. Renewals come first.

Tests: test_slowness and test_stream_paces, with counts of late events.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
@@ -1,9 +1,9 @@
 """Finds engines that have turned slow, and asks those that are doubted.
 
-A report is asked of an engine by the host that doubts it, one at a time, in no
-particular order, so that hosts which doubt the same path ask different engines
-of it and share what they find. The host that asked last asks a slow engine
-again before the evidence loses weight.
+A report is asked of an engine by a host that doubts it, one at a time. It is
+drawn, so that hosts which doubt the same path ask different engines of it and
+share what they find; those with more late events are drawn more often. The host
+that asked last asks a slow engine again before the evidence loses weight.
 """
 
 import typing
@@ -16,8 +16,12 @@
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
 
-# Interval between two questions of a host, at least.
+# Interval between two looks at what has changed.
+CHECK_INTERVAL_S: typing.Final = 0.25
+# Interval between two questions, at least, of a host and of all hosts together:
+# in a fleet under overload every host doubts.
 ASK_INTERVAL_S: typing.Final = 0.25
+FLEET_ASK_INTERVAL_S: typing.Final = 0.02
 # Age of this host's evidence at which it asks a slow engine again.
 RENEW_AGE_S: typing.Final = 2.5
 
@@ -31,37 +35,43 @@
         self._state = state
         self._calls = engine_calls
         self._asked: dict[str, float] = {}
+        self._next_question_at = float('-inf')
 
     async def run(self) -> None:
         """Runs until cancelled."""
         while True:
-            await trio.sleep(ASK_INTERVAL_S)
-            endpoint = self._choose_doubtful()
-            if endpoint is not None:
+            await trio.sleep(CHECK_INTERVAL_S)
+            now = clocks.now()
+            endpoint = self._choose_doubtful(now)
+            if endpoint is not None and now >= self._next_question_at:
+                self._next_question_at = now + max(
+                    ASK_INTERVAL_S,
+                    FLEET_ASK_INTERVAL_S * self._state.live_count,
+                )
                 await self._ask(endpoint)
             self._apply_changes()
 
-    def _choose_doubtful(self) -> endpoints_lib.Endpoint | None:
+    def _choose_doubtful(self, now: float) -> endpoints_lib.Endpoint | None:
         state = self._state
-        now = clocks.now()
-        names = state.slowness.doubtful(now) or self._list_due(now)
-        known = [state.endpoints.get(name) for name in names]
-        candidates = [e for e in known if e is not None]
-        return state.rng.choice(candidates) if candidates else None
+        weights = self._list_due(now) or state.slowness.doubtful(now)
+        if not weights:
+            return None
+        (name,) = state.rng.choices(list(weights), list(weights.values()))
+        return state.endpoints.get(name)
 
-    def _list_due(self, now: float) -> list[str]:
+    def _list_due(self, now: float) -> dict[str, int]:
         """Returns slow engines that this host was the last to ask."""
         table = self._state.slowness
         self._asked = {
             name: at
             for name, at in self._asked.items()
-            if now - at <= table.age_s(name, now) + ASK_INTERVAL_S
+            if now - at <= table.age_s(name, now) + CHECK_INTERVAL_S
         }
-        return [
-            name
+        return {
+            name: 1
             for name in table.slow(now)
             if name in self._asked and table.age_s(name, now) >= RENEW_AGE_S
-        ]
+        }
 
     async def _ask(self, endpoint: endpoints_lib.Endpoint) -> None:
         self._state.metrics.count('endpoint_paces_asked')
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paces.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paces.py
@@ -54,7 +54,7 @@
         self._window_events += 1
         if self._window_events < WINDOW_EVENTS:
             return
-        if self._state.slowness.has_slow and clock.was_on_time_since(
+        if self._state.slowness.has_suspects and clock.was_on_time_since(
             self._window_from
         ):
             mean_s = (now - self._window_from) / self._window_events
--- a/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
+++ b/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
@@ -71,7 +71,7 @@
     pace, table = make_pace(is_on_time, is_watched)
     pace.record_event(path, None)
     pace.record_event(path, waited_s)
-    assert table.doubtful(clocks.now()) == doubted
+    assert list(table.doubtful(clocks.now())) == doubted
 
 
 async def test_the_time_to_the_first_event_raises_no_doubt():
--- a/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
@@ -36,6 +36,13 @@
 UNEXPLAINED_FACTOR: typing.Final = 2.0
 
 
+class _Doubt(typing.NamedTuple):
+    """Late events of paths through an engine, and when the last one came."""
+
+    events: int
+    at: float
+
+
 class Statement(typing.NamedTuple):
     """How slow an engine was found to be.
 
@@ -97,13 +104,13 @@
 
     def __init__(self) -> None:
         self._statements: dict[str, Statement] = {}
-        self._doubts: dict[str, float] = {}
+        self._doubts: dict[str, _Doubt] = {}
         self._slow: dict[str, float] = {}
 
     @property
-    def has_slow(self) -> bool:
-        """Whether any engine counted as slow at the last look."""
-        return bool(self._slow)
+    def has_suspects(self) -> bool:
+        """Whether any engine is doubted or counted as slow at the last look."""
+        return bool(self._slow or self._doubts)
 
     def record(self, endpoint_id: str, factor: float, at: float) -> bool:
         """Records how slow an engine is; returns whether that is news.
@@ -146,7 +153,9 @@
         for part in path:
             name = part.endpoint.endpoint_id
             if not self._is_fresh(name, now):
-                self._doubts[name] = now
+                last = self._doubts.get(name)
+                events = last.events if last else 0
+                self._doubts[name] = _Doubt(events + 1, now)
 
     def record_events(
         self,
@@ -173,14 +182,18 @@
             ):
                 self.record(name, bound, now)
 
-    def doubtful(self, now: float) -> list[str]:
-        """Returns the engines that are doubted, and asked by nobody yet."""
+    def doubtful(self, now: float) -> dict[str, int]:
+        """Returns the engines that are doubted, and asked by nobody yet.
+
+        Returns:
+            For each, how many late events speak against it.
+        """
         self._doubts = {
-            name: at
-            for name, at in self._doubts.items()
-            if now - at <= DOUBT_S and not self._is_fresh(name, now)
+            name: doubt
+            for name, doubt in self._doubts.items()
+            if now - doubt.at <= DOUBT_S and not self._is_fresh(name, now)
         }
-        return sorted(self._doubts)
+        return {name: d.events for name, d in sorted(self._doubts.items())}
 
     def factor(self, endpoint_id: str, now: float) -> float:
         """Returns how slow an engine is taken to be; 1 if nothing is known."""
--- a/packages/sardinebend-policy/tests/cover/test_slowness.py
+++ b/packages/sardinebend-policy/tests/cover/test_slowness.py
@@ -107,12 +107,12 @@
     others = [n for n in names_of(path) if n != slow]
     table = slowness.SlownessTable()
     table.record_late_event(ENGINE, path, 1.0, {}, 10.0)
-    assert table.doubtful(10.0) == sorted(names_of(path))
+    assert table.doubtful(10.0) == dict.fromkeys(names_of(path), 1)
     for part in path:
         if part.endpoint.endpoint_id in others:
             own_s = slowness.part_ms(ENGINE, part) / 1e3
             table.record_events(ENGINE, (part,), own_s, 10.1)
-    assert table.doubtful(10.1) == [slow]
+    assert table.doubtful(10.1) == {slow: 1}
 
 
 def test_a_pause_that_known_slow_engines_explain_raises_no_doubt():
