--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -178,6 +178,9 @@
         shares=None
         if message.shares is None
         else [_make_shares(shares) for shares in message.shares],
+        slowness=[
+            _IDL.EndpointSlowness(**slow._asdict()) for slow in message.slowness
+        ],
     )
 
 
@@ -362,6 +365,7 @@
         None
         if item.shares is None
         else tuple(_decode_shares(shares) for shares in item.shares),
+        tuple(_decode_slowness(slow) for slow in item.slowness or ()),
     )
 
 
@@ -399,6 +403,15 @@
     )
 
 
+def _decode_slowness(item: typing.Any) -> messages.EndpointSlowness:
+    percent, age_ms = _check_optional_count(item.percent), item.age_ms
+    return messages.EndpointSlowness(
+        _check_type(item.endpoint_id, str),
+        _check_type(percent, int),
+        _check_type(_check_optional_count(age_ms), int),
+    )
+
+
 def _decode_part_crash(item: typing.Any) -> messages.PartCrashReport:
     crash = part_evidence.PartCrash(
         _check_type(item.part, str),
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -149,6 +149,20 @@
     age_ms: int
 
 
+class EndpointSlowness(typing.NamedTuple):
+    """How slow an engine was found to be.
+
+    Attributes:
+        endpoint_id: The engine.
+        percent: Time that it takes, in percent of its published figures.
+        age_ms: Time since that was found.
+    """
+
+    endpoint_id: str
+    percent: int
+    age_ms: int
+
+
 class LoadHeartbeat(typing.NamedTuple):
     """A heartbeat with the sender's load and gossip; not answered.
 
@@ -174,6 +188,8 @@
             peers.
         shares: What the sender has in flight by rank and customer; `None` if it
             doesn't say.
+        slowness: Some of the engines that are slow, or were doubted and found
+            not to be, known from their reports or from peers.
     """
 
     host: str
@@ -190,6 +206,7 @@
     verdicts: tuple[Verdict, ...] = ()
     limits: tuple[EndpointLimit, ...] = ()
     shares: fleet_shares.Report | None = None
+    slowness: tuple[EndpointSlowness, ...] = ()
 
 
 class FeedRow(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -91,6 +91,12 @@
   3: list<i64> customers,
 }
 
+struct EndpointSlowness {
+  1: string endpoint_id,
+  2: i32 percent,
+  3: i64 age_ms,
+}
+
 struct HostBeat {
   1: string host,
   2: string incarnation,
@@ -106,6 +112,7 @@
   12: optional list<Verdict> verdicts,
   13: optional list<EndpointLimit> limits,
   14: optional list<ServiceShares> shares,
+  15: optional list<EndpointSlowness> slowness,
 }
 
 struct FeedRow {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -112,6 +112,10 @@
             st.builds(fleet_shares.ServiceShares, NUMBER, USES, USES),
             max_size=3,
         ).map(tuple),
+        st.lists(
+            st.builds(messages.EndpointSlowness, TEXT, NUMBER, NUMBER),
+            max_size=3,
+        ).map(tuple),
     ),
     st.just(messages.Ack()),
 )
