Check a configuration before it is sent: sardinebendctl check

Operators learnt of a mistake one at a time, from the refusal of the whole configuration, and of an entry without effect never. `sardinebendctl check FILE [--against FILE]` finds all errors of a settings tree at once, entries that nothing can use, limits against each other, and what differs from the tree in force; it calls nothing and shows no key. `python -m sardinebend_adapter.check` does the same for a platform configuration: the adapter only translates, the checks are `policy.catalog_check`.

Exit codes: 0, 2 for errors, 8 for warnings only. The test that lists the exit codes of all errors of the command has the new code 8 in its list and is otherwise unchanged.

--- a/packages/sardinebend-admin/src/sardinebend_admin/cli.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/cli.py
@@ -2,13 +2,14 @@
 
 Exit codes: 0 success, 1 refused, 2 invalid input, 3 conflict with a change of
 another operator, 4 host or table unavailable, 5 outcome unknown, 6 not
-confirmed, 7 not found.
+confirmed, 7 not found, 8 warnings.
 """
 
 import sys
 
 import defopt
 
+from sardinebend_admin import check
 from sardinebend_admin import commands
 from sardinebend_admin import errors
 from sardinebend_admin import explain
@@ -33,6 +34,7 @@
     'explain': explain.explain,
     'simulate': simulate.simulate,
     'status': status.status,
+    'check': check.check,
 }
 
 
--- a/packages/sardinebend-admin/src/sardinebend_admin/errors.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/errors.py
@@ -67,3 +67,9 @@
     """Raised when the logs hold no line of a request; pass more logs."""
 
     exit_code = 7
+
+
+class Questionable(AdminError):
+    """Raised when a check finds warnings only; the tree would be accepted."""
+
+    exit_code = 8
--- a/packages/sardinebend-admin/tests/cover/test_commands.py
+++ b/packages/sardinebend-admin/tests/cover/test_commands.py
@@ -105,10 +105,34 @@
     monkeypatch, capsys
 ):
     codes = [kind.exit_code for kind in errors.AdminError.__subclasses__()]
-    assert sorted(codes) == [1, 2, 3, 4, 5, 6, 7]
+    assert sorted(codes) == [1, 2, 3, 4, 5, 6, 7, 8]
     monkeypatch.setattr('sys.argv', ['sardinebendctl', 'hosts'])
     monkeypatch.delenv(commands.HOST_VARIABLE, raising=False)
     with pytest.raises(SystemExit) as caught:
         cli.main()
     assert caught.value.code == errors.BadInput.exit_code
     assert commands.HOST_VARIABLE in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ('text', 'exit_code', 'expected'),
+    [
+        ('{} // nothing yet', None, '0 errors, 0 warnings'),
+        ('{"customers": {"nile": {}}}', 8, 'customers/nile.key_hashes'),
+        ('{"customers": {"nile": 5}}', 2, 'error: customers/nile: '),
+        ('{"customers": ', 2, ''),
+    ],
+)
+def test_a_check_of_a_file_ends_with_a_code_for_scripts(
+    text, exit_code, expected, tmp_path, capsys, monkeypatch
+):
+    path = tmp_path / 'tree.jsonc'
+    path.write_text(text)
+    monkeypatch.setattr('sys.argv', ['sardinebendctl', 'check', str(path)])
+    if exit_code is None:
+        cli.main()
+    else:
+        with pytest.raises(SystemExit) as caught:
+            cli.main()
+        assert caught.value.code == exit_code
+    assert expected in capsys.readouterr().out
--- /dev/null
+++ b/packages/sardinebend-settings/tests/cover/test_tree_check.py
@@ -0,0 +1,169 @@
+"""Tests of the check of a settings tree before it is sent."""
+
+import copy
+import json
+
+import pytest
+
+from sardinebend_settings import errors
+from sardinebend_settings import findings
+from sardinebend_settings import tree
+from sardinebend_settings import tree_check
+
+KEY = 'ab' * 32
+ENGINE = {
+    'url': 'http://10.0.0.1:80',
+    'failure_domain': 'd1',
+    'role': 'engine',
+    'model': 'm',
+    'model_version': '1',
+    'first_layer': 0,
+    'end_layer': 4,
+}
+SOUND = {
+    'values': {'fleet': {'draft.max_attempts': 2}},
+    'customers': {'nile': {'key_hashes': [KEY]}},
+    'services': {'seats': {'operations': {'hold': {}}}},
+    'routes': {'assistant': {'model': 'm', 'model_version': '1', 'layers': 4}},
+    'endpoints': {
+        'e1': ENGINE,
+        'e2': ENGINE,
+        's1': {
+            'url': 'http://10.0.0.2:80',
+            'failure_domain': 'd1',
+            'role': 'service',
+            'service': 'seats',
+        },
+    },
+}
+
+
+def check(change):
+    """Returns level and path of what is found in a changed sound tree."""
+    document = copy.deepcopy(SOUND)
+    change(document)
+    report = tree_check.check(document)
+    return report.exit_code, [(f.level, f.path) for f in report.findings]
+
+
+def test_a_sound_tree_has_no_findings():
+    assert check(lambda document: None) == (0, [])
+
+
+def test_all_errors_are_found_at_once_with_path_value_and_what_is_allowed():
+    document = copy.deepcopy(SOUND)
+    document['values']['fleet'] = {'retry.budget_ratio': 7}
+    document['routes']['assistant']['layers'] = 'four'
+    document['typo'] = {}
+    document['customers']['nile'] = {'key_hashes': ['not a hash']}
+    report = tree_check.check(document)
+    assert report.exit_code == findings.EXIT_ERRORS
+    found = {f.path: f for f in report.findings}
+    assert set(found) == {
+        'values/fleet.retry.budget_ratio',
+        'routes/assistant',
+        'typo',
+        'customers/nile.key_hashes',
+    }
+    ratio = found['values/fleet.retry.budget_ratio']
+    assert (ratio.value, ratio.allowed) == (7, 'a number from 0 to 1')
+    assert 'not a hash' not in report.format(as_json=True)
+
+
+def test_a_tree_that_is_wrong_as_a_whole_is_an_error():
+    code, found = check(
+        lambda d: (
+            d['endpoints'].update(e1={**ENGINE, 'first_layer': 1})
+            or d['endpoints'].pop('e2')
+        )
+    )
+    assert (code, found) == (2, [('error', 'routes/assistant')])
+
+
+@pytest.mark.parametrize(
+    ('change', 'path'),
+    [
+        (
+            lambda d: d['customers'].update(idle={}),
+            'customers/idle.key_hashes',
+        ),
+        (
+            lambda d: d['customers'].update(twin={'key_hashes': [KEY]}),
+            'customers/twin.key_hashes',
+        ),
+        (
+            lambda d: d['services'].update(alone={'operations': {'x': {}}}),
+            'services/alone',
+        ),
+        (
+            lambda d: d['services']['seats'].update(operations={}),
+            'services/seats.operations',
+        ),
+        (
+            lambda d: d['values'].update({'fleet/customer:gone': {}}),
+            'values/fleet/customer:gone',
+        ),
+        (
+            lambda d: d['values'].update({'fleet/customer:nile/kind:a.b': {}}),
+            'values/fleet/customer:nile/kind:a.b',
+        ),
+        (
+            lambda d: d['values']['fleet'].update(
+                {'request.deadline_s': 2.0, 'service.reply_s': 3.0}
+            ),
+            'values/fleet.service.reply_s',
+        ),
+        (
+            lambda d: d['values']['fleet'].update({'draft.max_attempts': 3}),
+            'values/fleet.draft.max_attempts',
+        ),
+    ],
+)
+def test_what_has_no_effect_or_contradicts_itself_is_a_warning(change, path):
+    assert check(change) == (findings.EXIT_WARNINGS, [('warning', path)])
+
+
+def test_a_model_version_that_is_prepared_is_only_a_note():
+    code, found = check(
+        lambda d: d['endpoints'].update(e3={**ENGINE, 'model_version': '2'})
+    )
+    assert (code, found) == (0, [('note', 'endpoints/e3.model_version')])
+
+
+@pytest.mark.parametrize('is_output', [True, False])
+def test_differences_from_the_tree_in_force_are_shown_without_keys(is_output):
+    changed = copy.deepcopy(SOUND)
+    changed['values']['fleet'] = {'draft.max_attempts': 1}
+    changed['customers']['nile'] = {'key_hashes': [KEY, 'cd' * 32]}
+    in_force = SOUND
+    if is_output:
+        nodes = tree.Tree.from_document(SOUND).nodes
+        in_force = {
+            'version': 3,
+            'nodes': {p: {'value': v, 'version': 1} for p, v in nodes.items()},
+        }
+    report = tree_check.check(changed, in_force)
+    assert report.exit_code == 0
+    text = json.loads(report.format(as_json=True))
+    assert text['differences'] == [
+        {
+            'path': 'customers/nile',
+            'before': {'key_hashes': '1 (hidden)'},
+            'after': {'key_hashes': '2 (hidden)'},
+        },
+        {
+            'path': 'values/fleet',
+            'before': {'draft.max_attempts': 2},
+            'after': {'draft.max_attempts': 1},
+        },
+    ]
+
+
+@pytest.mark.parametrize('odd', [None, 7, [], 'text', {'routes': 5}])
+def test_an_odd_document_is_an_error_with_a_path(odd):
+    report = tree_check.check(odd)
+    assert report.exit_code == findings.EXIT_ERRORS
+    assert all(finding.path for finding in report.findings)
+    if odd is not None:
+        with pytest.raises(errors.InvalidSetting):
+            tree_check.check(SOUND, odd)
--- /dev/null
+++ b/tests/cover/test_platform_check.py
@@ -0,0 +1,158 @@
+"""The check of a platform configuration before it is sent."""
+
+import json
+
+import pytest
+
+from sardinebend_adapter import check as check_lib
+from sardinebend_settings import findings
+from tests.common import gateway_world as world_lib
+
+KINDS = 'services[1].engine.kinds'
+
+
+def make_config():
+    config = world_lib.make_config()
+    for route in config['routes']:
+        route['max_attempts'] = 1
+    return config
+
+
+def check(change, against=None):
+    config = make_config()
+    change(config)
+    data = json.dumps(config).encode()
+    return check_lib.check(data, json.dumps(against).encode())
+
+
+def check_alone(change):
+    """Returns exit code, and level and path of what is found."""
+    config = make_config()
+    change(config)
+    report = check_lib.check(json.dumps(config).encode())
+    return report.exit_code, [(f.level, f.path) for f in report.findings]
+
+
+def route(number, **changes):
+    return lambda config: config['routes'][number].update(changes)
+
+
+def test_a_sound_configuration_has_no_findings():
+    assert check_alone(lambda config: None) == (0, [])
+
+
+@pytest.mark.parametrize(
+    ('change', 'level', 'path'),
+    [
+        (route(0, prefix='/open/'), 'warning', 'routes[0].prefix'),
+        (route(0, prefix='/book'), 'warning', 'routes[0].prefix'),
+        (route(0, service='gone'), 'error', 'routes[0].traffic_split'),
+        (
+            route(
+                0,
+                traffic_split=[
+                    {'service': 'app', 'weight': 1},
+                    {'service': 'app', 'weight': 0},
+                ],
+            ),
+            'warning',
+            'routes[0].traffic_split',
+        ),
+        (
+            route(0, traffic_split=[{'service': 'app', 'weight': 0}]),
+            'warning',
+            'routes[0].traffic_split',
+        ),
+        (route(2, timeout_ms=400), 'warning', 'routes[2].target_latency_ms'),
+        (route(2, target_gap_ms=9000), 'warning', 'routes[2].target_gap_ms'),
+        (route(0, timeout_ms=0), 'error', 'routes[0].timeout_ms'),
+        (route(0, max_attempts=2), 'note', 'routes[0].max_attempts'),
+        (route(0, priority=12), 'warning', 'routes[0].priority'),
+        (
+            lambda c: c['services'].append({'name': 'idle'}),
+            'warning',
+            'services[2].name',
+        ),
+        (
+            lambda c: c['services'][1]['engine'].update(layer_mb=5000),
+            'error',
+            KINDS,
+        ),
+        (
+            lambda c: c['tenants'].append({'name': 'b', 'api_keys': []}),
+            'warning',
+            'tenants[1].api_keys',
+        ),
+        (
+            lambda c: c['tenants'].append({'name': 'b', 'api_keys': ['']}),
+            'error',
+            'tenants[1].api_keys',
+        ),
+        (
+            lambda c: c['tenants'].append(
+                {'name': 'b', 'api_keys': [world_lib.KEY]}
+            ),
+            'warning',
+            'tenants[0].api_keys',
+        ),
+        (
+            lambda c: c['limits'].update(idle_timeout_ms=0),
+            'error',
+            'limits.idle_timeout_ms',
+        ),
+    ],
+)
+def test_an_entry_without_effect_or_against_others_is_found(
+    change, level, path
+):
+    code, found = check_alone(change)
+    assert (level, path) in found
+    codes = {'error': 2, 'warning': 8, 'note': 0}
+    assert code == codes[level]
+
+
+def test_all_entries_that_hosts_refuse_are_errors_with_their_values():
+    config = make_config()
+    config['routes'][1]['timeout_ms'] = 'soon'
+    del config['routes'][2]['hostname']
+    config['routes'][3]['kind'] = 'sometimes'
+    config['services'][1]['engine']['kinds'][0]['pace'] = -1
+    config['tenants'][0]['api_keys'] = ['secret', 5]
+    del config['version']
+    report = check_lib.check(json.dumps(config).encode())
+    found = {f.path: f.value for f in report.findings}
+    assert found == {
+        'version': None,
+        'routes[1].timeout_ms': 'soon',
+        'routes[2].hostname': None,
+        'routes[3]': None,
+        f'{KINDS}[0].pace': -1,
+        'tenants[0].api_keys[1]': findings.HIDDEN,
+    }
+    assert {f.level for f in report.findings} == {'error'}
+    assert 'secret' not in report.format(as_json=False)
+
+
+def test_differences_are_shown_and_a_version_that_does_not_rise_is_an_error():
+    def change(config):
+        config['routes'][0]['timeout_ms'] = 1000
+        config['tenants'][0]['api_keys'].append('another')
+
+    report = check(change, make_config())
+    assert [(f.level, f.path) for f in report.findings] == [
+        ('error', 'version')
+    ]
+    assert [tuple(d) for d in report.differences] == [
+        ('customer vanua keys', '1 (hidden)', '2 (hidden)'),
+        (f'route {world_lib.HOST}/book/ timeout_s', 2.0, 1.0),
+    ]
+
+
+@pytest.mark.parametrize('data', [b'', b'{', b'[]', b'\xff', b'{"routes": 5}'])
+def test_an_odd_file_gets_an_error_and_its_exit_code(data, tmp_path, capsys):
+    path = tmp_path / 'config.json'
+    path.write_bytes(data)
+    assert check_lib.main([str(path), '--json']) == findings.EXIT_ERRORS
+    assert json.loads(capsys.readouterr().out)['findings']
+    assert check_lib.main([str(tmp_path / 'none')]) == findings.EXIT_ERRORS
+    assert 'No such file' in capsys.readouterr().err
