Keep the check of configurations out of what a host needs to start

Findings now belong to `policy`, and the check of the settings tree to `admin`. A test starts the host's program and the check without the settings package; with the import put back it fails.

--- a/packages/sardinebend-admin/src/sardinebend_admin/check.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/check.py
@@ -1,10 +1,10 @@
 """Checks a settings tree before it is sent; calls nothing."""
 
 from sardinebend_admin import errors
+from sardinebend_admin import tree_check
+from sardinebend_policy import findings
 from sardinebend_settings import documents
 from sardinebend_settings import errors as settings_errors
-from sardinebend_settings import findings
-from sardinebend_settings import tree_check
 
 
 def check(file: str, *, against: str = '', json: bool = False) -> None:
--- a/packages/sardinebend-settings/src/sardinebend_settings/tree_check.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/tree_check.py
@@ -3,9 +3,9 @@
 import collections
 import typing
 
+from sardinebend_policy import findings
 from sardinebend_settings import changes
 from sardinebend_settings import errors
-from sardinebend_settings import findings
 from sardinebend_settings import tree as tree_lib
 
 _SECRET_SECTIONS: typing.Final = ('customers', 'operators')
--- a/packages/sardinebend-settings/tests/cover/test_tree_check.py
+++ b/packages/sardinebend-admin/tests/cover/test_tree_check.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from sardinebend_admin import tree_check
+from sardinebend_policy import findings
 from sardinebend_settings import errors
-from sardinebend_settings import findings
 from sardinebend_settings import tree
-from sardinebend_settings import tree_check
 
 KEY = 'ab' * 32
 ENGINE = {
--- a/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/__init__.py
@@ -7,8 +7,6 @@
 from sardinebend_policy import bookings
 from sardinebend_policy import cancels
 from sardinebend_policy import catalog
-from sardinebend_policy import catalog_changes
-from sardinebend_policy import catalog_check
 from sardinebend_policy import claims
 from sardinebend_policy import draft_messages
 from sardinebend_policy import drafts
@@ -46,8 +44,6 @@
     'bookings',
     'cancels',
     'catalog',
-    'catalog_changes',
-    'catalog_check',
     'claims',
     'draft_messages',
     'drafts',
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog_changes.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog_changes.py
@@ -4,7 +4,7 @@
 
 from sardinebend_policy import catalog
 from sardinebend_policy import catalog_check
-from sardinebend_settings import findings
+from sardinebend_policy import findings
 
 VERSION: typing.Final = 'version'
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog_check.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog_check.py
@@ -8,7 +8,7 @@
 import typing
 
 from sardinebend_policy import catalog
-from sardinebend_settings import findings
+from sardinebend_policy import findings
 
 LOWEST_PRIORITY: typing.Final = 9
 
--- a/tests/cover/test_platform_check.py
+++ b/tests/cover/test_platform_check.py
@@ -1,11 +1,14 @@
 """The check of a platform configuration before it is sent."""
 
 import json
+import pathlib
+import subprocess
+import sys
 
 import pytest
 
 from sardinebend_adapter import check as check_lib
-from sardinebend_settings import findings
+from sardinebend_policy import findings
 from tests.common import gateway_world as world_lib
 
 KINDS = 'services[1].engine.kinds'
@@ -156,3 +159,18 @@
     assert json.loads(capsys.readouterr().out)['findings']
     assert check_lib.main([str(tmp_path / 'none')]) == findings.EXIT_ERRORS
     assert 'No such file' in capsys.readouterr().err
+
+
+# Guards against hosts that end as they start: a machine of the platform has
+# only what deploy/requirements.txt names, and the settings package needs more.
+@pytest.mark.parametrize('module', ['main', 'check'])
+def test_the_programs_of_a_host_do_without_the_settings_package(module):
+    root = pathlib.Path(__file__).parents[2]
+    sources = [root / 'platform', *(root / 'packages').glob('*/src')]
+    code = (
+        'import sys; sys.modules["sardinebend_settings"] = None;'
+        f'sys.path[:0] = {[str(path) for path in sources]!r};'
+        f'import sardinebend_adapter.{module}'
+    )
+    done = subprocess.run([sys.executable, '-c', code], capture_output=True)
+    assert (done.returncode, done.stderr) == (0, b'')
