Count the prompts that wait to be read at engines

Hosts saw how many streams run at an engine, and not how much of their prompts it has yet to read, so no decision could go by it. Each attempt of a stream now counts its prompt tokens times layers at each part of its path from its start to its first event, its end or its refusal; a stream that goes on elsewhere counts with all its tokens, and a repaired one at its new parts only. Heartbeats carry the counts in a new optional field; what an engine can have read since, at its published rate, is taken off the news of peers.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -107,6 +107,7 @@
                     name,
                     inflight.requests.get(name, 0),
                     inflight.token_layers[name],
+                    inflight.reading_token_layers.get(name, 0),
                 )
                 for name in largest
             ),
@@ -207,5 +208,10 @@
                     for load in heartbeat.loads
                 },
                 heartbeat.crossing_tokens,
+                {
+                    load.endpoint_id: load.reading_token_layers
+                    for load in heartbeat.loads
+                    if load.reading_token_layers > 0
+                },
             ),
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -27,6 +27,7 @@
 from sardinebend_policy import planned_stop as planned_stop_lib
 from sardinebend_policy import quarantine
 from sardinebend_policy import readers
+from sardinebend_policy import readings
 from sardinebend_policy import retries
 from sardinebend_policy import service_times
 from sardinebend_policy import silences
@@ -145,6 +146,7 @@
         self.live_count = 1
         self.role = readers.DIRECT_READER
         self._path_caches: dict[str, path_cache.PathCache] = {}
+        self._pauses_at_risk_s: dict[str, float | None] = {}
         self._budgets: dict[str, retries.RetryBudget] = {}
         self._failure_listeners: set[FailureListener] = set()
         self.endpoints_changed = trio.Event()
@@ -171,10 +173,20 @@
             previous=old.version if old else None,
             routes=sum(1 for _ in catalog.routes()),
         )
+        pauses_s = {n: catalog.pause_at_risk_s(n) for n in catalog.services}
         for name, service in catalog.services.items():
             before = old.services.get(name) if old else None
-            if before is None or before.engine != service.engine:
+            if (
+                before is None
+                or before.engine != service.engine
+                or pauses_s[name] != self._pauses_at_risk_s.get(name)
+            ):
                 self._path_caches.pop(name, None)
+        self._pauses_at_risk_s = pauses_s
+
+    def counts_reading(self, service: str) -> bool:
+        """Returns whether prompts of a service count until they are read."""
+        return self._pauses_at_risk_s.get(service) is not None
 
     def limits(self) -> catalog_lib.Limits:
         """Returns the limits on what callers may send."""
@@ -184,18 +196,21 @@
         self, service: catalog_lib.Service
     ) -> path_cache.PathCache:
         """Returns the path cache of a service, rebuilt if it is outdated."""
+        assert service.engine is not None
         cache = self._path_caches.get(service.name)
         if cache is None:
-            assert service.engine is not None
-            cache = path_cache.PathCache(service.engine)
+            pause_s = self._pauses_at_risk_s.get(service.name)
+            cache = path_cache.PathCache(service.engine, pause_s)
             self._path_caches[service.name] = cache
         now = clocks.now()
-        cache.refresh(
-            self.endpoints.list_usable(service.name, now),
-            self.loads(),
-            self.endpoints.revision,
-            now,
+        usable = self.endpoints.list_usable(service.name, now)
+        is_rebuilt = cache.refresh(
+            usable, self.loads(), self.endpoints.revision, now
         )
+        if is_rebuilt and cache.pause_s is not None:
+            self.inflight.read_rates.update(
+                readings.read_rates(service.engine, usable)
+            )
         return cache
 
     def loads(self) -> dict[str, paths_lib.Load]:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -53,6 +53,18 @@
         self._exposures = [
             exchange.begin_exposure(part.endpoint for part in path)
         ]
+        admitted = exchange.admitted
+        is_resumed = (
+            exchange.out.is_started or admitted.facts.resume_after is not None
+        )
+        # An engine that goes on with a stream reads what there is of it, too.
+        self._unread_tokens = (
+            tokens if is_resumed else admitted.facts.prompt_tokens
+        )
+        self._counts_reading = exchange.state.counts_reading(
+            admitted.service.name
+        )
+        self._reading_path: paths_lib.Path = ()
 
     def idle_s(self) -> float:
         """Returns the time since the last progress, without own delays."""
@@ -93,6 +105,7 @@
             self.exchange.state.stream_gaps.record(
                 first, waited_s, clocks.now()
             )
+        self._end_reading()
         self._record_contact()
         self.record_progress()
         self.exchange.ending.last_event_at = trio.current_time()
@@ -132,12 +145,21 @@
     def start(self) -> None:
         """Counts the request as in flight at the engines of its path."""
         self.exchange.state.inflight.add(self.path, self.tokens)
+        self._begin_reading(self.path)
 
     def change_path(self, path: paths_lib.Path) -> None:
-        """Moves the in-flight count of the request to another path."""
+        """Moves the in-flight count of the request to another path.
+
+        New parts read all tokens so far; the others keep them.
+        """
+        is_reading = bool(self._reading_path)
+        new_parts = tuple(part for part in path if part not in self.path)
         self._stop_counting()
         self.path = path
-        self.start()
+        self.exchange.state.inflight.add(path, self.tokens)
+        if not is_reading:
+            self._unread_tokens = self.tokens
+        self._begin_reading(path if is_reading else new_parts)
         self.record_progress()
 
     def close(self) -> None:
@@ -146,5 +168,17 @@
             exposure.close()
         self._stop_counting()
 
+    def _begin_reading(self, path: paths_lib.Path) -> None:
+        if self._counts_reading:
+            self._reading_path = path
+            self.exchange.state.inflight.begin_reading(
+                path, self._unread_tokens
+            )
+
+    def _end_reading(self) -> None:
+        path, self._reading_path = self._reading_path, ()
+        self.exchange.state.inflight.end_reading(path, self._unread_tokens)
+
     def _stop_counting(self) -> None:
+        self._end_reading()
         self.exchange.state.inflight.remove(self.path, self.tokens)
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -154,7 +154,16 @@
         host=message.host,
         incarnation=message.incarnation,
         is_leaving=message.is_leaving,
-        loads=[_IDL.EndpointLoad(**load._asdict()) for load in message.loads],
+        loads=[
+            _IDL.EndpointLoad(
+                load.endpoint_id,
+                load.requests,
+                load.token_layers,
+                # Left out if nothing is read: heartbeats have to be small.
+                load.reading_token_layers or None,
+            )
+            for load in message.loads
+        ],
         heard=message.heard,
         crossing_tokens=message.crossing_tokens,
         crashes=_make_crash_notices(message.crashes),
@@ -322,6 +331,7 @@
                 _check_type(load.endpoint_id, str),
                 _check_type(load.requests, int),
                 _check_type(load.token_layers, int),
+                _check_type(load.reading_token_layers or 0, int),
             )
             for load in item.loads
         ),
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -88,11 +88,14 @@
         endpoint_id: The endpoint.
         requests: Number of the host's requests running on the endpoint.
         token_layers: Memory that these requests use, in tokens x layers.
+        reading_token_layers: Prompt tokens x layers of those without a first
+            event.
     """
 
     endpoint_id: str
     requests: int
     token_layers: int
+    reading_token_layers: int = 0
 
 
 class EndpointStart(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -52,6 +52,7 @@
   1: string endpoint_id,
   2: i32 requests,
   3: i64 token_layers,
+  4: optional i64 reading_token_layers,
 }
 
 struct EndpointStart {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -63,7 +63,8 @@
         TEXT,
         st.booleans(),
         st.lists(
-            st.builds(messages.EndpointLoad, TEXT, NUMBER, NUMBER), max_size=3
+            st.builds(messages.EndpointLoad, TEXT, NUMBER, NUMBER, NUMBER),
+            max_size=3,
         ).map(tuple),
         st.binary(max_size=20),
         NUMBER,
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -226,6 +226,15 @@
         routes = self.list_stream_routes(service)
         return len({route.priority for route in routes}) > 1
 
+    def pause_at_risk_s(self, service: str) -> float | None:
+        """Returns the shortest gap that a service's streams expect.
+
+        `None` if its engines' reading can't exceed it.
+        """
+        if not self.reading_can_break_pauses(service):
+            return None
+        return min(r.gap_target_s for r in self.list_stream_routes(service))
+
     def reading_can_break_pauses(self, service: str) -> bool:
         """Returns whether reading can hold up a service's streams too long.
 
--- a/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import types
 import typing
 
 from sardinebend_policy import paths
@@ -26,12 +27,15 @@
         requests: Requests by endpoint.
         token_layers: Memory by endpoint, in tokens x layers.
         crossing_tokens: Prompt tokens a second sent between domains.
+        reading_token_layers: Prompt tokens x layers by endpoint of requests
+            without a first event.
     """
 
     at: float
     requests: dict[str, int]
     token_layers: dict[str, int]
     crossing_tokens: float = 0.0
+    reading_token_layers: typing.Mapping[str, int] = types.MappingProxyType({})
 
 
 def count_crossings(path: paths.Path, kept: paths.Path = ()) -> int:
@@ -75,22 +79,44 @@
 
 
 class InFlight:
-    """Totals of running requests by endpoint."""
+    """Totals of running requests by endpoint.
+
+    Attributes:
+        requests: Own requests.
+        token_layers: Memory that they take, in tokens x layers.
+        reading_token_layers: Prompt tokens x layers of those own requests whose
+            first event hasn't come.
+        read_rates: Prompt tokens x layers that an endpoint reads in a second,
+            as published; for endpoints whose reading is in the cost of paths.
+        slowness: Factor by which an endpoint is slower than published.
+    """
 
     def __init__(self) -> None:
         self.requests: dict[str, int] = {}
         self.token_layers: dict[str, int] = {}
+        self.reading_token_layers: dict[str, int] = {}
+        self.read_rates: dict[str, float] = {}
         self.slowness: dict[str, float] = {}
         self.crossings = CrossingRate()
         self._peers: dict[str, PeerCounts] = {}
 
     def add(self, path: paths.Path, tokens: int) -> None:
         """Counts a request along its path."""
-        self._change(path, tokens, 1)
+        _change(self.requests, path, 1)
+        _change_layers(self.token_layers, path, tokens)
 
     def remove(self, path: paths.Path, tokens: int) -> None:
         """Stops counting a request along its path."""
-        self._change(path, tokens, -1)
+        _change(self.requests, path, -1)
+        _change_layers(self.token_layers, path, -tokens)
+
+    def begin_reading(self, path: paths.Path, tokens: int) -> None:
+        """Counts tokens that the parts of a path are to read."""
+        _change_layers(self.reading_token_layers, path, tokens)
+
+    def end_reading(self, path: paths.Path, tokens: int) -> None:
+        """Stops counting tokens that were read, or that never will be."""
+        _change_layers(self.reading_token_layers, path, -tokens)
 
     def record_peer_counts(self, peer: str, counts: PeerCounts) -> None:
         """Records the totals of a peer."""
@@ -106,16 +132,16 @@
         """
         requests: dict[str, float] = dict(self.requests)
         layers: dict[str, float] = dict(self.token_layers)
+        reading: dict[str, float] = dict(self.reading_token_layers)
         reporting = 1
         for peer, counts in list(self._peers.items()):
             if now - counts.at > PEER_COUNTS_TTL_S:
                 del self._peers[peer]
                 continue
             reporting += 1
-            for name, number in counts.requests.items():
-                requests[name] = requests.get(name, 0) + number
-            for name, number in counts.token_layers.items():
-                layers[name] = layers.get(name, 0) + number
+            _add(requests, counts.requests)
+            _add(layers, counts.token_layers)
+            _add(reading, self._unread(counts, now))
         scale = max(1.0, hosts / reporting)
         names = requests.keys() | self.slowness.keys()
         return {
@@ -123,10 +149,23 @@
                 requests.get(name, 0) * scale,
                 layers.get(name, 0) * scale,
                 self.slowness.get(name, 1.0),
+                reading.get(name, 0) * scale,
             )
             for name in names
         }
 
+    def _unread(self, counts: PeerCounts, now: float) -> dict[str, float]:
+        """Returns what can't have been read since a peer reported it.
+
+        Endpoints of unknown rate are left out.
+        """
+        unread = {}
+        for name, number in counts.reading_token_layers.items():
+            if name in self.read_rates:
+                rate = self.read_rates[name] / self.slowness.get(name, 1.0)
+                unread[name] = max(0.0, number - (now - counts.at) * rate)
+        return unread
+
     def crossing_tokens(self, now: float, hosts: int = 1) -> float:
         """Returns the rate of prompt tokens between domains, of all hosts."""
         reporting = [
@@ -143,15 +182,28 @@
         others = sum(counts.crossing_tokens for counts in reporting)
         return own + others * max(1.0, (hosts - 1) / len(reporting))
 
-    def _change(self, path: paths.Path, tokens: int, sign: int) -> None:
-        for part in path:
-            name = part.endpoint.endpoint_id
-            for totals, amount in (
-                (self.requests, 1),
-                (self.token_layers, tokens * part.span.size),
-            ):
-                total = totals.get(name, 0) + sign * amount
-                if total > 0:
-                    totals[name] = total
-                else:
-                    totals.pop(name, None)
+
+def _change(totals: dict[str, int], path: paths.Path, amount: int) -> None:
+    for part in path:
+        _change_total(totals, part.endpoint.endpoint_id, amount)
+
+
+def _change_layers(
+    totals: dict[str, int], path: paths.Path, tokens: int
+) -> None:
+    for part in path:
+        amount = tokens * part.span.size
+        _change_total(totals, part.endpoint.endpoint_id, amount)
+
+
+def _change_total(totals: dict[str, int], name: str, amount: int) -> None:
+    total = totals.get(name, 0) + amount
+    if total > 0:
+        totals[name] = total
+    else:
+        totals.pop(name, None)
+
+
+def _add(totals: dict[str, float], more: typing.Mapping[str, float]) -> None:
+    for name, number in more.items():
+        totals[name] = totals.get(name, 0) + number
--- a/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/path_cache.py
@@ -33,12 +33,22 @@
 class PathCache:
     """Cached paths through the endpoints of one service."""
 
-    def __init__(self, engine: catalog.EngineModel) -> None:
+    def __init__(
+        self, engine: catalog.EngineModel, pause_s: float | None = None
+    ) -> None:
+        """Creates an empty cache.
+
+        Args:
+            engine: Published figures of the engines.
+            pause_s: Longest expected gap between events, if prompts that are
+                read can exceed it.
+        """
+        self.pause_s = pause_s
         self._engine = engine
         self._paths: list[paths.Path] = []
         self._refreshed_at = -math.inf
         self._revision = -1
-        self._finder = paths.PathFinder(engine, (), {})
+        self._finder = paths.PathFinder(engine, (), {}, pause_s=pause_s)
         self._refresh_s = REFRESH_S
         self._now = -math.inf
         self._search_failed_at = -math.inf
@@ -60,18 +70,24 @@
         loads: typing.Mapping[str, paths.Load],
         revision: int,
         now: float,
-    ) -> None:
-        """Rebuilds the cache if that is due."""
+    ) -> bool:
+        """Rebuilds the cache if that is due.
+
+        Returns:
+            Whether it was.
+        """
         self._now = now
         age_s = now - self._refreshed_at
         if revision == self._revision and age_s < self._refresh_s:
-            return
+            return False
         self._revision = revision
         self._refreshed_at = now
         self._search_failed_at = -math.inf
         self._refresh_s = max(REFRESH_S, REFRESH_PER_ENGINE_S * len(endpoints))
         tokens = self._engine.usual_prompt + self._engine.usual_answer
-        self._finder = paths.PathFinder(self._engine, endpoints, loads)
+        self._finder = paths.PathFinder(
+            self._engine, endpoints, loads, pause_s=self.pause_s
+        )
         self._paths = []
         assumed = dict(loads)
         for domain in sorted({e.domain for e in endpoints}):
@@ -79,10 +95,11 @@
         for _ in range(0 if self._paths else CROSS_DOMAIN_PATHS):
             path = self._finder.with_loads(assumed).find(tokens)
             if path is None:
-                return
+                break
             if path not in self._paths:
                 self._paths.append(path)
             _add_load(assumed, path, tokens)
+        return True
 
     def _add_domain_paths(
         self, domain: str, tokens: float, assumed: dict[str, paths.Load]
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -13,6 +13,7 @@
 
 from sardinebend_policy import catalog
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import readings
 
 # Maximum number of parts, that is, endpoints, of a path.
 MAX_PATH_PARTS: typing.Final = 32
@@ -53,11 +54,13 @@
         requests: Requests that it is running.
         token_layers: Memory that they take, in tokens x layers.
         slowness: Factor by which it is slower than its published figures.
+        reading_token_layers: Prompt tokens x layers that wait to be read.
     """
 
     requests: float = 0.0
     token_layers: float = 0.0
     slowness: float = 1.0
+    reading_token_layers: float = 0.0
 
 
 IDLE: typing.Final = Load()
@@ -129,6 +132,7 @@
         loads: typing.Mapping[str, Load],
         link_use: float = 0.0,
         link_limit: float = LINK_LIMIT,
+        pause_s: float | None = None,
     ) -> None:
         """Creates a finder.
 
@@ -138,8 +142,11 @@
             loads: Load of each endpoint.
             link_use: Used share of the capacity between domains.
             link_limit: Used share at or above which no path may cross domains.
+            pause_s: Longest expected gap between events, if prompts that are
+                read can exceed it; their reading is in the costs then.
         """
         self._engine = engine
+        self._pause_s = pause_s
         self._link_use = link_use
         self._holders = [
             e
@@ -166,7 +173,12 @@
     ) -> 'PathFinder':
         """Returns a finder over the same endpoints with other loads."""
         return PathFinder(
-            self._engine, self._holders, loads, link_use, link_limit
+            self._engine,
+            self._holders,
+            loads,
+            link_use,
+            link_limit,
+            self._pause_s,
         )
 
     def cost_of_path(self, path: Path, tokens: float) -> float:
@@ -185,8 +197,44 @@
                     self._same_domain_cost if same else self._cross_domain_cost
                 )
             domain = part.endpoint.domain
+        if self._pause_s is not None:
+            total *= readings.pause_penalty(
+                self.predict_pause_s(path), self._pause_s
+            )
         return total
 
+    def predict_pause_s(self, path: Path) -> float:
+        """Returns the gap between events that a new prompt leads to on a path.
+
+        Its streams wait at each part for half of the pass in progress and then
+        for their own, and go along the path beside what is read there.
+        """
+        prompt = self._engine.usual_prompt
+        total_ms = 0.0
+        for part in path:
+            load = self._loads.get(part.endpoint.endpoint_id, IDLE)
+            card = self._engine.cards[part.endpoint.card]
+            held = typing.cast(endpoints_lib.Span, part.endpoint.span).size
+            total_ms += (
+                (
+                    readings.writing_ms(
+                        self._engine,
+                        card,
+                        load.requests,
+                        load.token_layers / held,
+                    )
+                    + readings.reading_ms(
+                        self._engine,
+                        card,
+                        load.reading_token_layers / held + prompt,
+                    )
+                )
+                * load.slowness
+                * part.span.size
+                / self._engine.layers
+            )
+        return total_ms / 1000
+
     def find(
         self,
         tokens: float,
@@ -272,6 +320,14 @@
         step = (
             engine.step_ms + engine.per_request_ms * load.requests
         ) * card.step_factor
+        if self._pause_s is not None:
+            # The prompts before it are read first.
+            read += (
+                load.reading_token_layers
+                / held
+                / engine.read_tokens_per_ms
+                * card.read_factor
+            )
         cost = (read + STEP_WEIGHT * step) * load.slowness / engine.layers
         # Memory is the scarce resource: a request that exceeds it evicts
         # another. An eviction costs more than a path gains by being faster than
--- /dev/null
+++ b/packages/sardinebend-policy/src/sardinebend_policy/readings.py
@@ -0,0 +1,62 @@
+"""Predicts how prompts that are read hold up the streams of an engine.
+
+An engine reads prompts in pieces between the token steps of its streams: a pass
+takes some steps, each with a piece of what waits to be read. All times are for
+all layers; a part takes the share of its layers.
+"""
+
+import typing
+
+from sardinebend_policy import catalog
+from sardinebend_policy import endpoints as endpoints_lib
+
+# A stream waits for the pass in progress, half of it on average, and then for
+# its own.
+PASSES: typing.Final = 1.5
+# Share of the expected gap above which a path costs more.
+PAUSE_SHARE: typing.Final = 0.8
+
+
+def read_rates(
+    engine: catalog.EngineModel,
+    endpoints: typing.Iterable[endpoints_lib.Endpoint],
+) -> dict[str, float]:
+    """Returns the tokens x layers that each endpoint reads in a second."""
+    rate = engine.read_tokens_per_ms * 1000 * engine.layers
+    return {
+        e.endpoint_id: rate / engine.cards[e.card].read_factor
+        for e in endpoints
+        if e.card in engine.cards
+    }
+
+
+def writing_ms(
+    engine: catalog.EngineModel,
+    card: catalog.CardKind,
+    requests: float,
+    context_tokens: float,
+) -> float:
+    """Returns how long a stream waits for an event if nothing is read."""
+    step_ms = (
+        engine.step_ms
+        + engine.per_request_ms * requests
+        + engine.context_ms_per_token * context_tokens
+    )
+    return PASSES * engine.stride * step_ms * card.step_factor
+
+
+def reading_ms(
+    engine: catalog.EngineModel, card: catalog.CardKind, tokens: float
+) -> float:
+    """Returns by how much waiting prompt tokens lengthen that wait."""
+    most = PASSES * engine.stride * engine.chunk_tokens
+    return min(tokens, most) / engine.read_tokens_per_ms * card.read_factor
+
+
+def pause_penalty(pause_s: float, expected_s: float) -> float:
+    """Returns the factor by which a path costs more for its long pauses.
+
+    It grows with the fourth power...
+    """
+    over = pause_s / (expected_s * PAUSE_SHARE)
+    return max(1.0, over) ** 4
