Cost what waits to be read, predicted pauses and slots of first engines

Where reading can break pauses, the cost of a path now has the prompts that wait at its engines, a factor for a predicted pause near what callers expect, and a factor for a first engine whose slots run out.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -7,6 +7,7 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import paths as paths_lib
@@ -321,4 +322,25 @@
             'crossings': inflight_lib.count_crossings(path),
             'link_use': round(self._state.link_use(engine), 2),
             'domain': path[0].endpoint.domain,
+            **self._make_reading_fields(engine, path),
+        }
+
+    def _make_reading_fields(
+        self, engine: catalog_lib.EngineModel, path: paths_lib.Path
+    ) -> dict[str, typing.Any]:
+        admitted = self._exchange.admitted
+        if not self._state.counts_reading(admitted.service.name):
+            return {}
+        loads = self._state.loads()
+        pause_s = paths_lib.predict_pause_s(engine, path, loads)
+        unread = [
+            loads.get(part.endpoint.endpoint_id, paths_lib.IDLE)
+            for part in path
+        ]
+        return {
+            'prompt_tokens': admitted.facts.prompt_tokens,
+            'reading_token_layers': round(
+                sum(load.reading_token_layers for load in unread)
+            ),
+            'predicted_pause_s': round(pause_s, 3),
         }
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -122,6 +122,30 @@
     return layer == layers and len(names) == len(path) <= MAX_PATH_PARTS
 
 
+def predict_pause_s(
+    engine: catalog.EngineModel, path: Path, loads: typing.Mapping[str, Load]
+) -> float:
+    """Returns the longest gap between events that a new prompt leads to.
+
+    The streams of a path wait at each part for half of the pass in progress and
+    then for their own, and go from part to part beside the prompts that are
+    read there.
+    """
+    total_ms = 0.0
+    for endpoint, span in path:
+        load = loads.get(endpoint.endpoint_id, IDLE)
+        card = engine.cards[endpoint.card]
+        held = typing.cast(endpoints_lib.Span, endpoint.span).size
+        writing_ms = readings.writing_ms(
+            engine, card, load.requests, load.token_layers / held
+        )
+        unread_tokens = load.reading_token_layers / held + engine.usual_prompt
+        reading_ms = readings.reading_ms(engine, card, unread_tokens)
+        share = span.size / engine.layers
+        total_ms += (writing_ms + reading_ms) * load.slowness * share
+    return total_ms / 1e3
+
+
 class PathFinder:
     """Finds paths over one set of endpoints."""
 
@@ -197,44 +221,15 @@
                     self._same_domain_cost if same else self._cross_domain_cost
                 )
             domain = part.endpoint.domain
+        if path:
+            total *= self._first_penalty(path[0].endpoint)
         if self._pause_s is not None:
             total *= readings.pause_penalty(
-                self.predict_pause_s(path), self._pause_s
+                predict_pause_s(self._engine, path, self._loads),
+                self._pause_s,
             )
         return total
 
-    def predict_pause_s(self, path: Path) -> float:
-        """Returns the gap between events that a new prompt leads to on a path.
-
-        Its streams wait at each part for half of the pass in progress and then
-        for their own, and go along the path beside what is read there.
-        """
-        prompt = self._engine.usual_prompt
-        total_ms = 0.0
-        for part in path:
-            load = self._loads.get(part.endpoint.endpoint_id, IDLE)
-            card = self._engine.cards[part.endpoint.card]
-            held = typing.cast(endpoints_lib.Span, part.endpoint.span).size
-            total_ms += (
-                (
-                    readings.writing_ms(
-                        self._engine,
-                        card,
-                        load.requests,
-                        load.token_layers / held,
-                    )
-                    + readings.reading_ms(
-                        self._engine,
-                        card,
-                        load.reading_token_layers / held + prompt,
-                    )
-                )
-                * load.slowness
-                * part.span.size
-                / self._engine.layers
-            )
-        return total_ms / 1000
-
     def find(
         self,
         tokens: float,
@@ -268,7 +263,10 @@
                 if span.start <= boundary < span.end and not (
                     boundary == start and endpoint.endpoint_id in avoid_first
                 ):
-                    starts.setdefault(boundary, []).append((endpoint, cost))
+                    factor = 1.0 if boundary else self._first_penalty(endpoint)
+                    starts.setdefault(boundary, []).append(
+                        (endpoint, cost * factor)
+                    )
         partial_paths: dict[int, dict[str, _PartialPath]] = {
             start: {'': _PartialPath(0.0)}
         }
@@ -321,12 +319,9 @@
             engine.step_ms + engine.per_request_ms * load.requests
         ) * card.step_factor
         if self._pause_s is not None:
-            # The prompts before it are read first.
-            read += (
-                load.reading_token_layers
-                / held
-                / engine.read_tokens_per_ms
-                * card.read_factor
+            # The prompts that wait are read first.
+            read += readings.read_ms(
+                engine, card, load.reading_token_layers / held
             )
         cost = (read + STEP_WEIGHT * step) * load.slowness / engine.layers
         # Memory is the scarce resource: a request that exceeds it evicts
@@ -334,6 +329,13 @@
         # callers expect, so the cost rises steeply as memory fills.
         return cost / max(MIN_FREE_SHARE, free_share) ** 2
 
+    def _first_penalty(self, endpoint: endpoints_lib.Endpoint) -> float:
+        """Returns the factor on the cost of paths that begin at an endpoint."""
+        if self._pause_s is None:
+            return 1.0
+        load = self._loads.get(endpoint.endpoint_id, IDLE)
+        return readings.slot_penalty(load.requests + 1, endpoint.slots)
+
     def _find_boundaries(self, start: int, end: int) -> list[int]:
         points = {start, end}
         for endpoint in self._holders:
--- a/packages/sardinebend-policy/src/sardinebend_policy/readings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/readings.py
@@ -15,6 +15,11 @@
 PASSES: typing.Final = 1.5
 # Share of the expected gap above which a path costs more.
 PAUSE_SHARE: typing.Final = 0.8
+PAUSE_EXPONENT: typing.Final = 4
+# Free share of the slots of a first engine below which its paths cost more. A
+# host knows the others' requests by a sample, so it errs by as much.
+SCARCE_SLOTS: typing.Final = 0.5
+MIN_FREE_SLOTS: typing.Final = 0.05
 
 
 def read_rates(
@@ -45,18 +50,41 @@
     return PASSES * engine.stride * step_ms * card.step_factor
 
 
+def read_ms(
+    engine: catalog.EngineModel, card: catalog.CardKind, tokens: float
+) -> float:
+    """Returns how long an engine takes to read prompt tokens."""
+    return tokens / engine.read_tokens_per_ms * card.read_factor
+
+
 def reading_ms(
     engine: catalog.EngineModel, card: catalog.CardKind, tokens: float
 ) -> float:
-    """Returns by how much waiting prompt tokens lengthen that wait."""
+    """Returns by how much waiting prompt tokens lengthen the wait for an event.
+
+    A pass reads only a piece of them in each of its steps.
+    """
     most = PASSES * engine.stride * engine.chunk_tokens
-    return min(tokens, most) / engine.read_tokens_per_ms * card.read_factor
+    return read_ms(engine, card, min(tokens, most))
 
 
 def pause_penalty(pause_s: float, expected_s: float) -> float:
     """Returns the factor by which a path costs more for its long pauses.
 
-    It grows with the fourth power...
+    One that nears what callers accept makes all its streams late, so the factor
+    rises steeply there.
+    """
+    return max(1.0, pause_s / (PAUSE_SHARE * expected_s)) ** PAUSE_EXPONENT
+
+
+def slot_penalty(requests: float, slots: int) -> float:
+    """Returns the factor by which a path costs more for its first engine.
+
+    That engine reads no prompt beyond its slots, however much memory it has.
+
+    Args:
+        requests: Requests that it is running, with the new one.
+        slots: Requests that it runs at once.
     """
-    over = pause_s / (expected_s * PAUSE_SHARE)
-    return max(1.0, over) ** 4
+    free_share = max(MIN_FREE_SLOTS, 1 - requests / max(1, slots))
+    return max(1.0, SCARCE_SLOTS / free_share) ** 2
--- a/packages/sardinebend-simulation/src/sardinebend_simulation/baselines.py
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/baselines.py
@@ -122,9 +122,23 @@
 class Chooser(abc.ABC):
     """Chooses the endpoints that a request runs on."""
 
-    def __init__(self, engine: catalog.EngineModel, rng: random.Random) -> None:
+    def __init__(
+        self,
+        engine: catalog.EngineModel,
+        rng: random.Random,
+        pause_s: float | None = None,
+    ) -> None:
+        """Creates a chooser.
+
+        Args:
+            engine: Published figures of the engines.
+            rng: Source of random choices.
+            pause_s: Longest expected gap between events, if prompts that are
+                read can exceed it.
+        """
         self.engine = engine
         self.rng = rng
+        self.pause_s = pause_s
 
     @abc.abstractmethod
     def choose(self, query: PathQuery) -> paths.Path | None:
@@ -138,9 +152,14 @@
 class ShippedChooser(Chooser):
     """Uses the path selection of the product."""
 
-    def __init__(self, engine: catalog.EngineModel, rng: random.Random) -> None:
-        super().__init__(engine, rng)
-        self._path_cache = path_cache.PathCache(engine)
+    def __init__(
+        self,
+        engine: catalog.EngineModel,
+        rng: random.Random,
+        pause_s: float | None = None,
+    ) -> None:
+        super().__init__(engine, rng, pause_s)
+        self._path_cache = path_cache.PathCache(engine, pause_s)
 
     def choose(self, query: PathQuery) -> paths.Path | None:
         """Returns a path with free capacity, or `None` if there is none."""
@@ -159,8 +178,13 @@
 class StepwiseChooser(Chooser):
     """Builds a path step by step from the holders of the next layer."""
 
-    def __init__(self, engine: catalog.EngineModel, rng: random.Random) -> None:
-        super().__init__(engine, rng)
+    def __init__(
+        self,
+        engine: catalog.EngineModel,
+        rng: random.Random,
+        pause_s: float | None = None,
+    ) -> None:
+        super().__init__(engine, rng, pause_s)
         self._finder = paths.PathFinder(engine, (), {})
 
     @abc.abstractmethod
@@ -236,8 +260,13 @@
 class RoundRobinChooser(StepwiseChooser):
     """Chooses holders in rotation."""
 
-    def __init__(self, engine: catalog.EngineModel, rng: random.Random) -> None:
-        super().__init__(engine, rng)
+    def __init__(
+        self,
+        engine: catalog.EngineModel,
+        rng: random.Random,
+        pause_s: float | None = None,
+    ) -> None:
+        super().__init__(engine, rng, pause_s)
         self._choice_count = 0
 
     def select_holder(
--- a/packages/sardinebend-simulation/src/sardinebend_simulation/simulations.py
+++ b/packages/sardinebend-simulation/src/sardinebend_simulation/simulations.py
@@ -38,6 +38,7 @@
         longest_gap_s: Longest time between two events.
         attempt: The running attempt, if any.
         in_flight_entry: Path and tokens counted as load for the attempt.
+        reading_entry: Path and tokens counted as unread for the attempt.
         attempt_count: Number of attempts since the request or its last retry.
         retries_left: Number of retries left to the caller after a refusal.
         outcome: How the request ended; `None` while it runs. It is `whole`
@@ -63,6 +64,7 @@
         self.longest_gap_s = 0.0
         self.attempt: engines_lib.Attempt | None = None
         self.in_flight_entry: tuple[paths.Path, int] | None = None
+        self.reading_entry: tuple[paths.Path, int] | None = None
         self.attempt_count = 0
         self.retries_left = retries_left
         self.outcome: str | None = None
@@ -101,7 +103,11 @@
             model, deployment.make_endpoints()
         )
         self.cluster = engines_lib.Cluster(self._agenda, deployment, plan)
-        self._chooser = baselines.CHOOSERS[chooser](model, self._rng)
+        gap_s = self._traffic.gap_s
+        self._pause_s = gap_s if model.reading_can_break_pauses(gap_s) else None
+        self._chooser = baselines.CHOOSERS[chooser](
+            model, self._rng, self._pause_s
+        )
         self._inflight = inflight_lib.InFlight()
         self.requests: list[Request] = []
         self.repair_times_s: list[float] = []
@@ -237,8 +243,20 @@
         self._remove_in_flight(request)
         request.in_flight_entry = (path, tokens)
         self._inflight.add(path, tokens)
+        if self._pause_s is not None:
+            read_tokens = (
+                tokens if request.events_received else request.prompt_tokens
+            )
+            request.reading_entry = (path, read_tokens)
+            self._inflight.begin_reading(*request.reading_entry)
+
+    def _end_reading(self, request: Request) -> None:
+        if request.reading_entry is not None:
+            self._inflight.end_reading(*request.reading_entry)
+            request.reading_entry = None
 
     def _remove_in_flight(self, request: Request) -> None:
+        self._end_reading(request)
         if request.in_flight_entry is not None:
             self._inflight.remove(*request.in_flight_entry)
             request.in_flight_entry = None
@@ -279,6 +297,7 @@
     def _on_event(self, request: Request) -> bool:
         """Records an event; returns whether the stream continues."""
         now = self._agenda.now
+        self._end_reading(request)
         part_lost_at = self._part_lost_at.pop(request, None)
         if part_lost_at is not None:
             self.repair_times_s.append(now - part_lost_at)
