Choose first engines by the requests that begin there, and log pauses

Callers waited over half a second for a first event where an engine had more requests than slots. An engine has slots only for requests whose path begins there, and hosts knew only how many pass through. Hosts now count requests by first engine and tell each other in an optional field of heartbeats.

Each served stream now logs its prompt's length, its first event and its longest pause, and the path's predicted pause, reading and slots when it is sent, so that operators see which of them callers wait for.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -32,6 +32,8 @@
         endpoint: The endpoint that currently serves the request, if any.
         last_event_at: When the engine's last event was received, by trio's
             clock; `None` before the first.
+        longest_pause_s: The longest time between two events of its stream, over
+            all attempts.
     """
 
     def __init__(
@@ -43,6 +45,8 @@
     ) -> None:
         self.endpoint: endpoints_lib.Endpoint | None = None
         self.last_event_at: float | None = None
+        self.longest_pause_s = 0.0
+        self._first_event_at: float | None = None
         self._state = state
         self._arrived_at = req.arrived_at
         self._admitted = admitted
@@ -61,6 +65,17 @@
             self._arrived_at,
         )
 
+    def record_event(self) -> None:
+        """Records that an event of its stream was received."""
+        now = trio.current_time()
+        if self.last_event_at is None:
+            self._first_event_at = now
+        else:
+            self.longest_pause_s = max(
+                self.longest_pause_s, now - self.last_event_at
+            )
+        self.last_event_at = now
+
     def took_s(self) -> float:
         """Returns the time since the request arrived."""
         return round(trio.current_time() - self._arrived_at, 4)
@@ -134,8 +149,20 @@
             route=self._route,
             status=outcome,
             took_s=took_s,
+            **self._make_stream_fields(),
         )
 
+    def _make_stream_fields(self) -> dict[str, typing.Any]:
+        """Returns when a stream's events came, as fields for the log."""
+        if self._first_event_at is None:
+            return {}
+        self._state.metrics.record_time('longest_pause', self.longest_pause_s)
+        return {
+            'prompt_tokens': self._admitted.facts.prompt_tokens,
+            'first_event_s': _round(self._arrived_at, self._first_event_at),
+            'longest_pause_s': round(self.longest_pause_s, 3),
+        }
+
     def _count(self, end: str) -> None:
         self._is_recorded = True
         self._state.metrics.count('requests', route=self._route, end=end)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -76,7 +76,8 @@
 REQUEST_SENT = Event(
     'request_sent',
     'request, route, endpoint, parts, prompt_parts, attempt, time_left_s,'
-    ' recent_delay_s',
+    ' recent_delay_s; where reading can break pauses prompt_tokens,'
+    ' reading_token_layers, predicted_pause_s, first_slots_used',
 )
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
@@ -88,7 +89,11 @@
 )
 STREAM_REPAIRED = Event('stream_repaired', 'request, dead, path, after_s')
 STREAM_RESUMED = Event('stream_resumed', 'request, after_event, endpoint')
-REQUEST_ENDED = Event('request_ended', 'request, route, status, took_s, bytes')
+REQUEST_ENDED = Event(
+    'request_ended',
+    'request, route, status, took_s, bytes; of a stream prompt_tokens,'
+    ' first_event_s, longest_pause_s',
+)
 REQUEST_FAILED = Event(
     'request_failed', 'request, route, end, reason, took_s', True
 )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -108,6 +108,7 @@
                     inflight.requests.get(name, 0),
                     inflight.token_layers[name],
                     inflight.reading_token_layers.get(name, 0),
+                    inflight.first_requests.get(name, 0),
                 )
                 for name in largest
             ),
@@ -213,5 +214,10 @@
                     for load in heartbeat.loads
                     if load.reading_token_layers > 0
                 },
+                {
+                    load.endpoint_id: load.first_requests
+                    for load in heartbeat.loads
+                    if load.first_requests > 0
+                },
             ),
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -328,19 +328,21 @@
     def _make_reading_fields(
         self, engine: catalog_lib.EngineModel, path: paths_lib.Path
     ) -> dict[str, typing.Any]:
+        """Returns what the hosts know of the reading and slots of a path."""
         admitted = self._exchange.admitted
         if not self._state.counts_reading(admitted.service.name):
             return {}
         loads = self._state.loads()
         pause_s = paths_lib.predict_pause_s(engine, path, loads)
-        unread = [
+        of_parts = [
             loads.get(part.endpoint.endpoint_id, paths_lib.IDLE)
             for part in path
         ]
         return {
             'prompt_tokens': admitted.facts.prompt_tokens,
             'reading_token_layers': round(
-                sum(load.reading_token_layers for load in unread)
+                sum(load.reading_token_layers for load in of_parts)
             ),
             'predicted_pause_s': round(pause_s, 3),
+            'first_slots_used': round(of_parts[0].first_requests),
         }
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -2,8 +2,6 @@
 
 import typing
 
-import trio
-
 from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -108,7 +106,7 @@
         self._end_reading()
         self._record_contact()
         self.record_progress()
-        self.exchange.ending.last_event_at = trio.current_time()
+        self.exchange.ending.record_event()
         if not self.has_received_event:
             self.exchange.clear_suspicion()
         self.has_received_event = True
@@ -144,7 +142,7 @@
 
     def start(self) -> None:
         """Counts the request as in flight at the engines of its path."""
-        self.exchange.state.inflight.add(self.path, self.tokens)
+        self._add_to_counts()
         self._begin_reading(self.path)
 
     def change_path(self, path: paths_lib.Path) -> None:
@@ -156,7 +154,7 @@
         new_parts = tuple(part for part in path if part not in self.path)
         self._stop_counting()
         self.path = path
-        self.exchange.state.inflight.add(path, self.tokens)
+        self._add_to_counts()
         if not is_reading:
             self._unread_tokens = self.tokens
         self._begin_reading(path if is_reading else new_parts)
@@ -168,6 +166,12 @@
             exposure.close()
         self._stop_counting()
 
+    def _add_to_counts(self) -> None:
+        inflight = self.exchange.state.inflight
+        inflight.add(self.path, self.tokens)
+        if self._counts_reading:
+            inflight.add_first(self.path)
+
     def _begin_reading(self, path: paths_lib.Path) -> None:
         if self._counts_reading:
             self._reading_path = path
@@ -181,4 +185,7 @@
 
     def _stop_counting(self) -> None:
         self._end_reading()
-        self.exchange.state.inflight.remove(self.path, self.tokens)
+        inflight = self.exchange.state.inflight
+        inflight.remove(self.path, self.tokens)
+        if self._counts_reading:
+            inflight.remove_first(self.path)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -221,6 +221,7 @@
         names = self._state.endpoints.names()
         self._state.balancer.forget(names)
         self._state.stream_gaps.forget(names)
+        self._state.inflight.forget(names)
         if not endpoint.is_draining:
             self._crashes.record_delisted(endpoint)
         return True
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -159,8 +159,9 @@
                 load.endpoint_id,
                 load.requests,
                 load.token_layers,
-                # Left out if nothing is read: heartbeats have to be small.
+                # Left out if 0: heartbeats have to be small.
                 load.reading_token_layers or None,
+                load.first_requests or None,
             )
             for load in message.loads
         ],
@@ -332,6 +333,7 @@
                 _check_type(load.requests, int),
                 _check_type(load.token_layers, int),
                 _check_type(load.reading_token_layers or 0, int),
+                _check_type(load.first_requests or 0, int),
             )
             for load in item.loads
         ),
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -90,12 +90,14 @@
         token_layers: Memory that these requests use, in tokens x layers.
         reading_token_layers: Prompt tokens x layers of those without a first
             event.
+        first_requests: Those whose path begins at the endpoint.
     """
 
     endpoint_id: str
     requests: int
     token_layers: int
     reading_token_layers: int = 0
+    first_requests: int = 0
 
 
 class EndpointStart(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -53,6 +53,7 @@
   2: i32 requests,
   3: i64 token_layers,
   4: optional i64 reading_token_layers,
+  5: optional i32 first_requests,
 }
 
 struct EndpointStart {
--- a/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/inflight.py
@@ -29,6 +29,7 @@
         crossing_tokens: Prompt tokens a second sent between domains.
         reading_token_layers: Prompt tokens x layers by endpoint of requests
             without a first event.
+        first_requests: Requests by the endpoint that their path begins with.
     """
 
     at: float
@@ -36,6 +37,7 @@
     token_layers: dict[str, int]
     crossing_tokens: float = 0.0
     reading_token_layers: typing.Mapping[str, int] = types.MappingProxyType({})
+    first_requests: typing.Mapping[str, int] = types.MappingProxyType({})
 
 
 def count_crossings(path: paths.Path, kept: paths.Path = ()) -> int:
@@ -86,6 +88,8 @@
         token_layers: Memory that they take, in tokens x layers.
         reading_token_layers: Prompt tokens x layers of those own requests whose
             first event hasn't come.
+        first_requests: Those own requests whose path begins at an endpoint, of
+            services where that is in the cost of paths.
         read_rates: Prompt tokens x layers that an endpoint reads in a second,
             as published; for endpoints whose reading is in the cost of paths.
         slowness: Factor by which an endpoint is slower than published.
@@ -95,6 +99,7 @@
         self.requests: dict[str, int] = {}
         self.token_layers: dict[str, int] = {}
         self.reading_token_layers: dict[str, int] = {}
+        self.first_requests: dict[str, int] = {}
         self.read_rates: dict[str, float] = {}
         self.slowness: dict[str, float] = {}
         self.crossings = CrossingRate()
@@ -110,6 +115,14 @@
         _change(self.requests, path, -1)
         _change_layers(self.token_layers, path, -tokens)
 
+    def add_first(self, path: paths.Path) -> None:
+        """Counts a request at the first endpoint of its path."""
+        _change(self.first_requests, path[:1], 1)
+
+    def remove_first(self, path: paths.Path) -> None:
+        """Stops counting a request at the first endpoint of its path."""
+        _change(self.first_requests, path[:1], -1)
+
     def begin_reading(self, path: paths.Path, tokens: int) -> None:
         """Counts tokens that the parts of a path are to read."""
         _change_layers(self.reading_token_layers, path, tokens)
@@ -118,6 +131,11 @@
         """Stops counting tokens that were read, or that never will be."""
         _change_layers(self.reading_token_layers, path, -tokens)
 
+    def forget(self, listed: typing.Collection[str]) -> None:
+        """Drops the read rates of all endpoints except those named."""
+        for name in self.read_rates.keys() - set(listed):
+            del self.read_rates[name]
+
     def record_peer_counts(self, peer: str, counts: PeerCounts) -> None:
         """Records the totals of a peer."""
         self._peers[peer] = counts
@@ -133,6 +151,7 @@
         requests: dict[str, float] = dict(self.requests)
         layers: dict[str, float] = dict(self.token_layers)
         reading: dict[str, float] = dict(self.reading_token_layers)
+        first: dict[str, float] = dict(self.first_requests)
         reporting = 1
         for peer, counts in list(self._peers.items()):
             if now - counts.at > PEER_COUNTS_TTL_S:
@@ -142,6 +161,7 @@
             _add(requests, counts.requests)
             _add(layers, counts.token_layers)
             _add(reading, self._unread(counts, now))
+            _add(first, counts.first_requests)
         scale = max(1.0, hosts / reporting)
         names = requests.keys() | self.slowness.keys()
         return {
@@ -150,6 +170,7 @@
                 layers.get(name, 0) * scale,
                 self.slowness.get(name, 1.0),
                 reading.get(name, 0) * scale,
+                first.get(name, 0) * scale,
             )
             for name in names
         }
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -8,6 +8,7 @@
 """
 
 import bisect
+import copy
 import math
 import typing
 
@@ -55,12 +56,15 @@
         token_layers: Memory that they take, in tokens x layers.
         slowness: Factor by which it is slower than its published figures.
         reading_token_layers: Prompt tokens x layers that wait to be read.
+        first_requests: Requests whose path begins there; 0 if they aren't in
+            the cost of paths.
     """
 
     requests: float = 0.0
     token_layers: float = 0.0
     slowness: float = 1.0
     reading_token_layers: float = 0.0
+    first_requests: float = 0.0
 
 
 IDLE: typing.Final = Load()
@@ -171,7 +175,6 @@
         """
         self._engine = engine
         self._pause_s = pause_s
-        self._link_use = link_use
         self._holders = [
             e
             for e in endpoints
@@ -179,15 +182,8 @@
             and e.span.fits(engine.layers)
             and e.card in engine.cards
         ]
-        self._loads = loads
         self._same_domain_cost = HOP_LATENCY_MS * (1 + STEP_WEIGHT)
-        prompt_ms = engine.usual_prompt * link_ms_per_token(engine)
-        free = max(MIN_FREE_SHARE, 1 - link_use)
-        self._cross_domain_cost = CROSSING_WEIGHT * prompt_ms / free**2 + (
-            CROSSING_LATENCY_MS * (1 + STEP_WEIGHT)
-        )
-        if link_use >= link_limit:
-            self._cross_domain_cost = math.inf
+        self._set_loads(loads, link_use, link_limit)
 
     def with_loads(
         self,
@@ -196,14 +192,24 @@
         link_limit: float = LINK_LIMIT,
     ) -> 'PathFinder':
         """Returns a finder over the same endpoints with other loads."""
-        return PathFinder(
-            self._engine,
-            self._holders,
-            loads,
-            link_use,
-            link_limit,
-            self._pause_s,
+        finder = copy.copy(self)
+        finder._set_loads(loads, link_use, link_limit)
+        return finder
+
+    def _set_loads(
+        self,
+        loads: typing.Mapping[str, Load],
+        link_use: float,
+        link_limit: float,
+    ) -> None:
+        self._loads = loads
+        prompt_ms = self._engine.usual_prompt * link_ms_per_token(self._engine)
+        free = max(MIN_FREE_SHARE, 1 - link_use)
+        self._cross_domain_cost = CROSSING_WEIGHT * prompt_ms / free**2 + (
+            CROSSING_LATENCY_MS * (1 + STEP_WEIGHT)
         )
+        if link_use >= link_limit:
+            self._cross_domain_cost = math.inf
 
     def cost_of_path(self, path: Path, tokens: float) -> float:
         """Returns the cost of a path in ms.
@@ -334,7 +340,7 @@
         if self._pause_s is None:
             return 1.0
         load = self._loads.get(endpoint.endpoint_id, IDLE)
-        return readings.slot_penalty(load.requests + 1, endpoint.slots)
+        return readings.slot_penalty(load.first_requests + 1, endpoint.slots)
 
     def _find_boundaries(self, start: int, end: int) -> list[int]:
         points = {start, end}
--- a/packages/sardinebend-policy/src/sardinebend_policy/readings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/readings.py
@@ -83,7 +83,7 @@
     That engine reads no prompt beyond its slots, however much memory it has.
 
     Args:
-        requests: Requests that it is running, with the new one.
+        requests: Requests whose path begins there, with the new one.
         slots: Requests that it runs at once.
     """
     free_share = max(MIN_FREE_SLOTS, 1 - requests / max(1, slots))
