--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -110,6 +110,8 @@
                     name,
                     inflight.requests.get(name, 0),
                     inflight.token_layers[name],
+                    inflight.reading_token_layers.get(name, 0),
+                    inflight.first_requests.get(name, 0),
                 )
                 for name in largest
             ),
@@ -232,6 +234,16 @@
                     for load in heartbeat.loads
                 },
                 heartbeat.crossing_tokens,
+                {
+                    load.endpoint_id: load.reading_token_layers
+                    for load in heartbeat.loads
+                    if load.reading_token_layers > 0
+                },
+                {
+                    load.endpoint_id: load.first_requests
+                    for load in heartbeat.loads
+                    if load.first_requests > 0
+                },
             ),
         )
         self._record_shares(heartbeat, now)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -2,8 +2,6 @@
 
 import typing
 
-import trio
-
 from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import stream_paces
@@ -55,6 +53,18 @@
         self._exposures = [
             exchange.begin_exposure(part.endpoint for part in path)
         ]
+        admitted = exchange.admitted
+        is_resumed = (
+            exchange.out.is_started or admitted.facts.resume_after is not None
+        )
+        # An engine that goes on with a stream reads what there is of it, too.
+        self._unread_tokens = (
+            tokens if is_resumed else admitted.facts.prompt_tokens
+        )
+        self._counts_reading = exchange.state.counts_reading(
+            admitted.service.name
+        )
+        self._reading_path: paths_lib.Path = ()
 
     def idle_s(self) -> float:
         """Returns the time since the last progress, without own delays."""
@@ -98,9 +108,10 @@
             self.exchange.state.stream_gaps.record(
                 first, waited_s, clocks.now()
             )
+        self._end_reading()
         self._record_contact()
         self.record_progress()
-        self.exchange.ending.last_event_at = trio.current_time()
+        self.exchange.ending.record_event()
         if not self.has_received_event:
             self.exchange.clear_suspicion()
         self.has_received_event = True
@@ -136,13 +147,22 @@
 
     def start(self) -> None:
         """Counts the request as in flight at the engines of its path."""
-        self.exchange.state.inflight.add(self.path, self.tokens)
+        self._add_to_counts()
+        self._begin_reading(self.path)
 
     def change_path(self, path: paths_lib.Path) -> None:
-        """Moves the in-flight count of the request to another path."""
+        """Moves the in-flight count of the request to another path.
+
+        New parts read all tokens so far; the others keep them.
+        """
+        is_reading = bool(self._reading_path)
+        new_parts = tuple(part for part in path if part not in self.path)
         self._stop_counting()
         self.path = path
-        self.start()
+        self._add_to_counts()
+        if not is_reading:
+            self._unread_tokens = self.tokens
+        self._begin_reading(path if is_reading else new_parts)
         self.record_progress()
 
     def close(self) -> None:
@@ -151,5 +171,26 @@
             exposure.close()
         self._stop_counting()
 
+    def _add_to_counts(self) -> None:
+        inflight = self.exchange.state.inflight
+        inflight.add(self.path, self.tokens)
+        if self._counts_reading:
+            inflight.add_first(self.path)
+
+    def _begin_reading(self, path: paths_lib.Path) -> None:
+        if self._counts_reading:
+            self._reading_path = path
+            self.exchange.state.inflight.begin_reading(
+                path, self._unread_tokens
+            )
+
+    def _end_reading(self) -> None:
+        path, self._reading_path = self._reading_path, ()
+        self.exchange.state.inflight.end_reading(path, self._unread_tokens)
+
     def _stop_counting(self) -> None:
-        self.exchange.state.inflight.remove(self.path, self.tokens)
+        self._end_reading()
+        inflight = self.exchange.state.inflight
+        inflight.remove(self.path, self.tokens)
+        if self._counts_reading:
+            inflight.remove_first(self.path)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/watch.py
@@ -222,6 +222,7 @@
         self._state.balancer.forget(names)
         self._state.stream_gaps.forget(names)
         self._state.slowness.forget(names)
+        self._state.inflight.forget(names)
         if not endpoint.is_draining:
             self._crashes.record_delisted(endpoint)
         return True
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -52,6 +52,8 @@
   1: string endpoint_id,
   2: i32 requests,
   3: i64 token_layers,
+  4: optional i64 reading_token_layers,
+  5: optional i32 first_requests,
 }
 
 struct EndpointStart {
--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -8,11 +8,13 @@
 """
 
 import bisect
+import copy
 import math
 import typing
 
 from sardinebend_policy import catalog
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import readings
 
 # Maximum number of parts, that is, endpoints, of a path.
 MAX_PATH_PARTS: typing.Final = 32
@@ -53,11 +55,16 @@
         requests: Requests that it is running.
         token_layers: Memory that they take, in tokens x layers.
         slowness: Factor by which it is slower than its published figures.
+        reading_token_layers: Prompt tokens x layers that wait to be read.
+        first_requests: Requests whose path begins there; 0 if they aren't in
+            the cost of paths.
     """
 
     requests: float = 0.0
     token_layers: float = 0.0
     slowness: float = 1.0
+    reading_token_layers: float = 0.0
+    first_requests: float = 0.0
 
 
 IDLE: typing.Final = Load()
@@ -119,6 +126,30 @@
     return layer == layers and len(names) == len(path) <= MAX_PATH_PARTS
 
 
+def predict_pause_s(
+    engine: catalog.EngineModel, path: Path, loads: typing.Mapping[str, Load]
+) -> float:
+    """Returns the longest gap between events that a new prompt leads to.
+
+    The streams of a path wait at each part for half of the pass in progress and
+    then for their own, and go from part to part beside the prompts that are
+    read there.
+    """
+    total_ms = 0.0
+    for endpoint, span in path:
+        load = loads.get(endpoint.endpoint_id, IDLE)
+        card = engine.cards[endpoint.card]
+        held = typing.cast(endpoints_lib.Span, endpoint.span).size
+        writing_ms = readings.writing_ms(
+            engine, card, load.requests, load.token_layers / held
+        )
+        unread_tokens = load.reading_token_layers / held + engine.usual_prompt
+        reading_ms = readings.reading_ms(engine, card, unread_tokens)
+        share = span.size / engine.layers
+        total_ms += (writing_ms + reading_ms) * load.slowness * share
+    return total_ms / 1e3
+
+
 class PathFinder:
     """Finds paths over one set of endpoints."""
 
@@ -129,6 +160,7 @@
         loads: typing.Mapping[str, Load],
         link_use: float = 0.0,
         link_limit: float = LINK_LIMIT,
+        pause_s: float | None = None,
     ) -> None:
         """Creates a finder.
 
@@ -138,9 +170,11 @@
             loads: Load of each endpoint.
             link_use: Used share of the capacity between domains.
             link_limit: Used share at or above which no path may cross domains.
+            pause_s: Longest expected gap between events, if prompts that are
+                read can exceed it; their reading is in the costs then.
         """
         self._engine = engine
-        self._link_use = link_use
+        self._pause_s = pause_s
         self._holders = [
             e
             for e in endpoints
@@ -148,15 +182,8 @@
             and e.span.fits(engine.layers)
             and e.card in engine.cards
         ]
-        self._loads = loads
         self._same_domain_cost = HOP_LATENCY_MS * (1 + STEP_WEIGHT)
-        prompt_ms = engine.usual_prompt * link_ms_per_token(engine)
-        free = max(MIN_FREE_SHARE, 1 - link_use)
-        self._cross_domain_cost = CROSSING_WEIGHT * prompt_ms / free**2 + (
-            CROSSING_LATENCY_MS * (1 + STEP_WEIGHT)
-        )
-        if link_use >= link_limit:
-            self._cross_domain_cost = math.inf
+        self._set_loads(loads, link_use, link_limit)
 
     def with_loads(
         self,
@@ -165,9 +192,24 @@
         link_limit: float = LINK_LIMIT,
     ) -> 'PathFinder':
         """Returns a finder over the same endpoints with other loads."""
-        return PathFinder(
-            self._engine, self._holders, loads, link_use, link_limit
+        finder = copy.copy(self)
+        finder._set_loads(loads, link_use, link_limit)
+        return finder
+
+    def _set_loads(
+        self,
+        loads: typing.Mapping[str, Load],
+        link_use: float,
+        link_limit: float,
+    ) -> None:
+        self._loads = loads
+        prompt_ms = self._engine.usual_prompt * link_ms_per_token(self._engine)
+        free = max(MIN_FREE_SHARE, 1 - link_use)
+        self._cross_domain_cost = CROSSING_WEIGHT * prompt_ms / free**2 + (
+            CROSSING_LATENCY_MS * (1 + STEP_WEIGHT)
         )
+        if link_use >= link_limit:
+            self._cross_domain_cost = math.inf
 
     def cost_of_path(self, path: Path, tokens: float) -> float:
         """Returns the cost of a path in ms.
@@ -185,6 +227,13 @@
                     self._same_domain_cost if same else self._cross_domain_cost
                 )
             domain = part.endpoint.domain
+        if path:
+            total *= self._first_penalty(path[0].endpoint)
+        if self._pause_s is not None:
+            total *= readings.pause_penalty(
+                predict_pause_s(self._engine, path, self._loads),
+                self._pause_s,
+            )
         return total
 
     def find(
@@ -220,7 +269,10 @@
                 if span.start <= boundary < span.end and not (
                     boundary == start and endpoint.endpoint_id in avoid_first
                 ):
-                    starts.setdefault(boundary, []).append((endpoint, cost))
+                    factor = 1.0 if boundary else self._first_penalty(endpoint)
+                    starts.setdefault(boundary, []).append(
+                        (endpoint, cost * factor)
+                    )
         partial_paths: dict[int, dict[str, _PartialPath]] = {
             start: {'': _PartialPath(0.0)}
         }
@@ -272,12 +324,24 @@
         step = (
             engine.step_ms + engine.per_request_ms * load.requests
         ) * card.step_factor
+        if self._pause_s is not None:
+            # The prompts that wait are read first.
+            read += readings.read_ms(
+                engine, card, load.reading_token_layers / held
+            )
         cost = (read + STEP_WEIGHT * step) * load.slowness / engine.layers
         # Memory is the scarce resource: a request that exceeds it evicts
         # another. An eviction costs more than a path gains by being faster than
         # callers expect, so the cost rises steeply as memory fills.
         return cost / max(MIN_FREE_SHARE, free_share) ** 2
 
+    def _first_penalty(self, endpoint: endpoints_lib.Endpoint) -> float:
+        """Returns the factor on the cost of paths that begin at an endpoint."""
+        if self._pause_s is None:
+            return 1.0
+        load = self._loads.get(endpoint.endpoint_id, IDLE)
+        return readings.slot_penalty(load.first_requests + 1, endpoint.slots)
+
     def _find_boundaries(self, start: int, end: int) -> list[int]:
         points = {start, end}
         for endpoint in self._holders:
