Find slow engines earlier, and see that they have recovered

Cause: a stream raises a doubt only when its next event comes, which from a slow engine takes a second or two; fifty questions a second find few of 93 engines; and a finding that heartbeats carry round became some milliseconds younger with each hop, so that it never got old enough to be checked.

Change: a stream that waits raises the doubt as it is looked at for a stall; 100 questions a second over all hosts, and events in time halve what speaks against the engines of their path; findings carry a number that rises with each, and one that isn't higher is no news.

Run: test_slowness, test_stream_paces, test_codec, green.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/heartbeats.py
@@ -18,6 +18,7 @@
 from sardinebend_peers import messages
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import quarantine
+from sardinebend_policy import slowness
 
 MAX_DATAGRAM_BYTES: typing.Final = 65536
 # More loads would make a datagram that networks fragment.
@@ -28,6 +29,7 @@
 MAX_REPORTED_LIMITS: typing.Final = 12
 # Statements on slow engines take some 16 bytes each.
 MAX_REPORTED_SLOWNESS: typing.Final = 16
+MAX_SLOWNESS_AGE_MS: typing.Final = int(slowness.MAX_AGE_S * 1000)
 # Shortest time between heartbeats, however much there is to report.
 MIN_INTERVAL_S: typing.Final = 0.05
 # Datagrams that are applied before another task of the host runs. A host whose
@@ -157,10 +159,24 @@
                 s.endpoint_id,
                 round(s.factor * 100),
                 math.ceil((now - s.at) * 1000),
+                s.number,
             )
             for s in known
         )
 
+    def _apply_slowness(
+        self, slow: messages.EndpointSlowness, now: float
+    ) -> None:
+        if slow.age_ms <= MAX_SLOWNESS_AGE_MS:
+            self._state.record_peer_slowness(
+                slowness.Statement(
+                    slow.endpoint_id,
+                    slow.percent / 100,
+                    now - slow.age_ms / 1000,
+                    slow.number,
+                )
+            )
+
     async def _receive(self, sock: socket.socket) -> None:
         while True:
             await trio.lowlevel.wait_readable(sock)
@@ -217,9 +233,7 @@
                 incarnation, limit.rate_per_s, limit.age_ms
             )
         for slow in heartbeat.slowness:
-            self._state.record_peer_slowness(
-                slow.endpoint_id, slow.percent / 100, slow.age_ms
-            )
+            self._apply_slowness(slow, now)
         self._state.inflight.record_peer_counts(
             heartbeat.host,
             inflight_lib.PeerCounts(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
@@ -21,7 +21,7 @@
 # Interval between two questions, at least, of a host and of all hosts together:
 # in a fleet under overload every host doubts.
 ASK_INTERVAL_S: typing.Final = 0.25
-FLEET_ASK_INTERVAL_S: typing.Final = 0.02
+FLEET_ASK_INTERVAL_S: typing.Final = 0.01
 # Age of this host's evidence at which it asks a slow engine again.
 RENEW_AGE_S: typing.Final = 2.5
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -44,7 +44,6 @@
 NEVER: typing.Final = float('-inf')
 # Limits that are older have expired.
 MAX_LIMIT_AGE_MS: typing.Final = int(limits_lib.LIMIT_TTL_S * 1000)
-MAX_SLOWNESS_AGE_MS: typing.Final = int(slowness_lib.MAX_AGE_S * 1000)
 # Source of evidence that this host received itself, for the log.
 OWN: typing.Final = 'own answer'
 # Time for which a request that crashes endpoints is refused; the same as the
@@ -89,6 +88,7 @@
             to, to gossip to other hosts.
         silences: Endpoints whose connects timed out.
         count_unsent_bytes: Returns how many bytes for peers wait to be sent.
+        has_listings: Returns whether the endpoints' listings have been read.
         peer_reports: Peer reports of unreachable endpoints.
         suspects: Running and recently ended requests that may have caused a
             crash.
@@ -136,6 +136,7 @@
         )
         self.silences = silences.Silences()
         self.count_unsent_bytes: typing.Callable[[], int] = lambda: 0
+        self.has_listings: typing.Callable[[], bool] = lambda: True
         self.peer_reports = peer_reports.PeerReports()
         self.leaving: gossip.GossipItems[tuple[str, int]] = gossip.GossipItems()
         self.suspects = suspects_lib.Suspects()
@@ -236,24 +237,19 @@
             factor: Its factor.
             at: When it was asked.
         """
-        catalog = self.catalog
-        service = catalog.services.get(endpoint.service) if catalog else None
-        if service is not None and self.watches_slowness(service):
+        if self._watches_endpoint(endpoint):
             self.slowness.record(endpoint.endpoint_id, factor, at)
 
-    def record_peer_slowness(
-        self, endpoint_id: str, factor: float, age_ms: int
-    ) -> None:
-        """Records how slow an engine is according to another host.
+    def record_peer_slowness(self, statement: slowness_lib.Statement) -> None:
+        """Applies another host's finding about an engine, if it is listed."""
+        known = self.endpoints.get(statement.endpoint_id)
+        if known is not None and self._watches_endpoint(known):
+            self.slowness.apply(statement)
 
-        Args:
-            endpoint_id: The engine; ignored if it isn't listed.
-            factor: Its factor.
-            age_ms: Time since that was found; what is too old is ignored.
-        """
-        known = self.endpoints.get(endpoint_id)
-        if known is not None and 0 <= age_ms <= MAX_SLOWNESS_AGE_MS:
-            self.record_pace(known, factor, clocks.now() - age_ms / 1000)
+    def _watches_endpoint(self, endpoint: endpoints_lib.Endpoint) -> bool:
+        catalog = self.catalog
+        service = catalog.services.get(endpoint.service) if catalog else None
+        return service is not None and self.watches_slowness(service)
 
     def budget_of(self, service: str) -> retries.RetryBudget:
         """Returns this host's share of a service's retry budget."""
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paces.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paces.py
@@ -45,24 +45,36 @@
             self._begin_window(path, now)
             return
         clock = self._state.host_clock
-        if waited_s > self._gap_target_s and clock.was_on_time_since(
-            now - waited_s
-        ):
-            self._state.slowness.record_late_event(
-                self._engine, path, waited_s, self._state.loads(), clocks.now()
-            )
+        self.record_wait(path, waited_s)
         self._window_events += 1
         if self._window_events < WINDOW_EVENTS:
             return
-        if self._state.slowness.has_suspects and clock.was_on_time_since(
-            self._window_from
+        mean_s = (now - self._window_from) / self._window_events
+        if (
+            self._state.slowness.has_suspects
+            and mean_s <= self._gap_target_s
+            and clock.was_on_time_since(self._window_from)
         ):
-            mean_s = (now - self._window_from) / self._window_events
             self._state.slowness.record_events(
                 self._engine, path, mean_s, clocks.now()
             )
         self._begin_window(path, now)
 
+    def record_wait(self, path: paths_lib.Path, waited_s: float) -> None:
+        """Records for how long a stream has waited for its next event.
+
+        Args:
+            path: The path that the request runs along.
+            waited_s: Time since the event before, without delays of the host.
+        """
+        if self._engine is None or waited_s <= self._gap_target_s:
+            return
+        since = trio.current_time() - waited_s
+        if self._state.host_clock.was_on_time_since(since):
+            self._state.slowness.record_late_event(
+                self._engine, path, waited_s, self._state.loads(), clocks.now()
+            )
+
     def _begin_window(self, path: paths_lib.Path, now: float) -> None:
         self._path = path
         self._window_from = now
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_progress.py
@@ -107,6 +107,11 @@
         self.partial_event_since = None
         self.clear_exposures()
 
+    def record_wait(self) -> None:
+        """Records that the next event of a stream is late."""
+        if self.has_received_event:
+            self._pace.record_wait(self.path, self.idle_s())
+
     def _record_contact(self) -> None:
         now = self._clock.now()
         if now - self._contact_at >= CONTACT_INTERVAL_S:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -163,6 +163,7 @@
             self._evidence = KNOWN_SLOW
             return StallAction.WAIT
         if not failed_ids:
+            self._progress.record_wait()
             answer = await self._calls.report(first.endpoint)
             if isinstance(answer, result.Err):
                 return self._handle_missing_report(answer.err_value, idle_s)
--- a/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
+++ b/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
@@ -9,34 +9,18 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import stream_paces
 from sardinebend_gateway import stream_watchdog
-from sardinebend_policy import catalog
 from sardinebend_policy import endpoints
 from sardinebend_policy import paths
 from sardinebend_policy import slowness
+from tests.common import uneven_fleet
 
 GAP_TARGET_S = 0.25
-ENGINE = catalog.EngineModel(
-    layers=80,
-    layer_mb=1750.0,
-    token_layer_mb=0.01475,
-    step_ms=1.02,
-    per_request_ms=0.00764,
-    read_tokens_per_ms=196.0,
-    activation_mb=0.059,
-    pipe_mb_per_ms=0.83,
-    usual_prompt=772.0,
-    usual_answer=230.0,
-    load_s=14.0,
-    cards={'big': catalog.CardKind(72000.0, 2.4, 3.2)},
-    stride=5,
-)
+ENGINE = uneven_fleet.ENGINE
 
 
 def make_path():
     span = endpoints.Span(0, ENGINE.layers)
-    endpoint = endpoints.Endpoint(
-        'a', 'drafts', '10.0.0.1:80', 'east', 96, False, 1, 'big', span
-    )
+    endpoint = uneven_fleet.make_endpoint('a', 'east', 'big', span)
     return (paths.Part(endpoint, span),)
 
 
@@ -111,6 +95,7 @@
     progress = types.SimpleNamespace(
         exchange=types.SimpleNamespace(state=state, admitted=admitted),
         path=path,
+        record_wait=lambda: None,
     )
     engine_calls = Calls()
     watchdog = stream_watchdog.Watchdog(progress, engine_calls, None)
--- a/packages/sardinebend-peers/src/sardinebend_peers/codec.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/codec.py
@@ -375,6 +375,7 @@
         _check_type(item.endpoint_id, str),
         _check_type(percent, int),
         _check_type(_check_optional_count(age_ms), int),
+        _check_type(_check_optional_count(item.number), int),
     )
 
 
--- a/packages/sardinebend-peers/src/sardinebend_peers/messages.py
+++ b/packages/sardinebend-peers/src/sardinebend_peers/messages.py
@@ -155,11 +155,13 @@
         endpoint_id: The engine.
         percent: Time that it takes, in percent of its published figures.
         age_ms: Time since that was found.
+        number: Rises with each finding about the engine.
     """
 
     endpoint_id: str
     percent: int
     age_ms: int
+    number: int
 
 
 class LoadHeartbeat(typing.NamedTuple):
--- a/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
+++ b/packages/sardinebend-peers/src/sardinebend_peers/peers.thrift
@@ -87,6 +87,7 @@
   1: string endpoint_id,
   2: i32 percent,
   3: i64 age_ms,
+  4: i64 number,
 }
 
 struct HostBeat {
--- a/packages/sardinebend-peers/tests/cover/test_codec.py
+++ b/packages/sardinebend-peers/tests/cover/test_codec.py
@@ -99,7 +99,7 @@
             max_size=3,
         ).map(tuple),
         st.lists(
-            st.builds(messages.EndpointSlowness, TEXT, NUMBER, NUMBER),
+            st.builds(messages.EndpointSlowness, TEXT, NUMBER, NUMBER, NUMBER),
             max_size=3,
         ).map(tuple),
     ),
--- a/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
@@ -6,7 +6,8 @@
 states is shared between hosts. No engine takes less than its published time, so
 a path that is fast bounds how slow each of its engines can be.
 
-Silence is no evidence here: only events that arrive tell anything.
+Silence makes nobody slow: a late event, or one that is still missing, raises a
+doubt and no more.
 """
 
 import math
@@ -50,11 +51,15 @@
         endpoint_id: The engine.
         factor: Time that it takes, relative to its published figures.
         at: When it was.
+        number: Rises with each finding about the engine. Ages grow by less than
+            the time that heartbeats take, so that a finding which returns over
+            other hosts would seem to be newer than it is.
     """
 
     endpoint_id: str
     factor: float
     at: float
+    number: int
 
 
 class Change(typing.NamedTuple):
@@ -122,22 +127,29 @@
         """Whether any engine is doubted or counted as slow at the last look."""
         return bool(self._slow or self._doubts)
 
-    def record(self, endpoint_id: str, factor: float, at: float) -> bool:
-        """Records how slow an engine is; returns whether that is news.
+    def record(self, endpoint_id: str, factor: float, at: float) -> None:
+        """Records how slow this host has found an engine to be.
 
         Args:
             endpoint_id: The engine.
             factor: Its factor; one below 1 counts as 1.
             at: When it was found.
         """
-        if not math.isfinite(factor):
-            return False
         last = self._statements.get(endpoint_id)
-        if last is not None and last.at >= at:
+        number = last.number + 1 if last else 1
+        self.apply(Statement(endpoint_id, factor, at, number))
+
+    def apply(self, statement: Statement) -> bool:
+        """Applies a finding of any host; returns whether it was news."""
+        name = statement.endpoint_id
+        last = self._statements.get(name)
+        if last is not None and last.number >= statement.number:
+            return False
+        if not math.isfinite(statement.factor):
             return False
-        self._doubts.pop(endpoint_id, None)
-        factor = min(MAX_FACTOR, max(1.0, factor))
-        self._statements[endpoint_id] = Statement(endpoint_id, factor, at)
+        self._doubts.pop(name, None)
+        factor = min(MAX_FACTOR, max(1.0, statement.factor))
+        self._statements[name] = statement._replace(factor=factor)
         return True
 
     def record_late_event(
@@ -173,7 +185,7 @@
         gap_s: float,
         now: float,
     ) -> None:
-        """Bounds how slow the engines of a path are by its recent events.
+        """Bounds how slow the engines of a path are by events in time.
 
         Args:
             engine: Published figures of the engines.
@@ -186,11 +198,20 @@
         for part, own_ms in zip(path, least_ms, strict=True):
             name = part.endpoint.endpoint_id
             bound = 1 + excess_ms / max(own_ms, 1e-9)
+            self._weaken_doubt(name)
             if bound < SLOW_FACTOR and (
                 name in self._doubts or self.factor(name, now) > bound
             ):
                 self.record(name, bound, now)
 
+    def _weaken_doubt(self, endpoint_id: str) -> None:
+        """Halves what speaks against an engine whose events come in time."""
+        doubt = self._doubts.get(endpoint_id)
+        if doubt is not None:
+            self._doubts[endpoint_id] = doubt._replace(
+                events=max(1, doubt.events // 2)
+            )
+
     def doubtful(self, now: float) -> dict[str, int]:
         """Returns the engines that are doubted, and asked by nobody yet.
 
