Hold requests at a host that hasn't read its rows yet

Cause: a host opens its port before it has read its configuration and the listings, 0.4 to 1.1 s later, and refused at once what it couldn't place.

Change: until it has read both, it holds a request for a third of the time that its caller has left, for 2 s in all from the first one. Without any answer of store or peers it refuses at once after that.

Test that failed before: test_a_host_that_has_just_started_holds_requests_until_it_has_read (503), with test_a_host_that_reads_nothing_refuses_requests_in_the_end for the other side. Run: eight files of tests/cover on requests, peers, starts, stops, eras, readers and overload, packages/sardinebend-gateway and -policy, green. It holds for any deployment: whether one asks for it stands in rows that aren't read yet.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -9,6 +9,7 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import first_rows
 from sardinebend_gateway import plain
 from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
@@ -31,6 +32,7 @@
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
+        self._first_rows = first_rows.FirstRows(state)
 
     @property
     def open_requests(self) -> int:
@@ -48,6 +50,7 @@
             await out.answer(exc.status, [], b'')
             return
         out.log_fields['request'] = facts.request_id
+        await self._first_rows.wait(facts.time_left_s)
         admitted = admission.admit(self._state, req, facts)
         if isinstance(admitted, admission.Admitted):
             admitted = admission.admit_while_stopping(self._state, admitted)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -117,6 +117,7 @@
         )
         self._catalog = watch.CatalogUpdater(self.state)
         self._endpoints = watch.EndpointUpdater(self.state, self._crashes)
+        self.state.has_listings = lambda: self._endpoints.follower.has_rows
         self._heartbeats = heartbeats.Heartbeats(
             self.state,
             self.members,
