Don't move all streams off an engine that has refused work

Cause: a refusal that names an engine, or a refused repair, marks it unhealthy for 0.5 s, and each stream on it that stalled meanwhile was moved without a question. An engine that is short of memory refuses too; its streams go on there, and moving them fills the next one with all their tokens.

Change: where streams can be held up by reading, an engine that has only refused is asked about first: the report of the first engine names those that are gone.

Effect not measured yet.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -181,7 +181,9 @@
                 if part.endpoint != self.first_endpoint:
                     at_fault_endpoints.append(part.endpoint)
                     self._state.mark_unhealthy(
-                        part.endpoint, 'named in a refusal', has_failed=False
+                        part.endpoint,
+                        endpoints_lib.NAMED_IN_REFUSAL,
+                        has_failed=False,
                     )
         return at_fault_endpoints
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -156,7 +156,7 @@
         failed_ids = {
             p.endpoint.endpoint_id
             for p in self._progress.path
-            if self._state.endpoints.is_unhealthy(p.endpoint, clocks.now())
+            if self._is_known_to_have_failed(p.endpoint)
         }
         if not failed_ids and self._is_known_to_be_slow(idle_s):
             # All tokens would be read again, and the pause has been missed.
@@ -176,6 +176,23 @@
             return self._handle_unexplained_stall(idle_s)
         return await self._repair(failed_ids)
 
+    def _is_known_to_have_failed(
+        self, endpoint: endpoints_lib.Endpoint
+    ) -> bool:
+        """Returns whether streams should leave an engine without a question.
+
+        One that has merely refused work may be short of memory: were all its
+        streams moved, their tokens would fill the next one.
+        """
+        now = clocks.now()
+        table = self._state.endpoints
+        service = self._progress.exchange.admitted.service
+        if self._state.watches_slowness(service) and table.has_only_refused(
+            endpoint, now
+        ):
+            return False
+        return table.is_unhealthy(endpoint, now)
+
     def _is_known_to_be_slow(self, idle_s: float) -> bool:
         """Returns whether slow engines of the path explain the silence."""
         slow = self._state.inflight.slowness
@@ -337,7 +354,9 @@
         for part in path[1:]:
             if part.endpoint.address == address:
                 self._state.mark_unhealthy(
-                    part.endpoint, 'refused a repair', has_failed=False
+                    part.endpoint,
+                    endpoints_lib.REFUSED_REPAIR,
+                    has_failed=False,
                 )
                 return part.endpoint.endpoint_id
         return None
--- a/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/endpoints.py
@@ -23,6 +23,10 @@
 # word of others. If it has failed since, this host finds out by a connection
 # that times out, which costs less than to lose sound endpoints.
 CONTACT_TTL_S: typing.Final = 2.0
+# Reasons for which an endpoint is unhealthy that tell of a refusal and no more:
+# it may be dead or leaving, or short of memory, and then what it runs goes on.
+NAMED_IN_REFUSAL: typing.Final = 'named in a refusal'
+REFUSED_REPAIR: typing.Final = 'refused a repair'
 # Leaving incarnations that are remembered; some 120 a day leave.
 MAX_LEAVING: typing.Final = 10_000
 
@@ -305,6 +309,16 @@
             endpoint, now
         )
 
+    def has_only_refused(self, endpoint: Endpoint, now: float) -> bool:
+        """Returns whether an endpoint is unhealthy for a refusal alone."""
+        cooldown = self._cooldowns.get(endpoint.incarnation)
+        return (
+            cooldown is not None
+            and cooldown.until > now
+            and cooldown.reason in (NAMED_IN_REFUSAL, REFUSED_REPAIR)
+            and not self.is_silent(endpoint, now)
+        )
+
     def _is_cooling_down(self, endpoint: Endpoint, now: float) -> bool:
         cooldown = self._cooldowns.get(endpoint.incarnation)
         return cooldown is not None and cooldown.until > now
