--- a/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
+++ b/packages/sardinebend-gateway/tests/cover/test_stream_paces.py
@@ -9,34 +9,18 @@
 from sardinebend_gateway import clocks
 from sardinebend_gateway import stream_paces
 from sardinebend_gateway import stream_watchdog
-from sardinebend_policy import catalog
 from sardinebend_policy import endpoints
 from sardinebend_policy import paths
 from sardinebend_policy import slowness
+from tests.common import uneven_fleet
 
 GAP_TARGET_S = 0.25
-ENGINE = catalog.EngineModel(
-    layers=80,
-    layer_mb=1750.0,
-    token_layer_mb=0.01475,
-    step_ms=1.02,
-    per_request_ms=0.00764,
-    read_tokens_per_ms=196.0,
-    activation_mb=0.059,
-    pipe_mb_per_ms=0.83,
-    usual_prompt=772.0,
-    usual_answer=230.0,
-    load_s=14.0,
-    cards={'big': catalog.CardKind(72000.0, 2.4, 3.2)},
-    stride=5,
-)
+ENGINE = uneven_fleet.ENGINE
 
 
 def make_path():
     span = endpoints.Span(0, ENGINE.layers)
-    endpoint = endpoints.Endpoint(
-        'a', 'drafts', '10.0.0.1:80', 'east', 96, False, 1, 'big', span
-    )
+    endpoint = uneven_fleet.make_endpoint('a', 'east', 'big', span)
     return (paths.Part(endpoint, span),)
 
 
@@ -94,15 +78,15 @@
         return result.Err(calls.NoReport.UNKNOWN)
 
 
-@pytest.mark.parametrize(('idle_s', 'asked'), [(0.5, 0), (1.8, 1)])
-async def test_a_stream_whose_slow_engine_is_known_stays_there(idle_s, asked):
-    # Guards against streams that are moved off slow engines all at once, so
-    # that all their tokens are read again elsewhere.
-    path = make_path()
+def make_watchdog(slowness_by_id=()):
     state = types.SimpleNamespace(
         endpoints=endpoints.EndpointTable(),
-        inflight=types.SimpleNamespace(slowness={'a': 20.0}),
-        loads=lambda: {'a': paths.Load(1, 1000, 20.0)},
+        inflight=types.SimpleNamespace(slowness=dict(slowness_by_id)),
+        loads=lambda: {
+            name: paths.Load(1, 1000, factor)
+            for name, factor in dict(slowness_by_id).items()
+        },
+        watches_slowness=lambda _: True,
     )
     admitted = types.SimpleNamespace(
         service=types.SimpleNamespace(engine=ENGINE),
@@ -110,10 +94,32 @@
     )
     progress = types.SimpleNamespace(
         exchange=types.SimpleNamespace(state=state, admitted=admitted),
-        path=path,
+        path=make_path(),
+        record_wait=lambda: None,
     )
     engine_calls = Calls()
     watchdog = stream_watchdog.Watchdog(progress, engine_calls, None)
+    return watchdog, engine_calls, state
+
+
+@pytest.mark.parametrize(('idle_s', 'asked'), [(0.5, 0), (1.8, 1)])
+async def test_a_stream_whose_slow_engine_is_known_stays_there(idle_s, asked):
+    # Guards against streams that are moved off slow engines all at once, so
+    # that all their tokens are read again elsewhere.
+    watchdog, engine_calls, _ = make_watchdog({'a': 20.0})
     action = await watchdog._investigate_stall(idle_s)
     assert action is stream_watchdog.StallAction.WAIT
     assert engine_calls.asked == asked
+
+
+async def test_a_stalled_stream_asks_before_it_leaves_an_engine_that_is_full():
+    # Guards against engines that fill one after another, since each that
+    # refuses work for want of memory loses all its streams to the next.
+    watchdog, engine_calls, state = make_watchdog()
+    (part,) = make_path()
+    state.endpoints.mark_unhealthy(
+        part.endpoint, clocks.now(), endpoints.NAMED_IN_REFUSAL
+    )
+    action = await watchdog._investigate_stall(0.5)
+    assert action is stream_watchdog.StallAction.WAIT
+    assert engine_calls.asked == 1
