Send engines the rank of a request's route, too

Engines saw batch and urgent drafts alike: each customer of the new deployments has a priority, mostly 1, which replaced the route's. Where the streamed routes of a service differ in priority, the rank is now the place of the pair (customer's or else the route's priority, the route's) among those of the configuration, at most 9; a pair that it doesn't hold is the least urgent. Elsewhere it is what the priority was.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/admission.py
@@ -10,6 +10,7 @@
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import overload
+from sardinebend_policy import ranks as ranks_lib
 
 # A stopping host asks callers to come back at once: another host serves them.
 STOPPING_RETRY_AFTER_S: typing.Final = 0.05
@@ -46,6 +47,9 @@
         service: The service that serves it.
         customer: The customer whose key it carries, if keys are required.
         ends_at: Deadline of the complete answer, by trio's clock.
+        rank: Its order of admission within the service, between 0 (most
+            urgent) and 9. Engines get it as its priority.
+        is_ranked: Whether the requests of the service differ in rank.
     """
 
     facts: edges_lib.RequestFacts
@@ -53,6 +57,8 @@
     service: catalog_lib.Service
     customer: catalog_lib.Customer | None
     ends_at: float
+    rank: int
+    is_ranked: bool
 
     @property
     def expected_answer_tokens(self) -> int:
@@ -64,14 +70,6 @@
             answer = min(answer, self.service.engine.usual_answer)
         return int(answer)
 
-    @property
-    def priority(self) -> int:
-        """Urgency between 0 (most urgent) and 9."""
-        rank = self.route.priority
-        if self.customer and self.customer.priority is not None:
-            rank = self.customer.priority
-        return max(0, min(9, rank))
-
 
 def admit(
     state: state_lib.State,
@@ -115,7 +113,29 @@
     if facts.time_left_s is not None:
         wait_s = min(wait_s, facts.time_left_s)
     ends_at = req.arrived_at + wait_s
-    return Admitted(facts, route, service, customer, ends_at)
+    return Admitted(
+        facts,
+        route,
+        service,
+        customer,
+        ends_at,
+        *_find_rank(catalog, service, route, customer),
+    )
+
+
+def _find_rank(
+    catalog: catalog_lib.Catalog,
+    service: catalog_lib.Service,
+    route: catalog_lib.Route,
+    customer: catalog_lib.Customer | None,
+) -> tuple[int, bool]:
+    """Returns the rank of a request, and whether the service has ranks."""
+    priority = customer.priority if customer else None
+    ranks = catalog.find_ranks(service.name)
+    if ranks is not None:
+        return ranks.find(route.priority, priority), True
+    rank = route.priority if priority is None else priority
+    return max(0, min(ranks_lib.LEAST_URGENT, rank)), False
 
 
 def admit_while_stopping(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -261,7 +261,7 @@
             time_left_s=left_s,
             customer=exchange.customer_name,
             resume_after=exchange.admitted.facts.resume_after,
-            priority=exchange.admitted.priority,
+            priority=exchange.admitted.rank,
         )
         codec = self._state.edges.requests
         headers = codec.make_request_headers(exchange.req.headers, dispatch)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -109,7 +109,7 @@
             time_left_s=exchange.time_left_s(),
             customer=exchange.customer_name,
             resume_after=self.resume_after,
-            priority=exchange.admitted.priority,
+            priority=exchange.admitted.rank,
         )
         req = exchange.req
         headers = codec.make_request_headers(req.headers, dispatch)
--- a/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/catalog.py
@@ -8,6 +8,7 @@
 import typing
 
 from sardinebend_policy import errors
+from sardinebend_policy import ranks as ranks_lib
 
 
 class Route(typing.NamedTuple):
@@ -184,6 +185,7 @@
         self.services = {service.name: service for service in services}
         self._customers = customers_by_key
         self._routes: dict[str, dict[str, Route]] = {}
+        self._ranks: dict[str, ranks_lib.Ranks | None] = {}
         for route in routes:
             if not math.isfinite(route.timeout_s) or route.timeout_s <= 0:
                 raise errors.InvalidArgument(
@@ -226,6 +228,24 @@
         routes = self.list_stream_routes(service)
         return len({route.priority for route in routes}) > 1
 
+    def find_ranks(self, service: str) -> ranks_lib.Ranks | None:
+        """Returns the ranks of a service's requests, if they differ."""
+        if service not in self._ranks:
+            self._ranks[service] = self._make_ranks(service)
+        return self._ranks[service]
+
+    def _make_ranks(self, service: str) -> ranks_lib.Ranks | None:
+        if not self.has_ranks(service):
+            return None
+        return ranks_lib.Ranks(
+            (
+                route.priority
+                for route in self.routes()
+                if any(name == service for name, _ in route.split)
+            ),
+            (c.priority for c in (self._customers or {}).values()),
+        )
+
     def reading_can_break_pauses(self, service: str) -> bool:
         """Returns whether reading can hold up a service's streams too long.
 
