Move the fair queue out of the product's admission

Callers on the users' platform compete for room without any order; the queue that is fair to customers served only the product's own interface. It is now a module of its own, fair_queue, with ranks before shares and a cost for each request, so that both stacks can use one. Admission keeps its bounds and its own counts.

--- a/packages/sardinebend-policy/src/sardinebend_policy/admission.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/admission.py
@@ -1,11 +1,11 @@
-"""Admission: a bounded, weighted fair queue over customers."""
+"""Admission: a bound on running requests, before a fair queue."""
 
-import collections
 import enum
 import math
 import typing
 
 from sardinebend_policy import errors
+from sardinebend_policy import fair_queue
 from sardinebend_policy import outcomes
 
 MIN_RETRY_AFTER_S: typing.Final = 1.0
@@ -59,12 +59,10 @@
 
 
 class Admission:
-    """A weighted fair queue over customers, bounded for each customer.
+    """Admits a bounded number of requests, in the order of a fair queue.
 
-    Each customer has a queue of its own and a virtual time that advances by
-    1 / weight with each request started. The customer with the smallest
-    virtual time is served next, so a customer that sends ten times its share
-    waits only behind its own requests.
+    The queue is bounded for each customer. A request costs its customer
+    1 / weight of its share.
     """
 
     def __init__(self, max_running: int) -> None:
@@ -74,9 +72,8 @@
             )
         self._max_running = max_running
         self._running: dict[str, float] = {}
-        self._queues: dict[str, collections.OrderedDict[str, Ticket]] = {}
-        self._finish_tags: dict[str, float] = {}
-        self._virtual_time = 0.0
+        self._queue = fair_queue.FairQueue()
+        self._tickets: dict[str, Ticket] = {}
         self._mean_service_s = 0.5
 
     def set_max_running(self, max_running: int) -> None:
@@ -91,7 +88,7 @@
     @property
     def waiting(self) -> int:
         """Number of requests that wait."""
-        return sum(len(queue) for queue in self._queues.values())
+        return len(self._queue)
 
     def offer(self, ticket: Ticket, now: float) -> Verdict | outcomes.NotRun:
         """Starts, queues or refuses a request.
@@ -101,16 +98,16 @@
         """
         if ticket.deadline <= now:
             return outcomes.NotRun(outcomes.Reason.DEADLINE)
-        if len(self._running) < self._max_running and not self._queues:
-            self._start(ticket, now)
+        if len(self._running) < self._max_running and not self._queue:
+            self._start(_make_entry(ticket), now)
             return Verdict.RUN
-        queue = self._queues.get(ticket.customer, collections.OrderedDict())
+        queued = self._queue.count(ticket.customer)
         wait_s = self.expected_wait_s(ticket.customer)
-        if len(queue) >= ticket.max_queued or now + wait_s > ticket.deadline:
+        if queued >= ticket.max_queued or now + wait_s > ticket.deadline:
             retry_after_s = max(MIN_RETRY_AFTER_S, wait_s)
             return outcomes.NotRun(outcomes.Reason.QUEUE_FULL, retry_after_s)
-        queue[ticket.request_id] = ticket
-        self._queues[ticket.customer] = queue
+        self._queue.add(_make_entry(ticket))
+        self._tickets[ticket.request_id] = ticket
         return Verdict.WAIT
 
     def release(self, request_id: str, now: float) -> list[Ticket]:
@@ -124,46 +121,38 @@
 
     def withdraw(self, request_id: str, customer: str) -> bool:
         """Removes a waiting request; returns whether it was waiting."""
-        queue = self._queues.get(customer)
-        if queue is None or request_id not in queue:
+        ticket = self._tickets.get(request_id)
+        if ticket is None or ticket.customer != customer:
             return False
-        del queue[request_id]
-        if not queue:
-            del self._queues[customer]
-        return True
+        del self._tickets[request_id]
+        return self._queue.remove(request_id)
 
     def expected_wait_s(self, customer: str) -> float:
         """Estimates the waiting time of a new request of a customer."""
-        ahead = len(self._queues.get(customer, ())) + 1
-        share = max(1, len(set(self._queues) | {customer}))
+        ahead = self._queue.count(customer) + 1
+        share = max(1, len(self._queue.customers() | {customer}))
         rounds = ahead * share / self._max_running
         return rounds * self._mean_service_s
 
     def fill(self, now: float) -> list[Ticket]:
         """Starts as many waiting requests as may run."""
         started = []
-        while self._queues and len(self._running) < self._max_running:
-            customer = min(self._queues, key=self._start_tag)
-            queue = self._queues[customer]
-            _, ticket = queue.popitem(last=False)
-            if not queue:
-                del self._queues[customer]
+        while self._queue and len(self._running) < self._max_running:
+            entry = next(self._queue.in_order())
+            ticket = self._tickets.pop(entry.request_id)
             if ticket.deadline > now:
-                self._start(ticket, now)
+                self._start(entry, now)
                 started.append(ticket)
+            else:
+                self._queue.remove(entry.request_id)
         return started
 
-    def _start_tag(self, customer: str) -> float:
-        return max(self._virtual_time, self._finish_tags.get(customer, 0.0))
-
-    def _start(self, ticket: Ticket, now: float) -> None:
-        self._running[ticket.request_id] = now
-        self._virtual_time = self._start_tag(ticket.customer)
-        finish_tag = self._virtual_time + 1 / ticket.weight
-        self._finish_tags[ticket.customer] = finish_tag
-        if len(self._finish_tags) > 2 * len(self._queues) + 1024:
-            self._finish_tags = {
-                name: finish
-                for name, finish in self._finish_tags.items()
-                if finish > self._virtual_time
-            }
+    def _start(self, entry: fair_queue.Entry, now: float) -> None:
+        self._running[entry.request_id] = now
+        self._queue.start(entry)
+
+
+def _make_entry(ticket: Ticket) -> fair_queue.Entry:
+    return fair_queue.Entry(
+        ticket.request_id, ticket.customer, 0, 1 / ticket.weight
+    )
