Admit by rank, customer's share and age where routes differ in priority

Requests of such services now wait in one line a host, which gives a path to the first that fits, counts it as used until its attempt begins, leaves room to more urgent ones and tells refused callers when to return. What fits on no path is refused at once.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -43,6 +43,7 @@
     ) -> None:
         self.endpoint: endpoints_lib.Endpoint | None = None
         self.last_event_at: float | None = None
+        self.inputs: dict[str, typing.Any] = {}
         self._state = state
         self._arrived_at = req.arrived_at
         self._admitted = admitted
@@ -81,6 +82,7 @@
             end=outcome,
             reason=reason,
             took_s=self.took_s(),
+            **self.inputs,
         )
 
     def record_return(self) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -76,7 +76,8 @@
 REQUEST_SENT = Event(
     'request_sent',
     'request, route, endpoint, parts, prompt_parts, attempt, time_left_s,'
-    ' recent_delay_s',
+    ' recent_delay_s; where requests differ in rank: rank, customer, found,'
+    ' ahead in line, waited_s, urgent_share, view_age_s',
 )
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
@@ -90,7 +91,10 @@
 STREAM_RESUMED = Event('stream_resumed', 'request, after_event, endpoint')
 REQUEST_ENDED = Event('request_ended', 'request, route, status, took_s, bytes')
 REQUEST_FAILED = Event(
-    'request_failed', 'request, route, end, reason, took_s', True
+    'request_failed',
+    'request, route, end, reason, took_s; where requests differ in rank: rank,'
+    ' customer, found, ahead in line, waited_s, urgent_share, view_age_s',
+    True,
 )
 REQUEST_CANCELLED = Event(
     'request_cancelled',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -10,6 +10,7 @@
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import plain
+from sardinebend_gateway import ranked_lines
 from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
@@ -31,6 +32,7 @@
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
+        self._lines = ranked_lines.RankedLines(state)
 
     @property
     def open_requests(self) -> int:
@@ -89,7 +91,9 @@
     async def _run(self, exchange: exchange_lib.Exchange) -> None:
         admitted = exchange.admitted
         if admitted.route.is_stream or admitted.service.has_layers:
-            handler = streams.StreamRequestHandler(exchange, self._calls)
+            handler = streams.StreamRequestHandler(
+                exchange, self._calls, self._lines
+            )
             await handler.run()
         else:
             await plain.PlainRequestHandler(exchange).run()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -7,6 +7,9 @@
 
 from sardinebend_gateway import clocks
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import ranked_lines
+from sardinebend_gateway import refusal_pauses
+from sardinebend_gateway import single_paths
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import inflight as inflight_lib
 from sardinebend_policy import paths as paths_lib
@@ -17,20 +20,10 @@
 # Callers abandon a started stream 2 s after the last event, so the search for
 # another path has to end sooner.
 RESUME_WAIT_S: typing.Final = 1.2
-POLL_S: typing.Final = 0.02
-# An engine that has refused a request, or that a refusal names as its cause,
-# doesn't get it for this long, twice as long after each further refusal.
-REFUSAL_PAUSE_S: typing.Final = 0.1
-
-
-class _Refusals(typing.NamedTuple):
-    """How often an engine was the cause of a refusal, and until when it pauses.
-
-    `until` is by trio's clock.
-    """
-
-    times: int
-    until: float
+POLL_S: typing.Final = ranked_lines.POLL_S
+# A caller that found no path may return after this time, unless the requests of
+# its service differ in rank.
+NO_PATH_RETRY_AFTER_S: typing.Final = 1.0
 
 
 class PathChooser:
@@ -41,16 +34,42 @@
         excluded_ids: Ids of engines that the request isn't sent to again.
     """
 
-    def __init__(self, exchange: exchange_lib.Exchange) -> None:
+    def __init__(
+        self,
+        exchange: exchange_lib.Exchange,
+        lines: ranked_lines.RankedLines,
+    ) -> None:
         self.excluded_ids: set[str] = set()
         self._exchange = exchange
         self._state = exchange.state
-        self._refusals: dict[str, _Refusals] = {}
+        self._refusals = refusal_pauses.RefusalPauses()
         self._unreached_ids: set[str] = set()
         admitted = exchange.admitted
         self.tokens = (
             admitted.facts.prompt_tokens + admitted.expected_answer_tokens
         )
+        # Set only if the requests of the service differ in rank.
+        self._ranked: ranked_lines.RankedRequest | None = None
+        self._reserved: paths_lib.Path | None = None
+        if admitted.is_ranked:
+            self._ranked = ranked_lines.RankedRequest(
+                lines.of(admitted.service),
+                admitted.rank,
+                exchange.customer_name or '',
+                self.tokens,
+                ranked_lines.Searcher(
+                    self._find_path,
+                    self._take_path,
+                    self._is_barred,
+                    lambda: exchange.out.is_started,
+                ),
+            )
+
+    def close(self) -> None:
+        """Records that the request has ended."""
+        self.release_room()
+        if self._ranked is not None:
+            self._ranked.line.end(self._ranked)
 
     def record_refusal(self, endpoint_ids: typing.Iterable[str]) -> None:
         """Records which engines were the cause of a refusal of the request.
@@ -58,12 +77,7 @@
         Each refusal takes a retry from the budget of all requests, so they
         don't get it again at once. They ran nothing and may soon be able to.
         """
-        for endpoint_id in endpoint_ids:
-            last = self._refusals.get(endpoint_id, _Refusals(0, 0.0))
-            pause_s = REFUSAL_PAUSE_S * 2**last.times
-            self._refusals[endpoint_id] = _Refusals(
-                last.times + 1, trio.current_time() + pause_s
-            )
+        self._refusals.record(endpoint_ids, trio.current_time())
 
     def record_unreached(self, endpoint_id: str) -> None:
         """Records that an engine couldn't be connected to.
@@ -76,6 +90,7 @@
 
     async def choose(self) -> paths_lib.Path | None:
         """Returns a path with free capacity, or `None` after a short wait."""
+        self.release_room()
         exchange = self._exchange
         wait_s = exchange.admitted.route.target_s * PATH_WAIT_SHARE
         limit: contextlib.AbstractContextManager[object]
@@ -85,21 +100,91 @@
             limit = self._state.host_clock.move_on_after(wait_s)
         else:
             limit = trio.move_on_after(wait_s)
+        if self._ranked is not None:
+            with self._ranked.line.waiting(self._ranked, wait_s), limit:
+                await self._wait_in_line(self._ranked, wait_s)
+            return self._ranked.path
         with limit:
             while True:
-                path = self._search(self._list_excluded())
-                path = path or self._search_among_silent()
+                path = self._find_path()
                 if path is not None:
-                    self._state.try_take_from_limit(path[0].endpoint)
-                    self._count_crossings(path)
+                    self._take_path(path)
                     return path
-                if self._backoff_exceeds_wait(
-                    wait_s
-                ) or self._limits_exceed_wait(wait_s):
+                if self._must_give_up(wait_s):
                     return None
                 await trio.sleep(POLL_S)
         return None
 
+    async def _wait_in_line(
+        self, ranked: ranked_lines.RankedRequest, wait_s: float
+    ) -> None:
+        """Waits until the line has given the request a path."""
+        while True:
+            ranked.line.serve(ranked)
+            if ranked.path is not None or self._must_give_up(wait_s):
+                return
+            with trio.move_on_after(POLL_S):
+                await ranked.found.wait()
+
+    def _find_path(self) -> paths_lib.Path | None:
+        path = self._search(self._list_excluded())
+        return path or self._search_among_silent()
+
+    def _take_path(self, path: paths_lib.Path) -> None:
+        self._state.try_take_from_limit(path[0].endpoint)
+        self._count_crossings(path)
+        if self._ranked is not None:
+            # The next in line is tried before this one's attempt begins.
+            self._reserved = path
+            self._state.inflight.add(path, self.tokens)
+
+    def release_room(self) -> None:
+        """Stops counting the path that was chosen as used.
+
+        Its attempt counts from its beginning.
+        """
+        if self._reserved is not None:
+            self._state.inflight.remove(self._reserved, self.tokens)
+        self._reserved = None
+
+    def _is_barred(self) -> bool:
+        """Returns whether engines are closed to this request, not to others."""
+        return bool(self._list_excluded() or self._list_pausing())
+
+    def _must_give_up(self, wait_s: float) -> bool:
+        return (
+            self._backoff_exceeds_wait(wait_s)
+            or self._limits_exceed_wait(wait_s)
+            or self._is_too_large()
+        )
+
+    def _is_too_large(self) -> bool:
+        """Returns whether no path could ever hold a ranked request."""
+        service = self._exchange.admitted.service
+        if (
+            self._ranked is None
+            or not service.has_layers
+            or self._exchange.out.is_started
+        ):
+            return False
+        return self._ranked.line.is_too_large(
+            self.tokens, lambda: self._state.path_cache_of(service)
+        )
+
+    def book_return_s(self) -> float:
+        """Returns in how many seconds the caller may return, once refused."""
+        if self._ranked is None:
+            return NO_PATH_RETRY_AFTER_S
+        return self._ranked.line.book_return(
+            self._ranked, self._exchange.time_left_s(), self._is_connected()
+        )
+
+    def make_refusal_fields(self) -> dict[str, typing.Any]:
+        """Returns the inputs to a refusal, as fields for the log."""
+        if self._ranked is None:
+            return {}
+        return self._ranked.line.make_log_fields(self._ranked)
+
     def may_hedge(self) -> bool:
         """Returns whether the route and the retry budget allow a hedge."""
         exchange = self._exchange
@@ -126,9 +211,13 @@
             return None
         excluded_ids = self._list_excluded() | set(refused_ids)
         all_ids = {part.endpoint.endpoint_id for part in path}
-        return self._search(excluded_ids | all_ids) or self._search(
+        hedge = self._search(excluded_ids | all_ids) or self._search(
             {*excluded_ids, path[0].endpoint.endpoint_id}
         )
+        ranked = self._ranked
+        if hedge and ranked and ranked.line.is_held(ranked, hedge):
+            return None
+        return hedge
 
     def try_take_hedge(self, path: paths_lib.Path) -> bool:
         """Takes the retry of a hedge that is about to be sent.
@@ -193,6 +282,8 @@
 
     def explain_missing_path(self) -> str:
         """Returns why `choose` finds no path."""
+        if self._ranked is not None and self._ranked.is_held:
+            return 'no path: room is left to more urgent requests'
         engine = self._exchange.admitted.service.engine
         if engine is None or not self._exchange.admitted.service.has_layers:
             return 'no engine'
@@ -282,41 +373,25 @@
         return self.excluded_ids | self._unreached_ids
 
     def _list_pausing(self) -> set[str]:
-        now = trio.current_time()
-        return {name for name, r in self._refusals.items() if r.until > now}
+        return self._refusals.list_pausing(trio.current_time())
 
     def _find_single_endpoint(
         self,
         excluded_ids: typing.Collection[str],
         usable: typing.Iterable[endpoints_lib.Endpoint] | None = None,
     ) -> paths_lib.Path | None:
-        """Returns a path of one endpoint that holds the whole model.
-
-        Args:
-            excluded_ids: Ids of endpoints that aren't chosen.
-            usable: Those to choose from; by default all that get new requests.
-        """
-        state = self._state
-        now = clocks.now()
         name = self._exchange.admitted.service.name
         excluded_ids = self._list_barred_first().union(excluded_ids)
-        if usable is None:
-            usable = state.endpoints.list_usable(name, now)
-        candidates = [e for e in usable if e.endpoint_id not in excluded_ids]
-        endpoint = state.balancer.choose(candidates, state.cfg.domain, now)
-        if endpoint is None:
-            return None
-        # An empty span marks an endpoint without layers, which serves the
-        # request alone.
-        return (paths_lib.Part(endpoint, endpoints_lib.Span(0, 0)),)
+        return single_paths.find(self._state, name, excluded_ids, usable)
 
     def make_log_fields(self, path: paths_lib.Path) -> dict[str, typing.Any]:
         """Returns the inputs to the choice of a path, as fields for the log."""
         engine = self._exchange.admitted.service.engine
+        fields = self.make_refusal_fields()
         # An empty span marks a single endpoint without layers.
         if engine is None or not path[0].span.size:
-            return {}
-        return {
+            return fields
+        return fields | {
             'tokens': self.tokens,
             'crossings': inflight_lib.count_crossings(path),
             'link_use': round(self._state.link_use(engine), 2),
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -158,6 +158,7 @@
     ) -> None:
         """Sends the request along a path, and records how that ends."""
         self._record_send(path)
+        self._paths.release_room()
         progress = stream_progress.StreamProgress(
             self._exchange, path, self._paths.tokens
         )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -5,21 +5,18 @@
 attempt beside one that is silent.
 """
 
-import typing
-
 import trio
 
 from sardinebend_gateway import calls as calls_lib
 from sardinebend_gateway import endings
 from sardinebend_gateway import errors
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import ranked_lines
 from sardinebend_gateway import stream_paths
 from sardinebend_gateway import stream_race
 from sardinebend_gateway import stream_rivals
 from sardinebend_policy import forwarding
 
-NO_PATH_RETRY_AFTER_S: typing.Final = 1.0
-
 
 class StreamRequestHandler:
     """Serves one streamed request, with one or more attempts."""
@@ -28,17 +25,24 @@
         self,
         exchange: exchange_lib.Exchange,
         engine_calls: calls_lib.EngineCalls,
+        lines: ranked_lines.RankedLines,
     ) -> None:
         self._exchange = exchange
         self._calls = engine_calls
         self._position = stream_rivals.Position(
             exchange.admitted.facts.resume_after
         )
-        self._paths = stream_paths.PathChooser(exchange)
+        self._paths = stream_paths.PathChooser(exchange, lines)
         self._reason = ''
 
     async def run(self) -> None:
         """Serves the request and answers the caller."""
+        try:
+            await self._run()
+        finally:
+            self._paths.close()
+
+    async def _run(self) -> None:
         exchange = self._exchange
         exchange.attempts_scope.deadline = exchange.admitted.ends_at
         with exchange.attempts_scope:
@@ -67,7 +71,7 @@
             if choice is None:
                 step = exchange.ledger.give_up_step()
                 reason = self._reason or self._paths.explain_missing_path()
-                wait_s = exchange.retry_after_s(NO_PATH_RETRY_AFTER_S)
+                wait_s = exchange.retry_after_s(self._paths.book_return_s())
                 await self._finish(step, reason, None, wait_s)
                 return
             race = stream_race.StreamRace(
@@ -134,14 +138,17 @@
         step: forwarding.Step,
         reason: str,
         reply: exchange_lib.Reply | None,
-        retry_after_s: float = NO_PATH_RETRY_AFTER_S,
+        retry_after_s: float | None = None,
     ) -> None:
         exchange = self._exchange
+        exchange.ending.inputs = self._paths.make_refusal_fields()
         if exchange.out.is_started:
             self._abort_stream(reason)
         elif step is forwarding.Step.PASS_ON and reply is not None:
             await exchange.send_reply(reply)
         else:
+            if retry_after_s is None:
+                retry_after_s = self._paths.book_return_s()
             await exchange.send_error(step, reason, retry_after_s)
 
     def _abort_stream(self, reason: str) -> None:
