--- a/packages/sardinebend-admin/tests/cover/test_tree_check.py
+++ b/packages/sardinebend-admin/tests/cover/test_tree_check.py
@@ -38,16 +38,21 @@
 }
 
 
-def check(change):
-    """Returns level and path of what is found in a changed sound tree."""
+def check(**sections):
+    """Returns exit code, level and path of what is found in a changed tree.
+
+    Args:
+        sections: New and changed nodes by section.
+    """
     document = copy.deepcopy(SOUND)
-    change(document)
+    for section, nodes in sections.items():
+        document[section].update(nodes)
     report = tree_check.check(document)
     return report.exit_code, [(f.level, f.path) for f in report.findings]
 
 
 def test_a_sound_tree_has_no_findings():
-    assert check(lambda document: None) == (0, [])
+    assert check() == (0, [])
 
 
 def test_all_errors_are_found_at_once_with_path_value_and_what_is_allowed():
@@ -71,62 +76,39 @@
 
 
 def test_a_tree_that_is_wrong_as_a_whole_is_an_error():
-    code, found = check(
-        lambda d: (
-            d['endpoints'].update(e1={**ENGINE, 'first_layer': 1})
-            or d['endpoints'].pop('e2')
-        )
-    )
+    uncovered = {**ENGINE, 'first_layer': 1}
+    code, found = check(endpoints={'e1': uncovered, 'e2': uncovered})
     assert (code, found) == (2, [('error', 'routes/assistant')])
 
 
 @pytest.mark.parametrize(
-    ('change', 'path'),
+    ('section', 'node', 'value', 'found_at'),
     [
+        ('customers', 'idle', {}, '.key_hashes'),
+        ('customers', 'twin', {'key_hashes': [KEY]}, '.key_hashes'),
+        ('services', 'alone', {'operations': {'x': {}}}, ''),
+        ('services', 'seats', {'operations': {}}, '.operations'),
+        ('values', 'fleet/customer:gone', {}, ''),
+        ('values', 'fleet/customer:nile/kind:a.b', {}, ''),
         (
-            lambda d: d['customers'].update(idle={}),
-            'customers/idle.key_hashes',
-        ),
-        (
-            lambda d: d['customers'].update(twin={'key_hashes': [KEY]}),
-            'customers/twin.key_hashes',
-        ),
-        (
-            lambda d: d['services'].update(alone={'operations': {'x': {}}}),
-            'services/alone',
-        ),
-        (
-            lambda d: d['services']['seats'].update(operations={}),
-            'services/seats.operations',
-        ),
-        (
-            lambda d: d['values'].update({'fleet/customer:gone': {}}),
-            'values/fleet/customer:gone',
-        ),
-        (
-            lambda d: d['values'].update({'fleet/customer:nile/kind:a.b': {}}),
-            'values/fleet/customer:nile/kind:a.b',
-        ),
-        (
-            lambda d: d['values']['fleet'].update(
-                {'request.deadline_s': 2.0, 'service.reply_s': 3.0}
-            ),
-            'values/fleet.service.reply_s',
-        ),
-        (
-            lambda d: d['values']['fleet'].update({'draft.max_attempts': 3}),
-            'values/fleet.draft.max_attempts',
+            'values',
+            'fleet',
+            {'request.deadline_s': 2.0, 'service.reply_s': 3.0},
+            '.service.reply_s',
         ),
+        ('values', 'fleet', {'draft.max_attempts': 3}, '.draft.max_attempts'),
     ],
 )
-def test_what_has_no_effect_or_contradicts_itself_is_a_warning(change, path):
-    assert check(change) == (findings.EXIT_WARNINGS, [('warning', path)])
+def test_what_has_no_effect_or_contradicts_itself_is_a_warning(
+    section, node, value, found_at
+):
+    code, found = check(**{section: {node: value}})
+    assert code == findings.EXIT_WARNINGS
+    assert found == [('warning', f'{section}/{node}{found_at}')]
 
 
 def test_a_model_version_that_is_prepared_is_only_a_note():
-    code, found = check(
-        lambda d: d['endpoints'].update(e3={**ENGINE, 'model_version': '2'})
-    )
+    code, found = check(endpoints={'e3': {**ENGINE, 'model_version': '2'}})
     assert (code, found) == (0, [('note', 'endpoints/e3.model_version')])
 
 
--- a/tests/cover/test_platform_check.py
+++ b/tests/cover/test_platform_check.py
@@ -11,125 +11,109 @@
 from sardinebend_policy import findings
 from tests.common import gateway_world as world_lib
 
+APP = {'service': 'app', 'weight': 1}
+UNUSED = {'service': 'app', 'weight': 0}
 KINDS = 'services[1].engine.kinds'
 
 
-def make_config():
+def make_config(*changes):
+    """Returns a sound configuration with changes.
+
+    Each change is the path of a list or an object, and what it gets or is
+    updated with.
+    """
     config = world_lib.make_config()
     for route in config['routes']:
         route['max_attempts'] = 1
+    for path, change in changes:
+        node = config
+        for name in path.split('.'):
+            node = node[int(name) if name.isdigit() else name]
+        if isinstance(node, list):
+            node.append(change)
+        else:
+            node.update(change)
     return config
 
 
-def check(change, against=None):
-    config = make_config()
-    change(config)
-    data = json.dumps(config).encode()
-    return check_lib.check(data, json.dumps(against).encode())
-
-
-def check_alone(change):
-    """Returns exit code, and level and path of what is found."""
-    config = make_config()
-    change(config)
-    report = check_lib.check(json.dumps(config).encode())
-    return report.exit_code, [(f.level, f.path) for f in report.findings]
-
-
-def route(number, **changes):
-    return lambda config: config['routes'][number].update(changes)
+def check(*changes, against=None):
+    data = json.dumps(make_config(*changes)).encode()
+    return check_lib.check(data, against and json.dumps(against).encode())
 
 
 def test_a_sound_configuration_has_no_findings():
-    assert check_alone(lambda config: None) == (0, [])
+    assert check() == findings.Report([])
 
 
 @pytest.mark.parametrize(
-    ('change', 'level', 'path'),
+    ('path', 'change', 'level', 'found_at'),
     [
-        (route(0, prefix='/open/'), 'warning', 'routes[0].prefix'),
-        (route(0, prefix='/book'), 'warning', 'routes[0].prefix'),
-        (route(0, service='gone'), 'error', 'routes[0].traffic_split'),
+        ('routes.0', {'prefix': '/open/'}, 'warning', 'routes[0].prefix'),
+        ('routes.0', {'prefix': '/book'}, 'warning', 'routes[0].prefix'),
+        ('routes.0', {'service': 'x'}, 'error', 'routes[0].traffic_split'),
         (
-            route(
-                0,
-                traffic_split=[
-                    {'service': 'app', 'weight': 1},
-                    {'service': 'app', 'weight': 0},
-                ],
-            ),
+            'routes.0',
+            {'traffic_split': [APP, UNUSED]},
             'warning',
             'routes[0].traffic_split',
         ),
         (
-            route(0, traffic_split=[{'service': 'app', 'weight': 0}]),
+            'routes.0',
+            {'traffic_split': [UNUSED]},
             'warning',
             'routes[0].traffic_split',
         ),
-        (route(2, timeout_ms=400), 'warning', 'routes[2].target_latency_ms'),
-        (route(2, target_gap_ms=9000), 'warning', 'routes[2].target_gap_ms'),
-        (route(0, timeout_ms=0), 'error', 'routes[0].timeout_ms'),
-        (route(0, max_attempts=2), 'note', 'routes[0].max_attempts'),
-        (route(0, priority=12), 'warning', 'routes[0].priority'),
         (
-            lambda c: c['services'].append({'name': 'idle'}),
+            'routes.2',
+            {'timeout_ms': 400},
             'warning',
-            'services[2].name',
-        ),
-        (
-            lambda c: c['services'][1]['engine'].update(layer_mb=5000),
-            'error',
-            KINDS,
+            'routes[2].target_latency_ms',
         ),
         (
-            lambda c: c['tenants'].append({'name': 'b', 'api_keys': []}),
+            'routes.2',
+            {'target_gap_ms': 9000},
             'warning',
-            'tenants[1].api_keys',
+            'routes[2].target_gap_ms',
         ),
+        ('routes.0', {'timeout_ms': 0}, 'error', 'routes[0].timeout_ms'),
+        ('routes.0', {'max_attempts': 2}, 'note', 'routes[0].max_attempts'),
+        ('routes.0', {'priority': 12}, 'warning', 'routes[0].priority'),
+        ('services', {'name': 'idle'}, 'warning', 'services[2].name'),
+        ('services.1.engine', {'layer_mb': 5000}, 'error', KINDS),
+        ('tenants', {'name': 'b'}, 'warning', 'tenants[1].api_keys'),
+        ('tenants.0.api_keys', '', 'error', 'tenants[0].api_keys'),
         (
-            lambda c: c['tenants'].append({'name': 'b', 'api_keys': ['']}),
-            'error',
-            'tenants[1].api_keys',
-        ),
-        (
-            lambda c: c['tenants'].append(
-                {'name': 'b', 'api_keys': [world_lib.KEY]}
-            ),
+            'tenants',
+            {'name': 'b', 'api_keys': [world_lib.KEY]},
             'warning',
             'tenants[0].api_keys',
         ),
-        (
-            lambda c: c['limits'].update(idle_timeout_ms=0),
-            'error',
-            'limits.idle_timeout_ms',
-        ),
+        ('limits', {'idle_timeout_ms': 0}, 'error', 'limits.idle_timeout_ms'),
     ],
 )
 def test_an_entry_without_effect_or_against_others_is_found(
-    change, level, path
+    path, change, level, found_at
 ):
-    code, found = check_alone(change)
-    assert (level, path) in found
-    codes = {'error': 2, 'warning': 8, 'note': 0}
-    assert code == codes[level]
+    report = check((path, change))
+    assert (level, found_at) in [(f.level, f.path) for f in report.findings]
+    assert report.exit_code == {'error': 2, 'warning': 8, 'note': 0}[level]
 
 
 def test_all_entries_that_hosts_refuse_are_errors_with_their_values():
-    config = make_config()
-    config['routes'][1]['timeout_ms'] = 'soon'
-    del config['routes'][2]['hostname']
-    config['routes'][3]['kind'] = 'sometimes'
-    config['services'][1]['engine']['kinds'][0]['pace'] = -1
-    config['tenants'][0]['api_keys'] = ['secret', 5]
-    del config['version']
-    report = check_lib.check(json.dumps(config).encode())
-    found = {f.path: f.value for f in report.findings}
-    assert found == {
-        'version': None,
+    report = check(
+        ('routes.1', {'timeout_ms': 'soon'}),
+        ('routes.2', {'hostname': None}),
+        ('routes.3', {'kind': 'sometimes'}),
+        ('services.1.engine.kinds.0', {'pace': -1}),
+        ('services', {'health_path': '/'}),
+        ('tenants.0', {'api_keys': ['secret', 5]}),
+    )
+    assert {f.path: f.value for f in report.findings} == {
         'routes[1].timeout_ms': 'soon',
         'routes[2].hostname': None,
         'routes[3]': None,
         f'{KINDS}[0].pace': -1,
+        'services[2].name': None,
         'tenants[0].api_keys[1]': findings.HIDDEN,
     }
     assert {f.level for f in report.findings} == {'error'}
@@ -137,11 +121,11 @@
 
 
 def test_differences_are_shown_and_a_version_that_does_not_rise_is_an_error():
-    def change(config):
-        config['routes'][0]['timeout_ms'] = 1000
-        config['tenants'][0]['api_keys'].append('another')
-
-    report = check(change, make_config())
+    report = check(
+        ('routes.0', {'timeout_ms': 1000}),
+        ('tenants.0.api_keys', 'another'),
+        against=make_config(),
+    )
     assert [(f.level, f.path) for f in report.findings] == [
         ('error', 'version')
     ]
