Split the search's partial paths from the path finder

Partial paths of a search now have a module of their own, and what an engine has to do is one tuple for the prediction. A card that an older configuration doesn't know is left out of the prediction that is logged.

--- a/packages/sardinebend-policy/src/sardinebend_policy/paths.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/paths.py
@@ -14,6 +14,7 @@
 
 from sardinebend_policy import catalog
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_policy import partial_paths
 from sardinebend_policy import readings
 
 # Maximum number of parts, that is, endpoints, of a path.
@@ -70,39 +71,6 @@
 IDLE: typing.Final = Load()
 
 
-class _PartialPath:
-    """The cheapest path found so far to a layer, ending in one domain."""
-
-    __slots__ = ('before', 'cost', 'depth', 'part')
-
-    def __init__(
-        self,
-        cost: float,
-        part: Part | None = None,
-        before: '_PartialPath | None' = None,
-    ) -> None:
-        self.cost = cost
-        self.part = part
-        self.before = before
-        self.depth: int = before.depth + 1 if before else 0
-
-    def path(self) -> Path:
-        parts = []
-        node: _PartialPath | None = self
-        while node is not None and node.part is not None:
-            parts.append(node.part)
-            node = node.before
-        return tuple(reversed(parts))
-
-    def includes(self, endpoint_id: str) -> bool:
-        node: _PartialPath | None = self
-        while node is not None and node.part is not None:
-            if node.part.endpoint.endpoint_id == endpoint_id:
-                return True
-            node = node.before
-        return False
-
-
 def link_ms_per_token(engine: catalog.EngineModel) -> float:
     """Returns the time for which a token occupies the links between domains.
 
@@ -138,15 +106,18 @@
     total_ms = 0.0
     for endpoint, span in path:
         load = loads.get(endpoint.endpoint_id, IDLE)
-        card = engine.cards[endpoint.card]
+        card = engine.cards.get(endpoint.card)
+        if card is None:
+            # Of a newer configuration.
+            continue
         held = typing.cast(endpoints_lib.Span, endpoint.span).size
-        writing_ms = readings.writing_ms(
-            engine, card, load.requests, load.token_layers / held
+        work = readings.Work(
+            load.requests,
+            load.token_layers / held,
+            load.reading_token_layers / held + engine.usual_prompt,
         )
-        unread_tokens = load.reading_token_layers / held + engine.usual_prompt
-        reading_ms = readings.reading_ms(engine, card, unread_tokens)
-        share = span.size / engine.layers
-        total_ms += (writing_ms + reading_ms) * load.slowness * share
+        pause_ms = readings.pause_ms(engine, card, work) * load.slowness
+        total_ms += pause_ms * span.size / engine.layers
     return total_ms / 1e3
 
 
@@ -269,21 +240,21 @@
                 if span.start <= boundary < span.end and not (
                     boundary == start and endpoint.endpoint_id in avoid_first
                 ):
-                    factor = 1.0 if boundary else self._first_penalty(endpoint)
-                    starts.setdefault(boundary, []).append(
-                        (endpoint, cost * factor)
-                    )
-        partial_paths: dict[int, dict[str, _PartialPath]] = {
-            start: {'': _PartialPath(0.0)}
+                    starts.setdefault(boundary, []).append((endpoint, cost))
+        if not start:
+            starts[start] = [
+                (endpoint, cost * self._first_penalty(endpoint))
+                for endpoint, cost in starts.get(start, ())
+            ]
+        found: dict[int, dict[str, partial_paths.PartialPath]] = {
+            start: {'': partial_paths.PartialPath(0.0)}
         }
         for index, boundary in enumerate(boundaries):
-            for last in list(partial_paths.get(boundary, {}).values()):
+            for last in list(found.get(boundary, {}).values()):
                 for endpoint, cost in starts.get(boundary, ()):
-                    self._extend(
-                        partial_paths, last, endpoint, cost, boundaries, index
-                    )
+                    self._extend(found, last, endpoint, cost, boundaries, index)
         best = min(
-            partial_paths.get(end, {}).values(),
+            found.get(end, {}).values(),
             key=lambda r: r.cost,
             default=None,
         )
@@ -350,8 +321,8 @@
 
     def _extend(
         self,
-        partial_paths: dict[int, dict[str, _PartialPath]],
-        last: _PartialPath,
+        found: dict[int, dict[str, partial_paths.PartialPath]],
+        last: partial_paths.PartialPath,
         endpoint: endpoints_lib.Endpoint,
         layer_cost: float,
         boundaries: typing.Sequence[int],
@@ -370,7 +341,7 @@
             total = cost + layer_cost * (stop - boundary)
             if math.isinf(total):
                 continue
-            best = partial_paths.setdefault(stop, {})
+            best = found.setdefault(stop, {})
             known = best.get(endpoint.domain)
             if known is not None and known.cost <= total:
                 continue
@@ -379,7 +350,7 @@
             ):
                 continue
             part = Part(endpoint, endpoints_lib.Span(boundary, stop))
-            best[endpoint.domain] = _PartialPath(total, part, last)
+            best[endpoint.domain] = partial_paths.PartialPath(total, part, last)
 
 
 def repair(
--- a/packages/sardinebend-policy/src/sardinebend_policy/readings.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/readings.py
@@ -22,6 +22,20 @@
 MIN_FREE_SLOTS: typing.Final = 0.05
 
 
+class Work(typing.NamedTuple):
+    """What an engine has to do.
+
+    Attributes:
+        requests: Requests that it writes for.
+        context_tokens: Tokens that these have so far.
+        unread_tokens: Prompt tokens that wait to be read.
+    """
+
+    requests: float
+    context_tokens: float
+    unread_tokens: float
+
+
 def read_rates(
     engine: catalog.EngineModel,
     endpoints: typing.Iterable[endpoints_lib.Endpoint],
@@ -35,21 +49,6 @@
     }
 
 
-def writing_ms(
-    engine: catalog.EngineModel,
-    card: catalog.CardKind,
-    requests: float,
-    context_tokens: float,
-) -> float:
-    """Returns how long a stream waits for an event if nothing is read."""
-    step_ms = (
-        engine.step_ms
-        + engine.per_request_ms * requests
-        + engine.context_ms_per_token * context_tokens
-    )
-    return PASSES * engine.stride * step_ms * card.step_factor
-
-
 def read_ms(
     engine: catalog.EngineModel, card: catalog.CardKind, tokens: float
 ) -> float:
@@ -57,15 +56,19 @@
     return tokens / engine.read_tokens_per_ms * card.read_factor
 
 
-def reading_ms(
-    engine: catalog.EngineModel, card: catalog.CardKind, tokens: float
+def pause_ms(
+    engine: catalog.EngineModel, card: catalog.CardKind, work: Work
 ) -> float:
-    """Returns by how much waiting prompt tokens lengthen the wait for an event.
-
-    A pass reads only a piece of them in each of its steps.
-    """
-    most = PASSES * engine.stride * engine.chunk_tokens
-    return read_ms(engine, card, min(tokens, most))
+    """Returns how long a stream waits for its next event."""
+    step_ms = (
+        engine.step_ms
+        + engine.per_request_ms * work.requests
+        + engine.context_ms_per_token * work.context_tokens
+    )
+    steps = PASSES * engine.stride
+    # A step reads only a piece of what waits.
+    tokens = min(work.unread_tokens, steps * engine.chunk_tokens)
+    return steps * step_ms * card.step_factor + read_ms(engine, card, tokens)
 
 
 def pause_penalty(pause_s: float, expected_s: float) -> float:
--- a/packages/sardinebend-policy/tests/cover/test_readings.py
+++ b/packages/sardinebend-policy/tests/cover/test_readings.py
@@ -171,8 +171,9 @@
     pause_s = paths.predict_pause_s(ENGINE, path, loads)
     assert pause_s == pytest.approx(expected_ms / 1e3)
     most = 1.5 * 5 * 512 / 200.0 * 7.4
-    slow = ENGINE.cards['slow']
-    assert readings.reading_ms(ENGINE, slow, 1e6) == pytest.approx(most)
+    work = readings.Work(0, 0, 1e6)
+    pause_ms = readings.pause_ms(ENGINE, ENGINE.cards['slow'], work)
+    assert pause_ms == pytest.approx(1.5 * 5 * 15.0 + most)
 
 
 def test_only_the_first_engine_of_a_path_gives_a_slot():
