Measure a decision's processor time; count requests that never started

It reads the process's own time now. A caller that left before its request had a path counted as refused: the metric says "not started" now, and keys of waiting requests are those of their line.

--- a/bench/admission_cost.py
+++ b/bench/admission_cost.py
@@ -1,4 +1,4 @@
-"""Measures the time that a host takes to decide on one waiting request.
+"""Measures the processor time that a host takes to decide on one request.
 
 The line, the path cache and the loads of all hosts are those of the policy; no
 request is sent. Both sizes have a full line, so each decision finds others.
@@ -108,11 +108,11 @@
     spent = {'line': 0.0, 'loads': 0.0, 'path': 0.0, 'headroom': 0.0}
 
     def try_path(_: str) -> waiting_line.Outcome:
-        began = time.perf_counter()
+        began = time.process_time()
         loads = inflight.loads(0.0, size.hosts)
-        has_loads = time.perf_counter()
+        has_loads = time.process_time()
         path = cache.choose(TOKENS, loads)
-        has_path = time.perf_counter()
+        has_path = time.process_time()
         view = shares.view('llm', 0.0, size.hosts)
         outlook = headroom.Outlook(view.urgent_share(7), 0.5, 5.0)
         verdict = headroom.Verdict.MEMORY
@@ -120,12 +120,12 @@
             verdict = headroom.check(ENGINE, 0.25, path, TOKENS, loads, outlook)
         spent['loads'] += has_loads - began
         spent['path'] += has_path - has_loads
-        spent['headroom'] += time.perf_counter() - has_path
+        spent['headroom'] += time.process_time() - has_path
         if path is None or verdict is not headroom.Verdict.FITS:
             return waiting_line.Outcome.HELD
         return waiting_line.Outcome.FOUND
 
-    began = time.perf_counter()
+    began = time.process_time()
     for number in range(DECISIONS):
         name = f'customer-{number % size.customers}'
         entry = fair_queue.Entry(f'd{number}', name, 0, TOKENS)
@@ -135,7 +135,7 @@
         if try_path(first) is waiting_line.Outcome.FOUND:
             line.leave(first)
         line.leave(f'd{number}')
-    total = time.perf_counter() - began
+    total = time.process_time() - began
     spent['line'] = total - sum(spent.values())
     figures = {name: s * 1000 / DECISIONS for name, s in spent.items()}
     return {'total': total * 1000 / DECISIONS, **figures}
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/ranked_lines.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/ranked_lines.py
@@ -32,8 +32,6 @@
 MAX_NAMED_CUSTOMERS: typing.Final = 32
 OTHER_CUSTOMERS: typing.Final = 'other'
 
-_numbers = itertools.count()
-
 
 class Searcher(typing.NamedTuple):
     """How a request looks for a path.
@@ -78,7 +76,7 @@
         searcher: Searcher,
     ) -> None:
         self.line = line
-        self.key = str(next(_numbers))
+        self.key = line.make_key()
         self.rank = rank
         self.customer = customer
         self.tokens = tokens
@@ -106,6 +104,7 @@
         self._name = service.name
         self._line = waiting_line.WaitingLine()
         self._requests: dict[str, RankedRequest] = {}
+        self._numbers = itertools.count()
         self._served_at = -math.inf
         self._returns = return_order.ReturnOrder(state.rng)
         self._rates = service_rates.ServiceRates()
@@ -118,6 +117,10 @@
         self._gap_target_s = 0.0
         self._named_customers: set[str] = set()
 
+    def make_key(self) -> str:
+        """Returns a key that no other request of this line has."""
+        return str(next(self._numbers))
+
     @contextlib.contextmanager
     def waiting(
         self, req: RankedRequest, wait_s: float
@@ -242,7 +245,7 @@
     def end(self, req: RankedRequest) -> None:
         """Records that a request has ended, whether it had a path or not."""
         if req.started_at is None:
-            self._count(req, 'refused')
+            self._count(req, 'not started')
             return
         self._shares.end(self._name, req.rank, req.customer, req.tokens)
         self._rates.end(trio.current_time() - req.started_at)
