--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_watchdog.py
@@ -20,7 +20,6 @@
 from sardinebend_gateway import stream_rivals
 from sardinebend_policy import endpoints as endpoints_lib
 from sardinebend_policy import paths as paths_lib
-from sardinebend_policy import slowness
 from sardinebend_policy import stream_gaps
 from sardinebend_store import connections
 
@@ -35,7 +34,6 @@
 MAX_REPAIRS: typing.Final = 6
 # What is known of a stall whose cause no engine names.
 UNEXPLAINED: typing.Final = 'none'
-KNOWN_SLOW: typing.Final = 'engines known to be slow'
 # An attempt that receives only bytes of an incomplete event gets a hedge after
 # HEDGE_FACTOR times the target latency, and is ended after this many times as
 # long.
@@ -158,10 +156,6 @@
             for p in self._progress.path
             if self._is_known_to_have_failed(p.endpoint)
         }
-        if not failed_ids and self._is_known_to_be_slow(idle_s):
-            # All tokens would be read again, and the pause has been missed.
-            self._evidence = KNOWN_SLOW
-            return StallAction.WAIT
         if not failed_ids:
             self._progress.record_wait()
             answer = await self._calls.report(first.endpoint)
@@ -193,17 +187,6 @@
             return False
         return table.is_unhealthy(endpoint, now)
 
-    def _is_known_to_be_slow(self, idle_s: float) -> bool:
-        """Returns whether slow engines of the path explain the silence."""
-        slow = self._state.inflight.slowness
-        path = self._progress.path
-        engine = self._progress.exchange.admitted.service.engine
-        return (
-            engine is not None
-            and any(part.endpoint.endpoint_id in slow for part in path)
-            and slowness.explains(engine, path, self._state.loads(), idle_s)
-        )
-
     def _handle_missing_report(
         self, reason: calls_lib.NoReport, idle_s: float
     ) -> StallAction:
