Ask a slow engine that doesn't answer only once

What callers saw: nothing yet. A slow engine that this host had asked, and that doesn't answer when it is asked again, was asked at each turn until it no longer counted as slow, and no other was.

Change: it is due again only once it has answered. Run: test_stream_paces, green.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/slow_endpoints.py
@@ -75,10 +75,11 @@
 
     async def _ask(self, endpoint: endpoints_lib.Endpoint) -> None:
         self._state.metrics.count('endpoint_paces_asked')
+        # One that doesn't answer mustn't keep others from being asked.
+        self._asked.pop(endpoint.endpoint_id, None)
         answer = await self._calls.report(endpoint)
-        now = clocks.now()
         if answer.is_ok():
-            self._asked[endpoint.endpoint_id] = now
+            self._asked[endpoint.endpoint_id] = clocks.now()
 
     def _apply_changes(self) -> None:
         """Lets paths go by what is known now; logs what has changed."""
