Expect twice the time of a load before callers return to a gap

A missing part has to be noticed and its load ordered, so it is twice that now; the bound of a third of the caller's time stays.

--- a/packages/sardinebend-policy/src/sardinebend_policy/headroom.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/headroom.py
@@ -12,6 +12,8 @@
 from sardinebend_policy import paths
 from sardinebend_policy import share_views
 
+# The more urgent requests may double within the time that is looked ahead.
+BURST_FACTOR: typing.Final = 2.0
 # Passes that a stream waits for at an engine: half of the one in progress on
 # average, and its own.
 PASSES_PER_EVENT: typing.Final = 1.5
@@ -44,7 +46,7 @@
     def growth(self) -> float:
         """Expected new urgent requests, relative to all that are in flight."""
         ahead = self.ahead_s / max(self.service_s, self.ahead_s, 1e-9)
-        return self.urgent_share * ahead
+        return BURST_FACTOR * self.urgent_share * ahead
 
 
 def is_held_back(view: share_views.ShareView, rank: int) -> bool:
--- a/packages/sardinebend-policy/src/sardinebend_policy/return_order.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/return_order.py
@@ -8,6 +8,9 @@
 # Hosts hear of each other's sends about as fast; nothing changes before. Each
 # more urgent rank gets as much again before the next one.
 RANK_STEP_S: typing.Final = 0.5
+# A part of a model that is missing has to be noticed, ordered and loaded; that
+# takes about so many times as long as to load it.
+LOADS_UNTIL_READY: typing.Final = 2.0
 # Share of the room coming free that returning callers may count on. The rest
 # goes to new ones.
 RETURN_SHARE: typing.Final = 0.5
@@ -75,5 +78,6 @@
     """
     earliest_s = RANK_STEP_S * (1 + ranks_ahead)
     if engine is not None and engine.layers > 0:
-        earliest_s += engine.load_s * missing_layers / engine.layers
+        load_s = engine.load_s * missing_layers / engine.layers
+        earliest_s += LOADS_UNTIL_READY * load_s
     return earliest_s
