Keep a ranked caller's promised return when a backoff ends earlier

A caller refused for want of a path was told the end of the earliest backoff of any engine, if one backed off: all returned then, before the returns promised to others. Where requests differ in rank, the later of both holds now; elsewhere nothing changes.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -60,7 +60,7 @@
                 ranked_lines.Searcher(
                     self._find_path,
                     self._take_path,
-                    self._is_barred,
+                    lambda: bool(self._list_excluded() or self._list_pausing()),
                     lambda: exchange.out.is_started,
                 ),
             )
@@ -143,14 +143,10 @@
 
         Its attempt counts from its beginning.
         """
-        if self._reserved is not None:
+        if self._reserved:
             self._state.inflight.remove(self._reserved, self.tokens)
         self._reserved = None
 
-    def _is_barred(self) -> bool:
-        """Returns whether engines are closed to this request, not to others."""
-        return bool(self._list_excluded() or self._list_pausing())
-
     def _must_give_up(self, wait_s: float) -> bool:
         return (
             self._backoff_exceeds_wait(wait_s)
@@ -160,14 +156,10 @@
 
     def _is_too_large(self) -> bool:
         """Returns whether no path could ever hold a ranked request."""
-        service = self._exchange.admitted.service
-        if (
-            self._ranked is None
-            or not service.has_layers
-            or self._exchange.out.is_started
-        ):
+        exchange, service = self._exchange, self._exchange.admitted.service
+        if exchange.out.is_started or not service.has_layers:
             return False
-        return self._ranked.line.is_too_large(
+        return self._ranked is not None and self._ranked.line.is_too_large(
             self.tokens, lambda: self._state.path_cache_of(service)
         )
 
@@ -179,6 +171,15 @@
             self._ranked, self._exchange.time_left_s(), self._is_connected()
         )
 
+    def retry_after_s(self) -> float:
+        """Returns when a caller whose request found no endpoint may return.
+
+        A ranked one returns no sooner because an endpoint's backoff ends.
+        """
+        booked_s = self.book_return_s()
+        wait_s = self._exchange.retry_after_s(booked_s)
+        return wait_s if self._ranked is None else max(wait_s, booked_s)
+
     def make_refusal_fields(self) -> dict[str, typing.Any]:
         """Returns the inputs to a refusal, as fields for the log."""
         if self._ranked is None:
@@ -215,9 +216,8 @@
             {*excluded_ids, path[0].endpoint.endpoint_id}
         )
         ranked = self._ranked
-        if hedge and ranked and ranked.line.is_held(ranked, hedge):
-            return None
-        return hedge
+        is_held = hedge and ranked and ranked.line.is_held(ranked, hedge)
+        return None if is_held else hedge
 
     def try_take_hedge(self, path: paths_lib.Path) -> bool:
         """Takes the retry of a hedge that is about to be sent.
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/streams.py
@@ -71,7 +71,7 @@
             if choice is None:
                 step = exchange.ledger.give_up_step()
                 reason = self._reason or self._paths.explain_missing_path()
-                wait_s = exchange.retry_after_s(self._paths.book_return_s())
+                wait_s = self._paths.retry_after_s()
                 await self._finish(step, reason, None, wait_s)
                 return
             race = stream_race.StreamRace(
