--- a/tests/common/stopping_host.py
+++ b/tests/common/stopping_host.py
@@ -261,6 +261,7 @@
                 directory=self._directory,
                 store=f'{world_lib.IP}:{self._scene.store_port}',
             )
+            + self._scene.host_limits
         )
         self.process = self._scene.spawn(
             self.name, ['deploy/host.py'], SARDINEBEND_NODE_FILE=str(path)
@@ -314,8 +315,11 @@
         is_reloaded_ready: Whether a host became ready that got SIGHUP at start.
         starved: What hosts had that shared their processors, by their names.
         error: Why the scene wasn't played to its end.
+        host_limits: The table of limits of the hosts' settings, as text.
     """
 
+    host_limits = ''
+
     def __init__(self, background, folder, host_count=1):
         self.nursery = None
         self.is_reloaded_ready = False
