Bound what the connections of all callers hold, and their number

Clients outside the limits cost a host some 0.2 MB each although they were refused, so enough of them ended its process; one-byte chunks held the loop, and descriptors had no bound. Causes: bodies of a stated length over the limit were read up to it, pieces of 64 KB stayed in frames, tracebacks and the parser of callers that send no more, requests sent ahead and answers that nobody takes counted nowhere, and each chunk took a parser event without a turn for others.

One account now bounds bytes and connections of all callers by memory_mb and max_fds, and gives up what is worth least first, never a request being served. What a host of under 120 MB allows for bodies is a sixth of its memory, not a quarter.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/answer_buffers.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/answer_buffers.py
@@ -12,6 +12,11 @@
 # top of this. The memory that Python allocates in all, while many endless
 # answers arrive, has to stay under 64 MB.
 MAX_HELD_BYTES: typing.Final = 24 * 1024 * 1024
+# Small hosts have a share of what one at rest leaves free; some have little.
+AT_REST_MB: typing.Final = 40.0
+FREE_SHARE: typing.Final = 0.1
+MIN_MEMORY_SHARE: typing.Final = 0.05
+BYTES_PER_MB: typing.Final = 1_000_000
 # Limit for a plain answer, which is buffered until it is complete.
 MAX_ANSWER_BYTES: typing.Final = 16 * 1024 * 1024
 # Memory that a chunk takes in addition to its bytes.
@@ -29,6 +34,18 @@
 PACED_BYTES_PER_S: typing.Final = 32 * 1024 * 1024
 
 
+def make_limit(memory_mb: float) -> int:
+    """Returns the budget of a host for incomplete answers, in bytes.
+
+    Args:
+        memory_mb: Memory limit of the process.
+    """
+    limit_mb = max(
+        FREE_SHARE * (memory_mb - AT_REST_MB), MIN_MEMORY_SHARE * memory_mb
+    )
+    return min(MAX_HELD_BYTES, int(limit_mb * BYTES_PER_MB))
+
+
 class AnswerBuffers(memory_budgets.MemoryBudget):
     """Memory budget for the incomplete answers that a host buffers."""
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/caller_sockets.py
@@ -20,7 +20,13 @@
 # Bytes of an answer that the kernel takes at the stop of a host before a caller
 # reads them. Otherwise `trio` lets it take some 16 KB.
 UNSENT_AT_STOP_BYTES: typing.Final = 512 * 1024
+# What the kernel takes of requests before a crowded host reads them. Where a
+# body comes, whose room is taken, callers far away need a larger window.
+UNREAD_BYTES: typing.Final = 16 * 1024
+UNREAD_BODY_BYTES: typing.Final = 64 * 1024
 LINGER_RESET: typing.Final = struct.pack('ii', 1, 0)
+# What has been received into it is never read, so all connections share it.
+_DISCARDED: typing.Final = bytearray(65536)
 _COUNT: typing.Final = struct.Struct('i')
 # Linux's `struct tcp_info`: the repetitions and window probes that nothing has
 # answered, the time since the last confirmation in ms, the confirmed bytes.
@@ -70,13 +76,15 @@
     The kernel's limit for unconfirmed bytes (TCP_USER_TIMEOUT) isn't used: it
     also ends connections of callers that are there and pause.
     """
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    for option, value in (
-        (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
-    ):
-        conn.setsockopt(socket.IPPROTO_TCP, option, value)
+    # The connection may have been given up before its first turn.
+    with contextlib.suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        for option, value in (
+            (socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (socket.TCP_KEEPINTVL, KEEPALIVE_IDLE_S),
+            (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
+        ):
+            conn.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
 def hand_over_unsent_bytes(conn: trio.socket.SocketType) -> None:
@@ -93,9 +101,34 @@
         )
 
 
+def limit_unread_bytes(
+    conn: trio.socket.SocketType | socket.socket, is_crowded: bool = True
+) -> None:
+    """Bounds what a new connection takes before its host reads it.
+
+    Unread bytes count as memory of the host; the kernel alone takes 130 KB.
+    """
+    # The caller may have reset the connection.
+    with contextlib.suppress(OSError):
+        size = UNREAD_BYTES if is_crowded else UNREAD_BODY_BYTES
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+
+def widen_window(conn: trio.socket.SocketType) -> None:
+    """Lets a caller send more of a body before it is read."""
+    # The caller may have reset the connection.
+    with contextlib.suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BODY_BYTES)
+        conn.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_WINDOW_CLAMP, UNREAD_BODY_BYTES
+        )
+
+
 def reset_on_close(conn: trio.socket.SocketType) -> None:
     """Makes the close of a connection reset it."""
-    conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    # It may have been closed already.
+    with contextlib.suppress(OSError):
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
 
 
 def count_unread_bytes(conn: trio.socket.SocketType) -> int:
@@ -125,6 +158,14 @@
         return b''
 
 
+async def discard(conn: trio.socket.SocketType) -> int:
+    """Receives bytes that nobody wants; returns their number, 0 at the end."""
+    try:
+        return await conn.recv_into(_DISCARDED)
+    except (OSError, trio.ClosedResourceError):
+        return 0
+
+
 def count_unacknowledged_bytes(conn: trio.socket.SocketType) -> int:
     """Returns how many bytes the caller's machine lacks; 0 if unknown."""
     return _read_count(conn, termios.TIOCOUTQ)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -113,6 +113,11 @@
     'reason, idle_s, unread_bytes that came as it was closed',
     True,
 )
+CALLERS_GIVEN_UP = Event(
+    'callers_given_up',
+    'reason (descriptors, memory or bodies), connections, freed_bytes, open',
+    True,
+)
 PEER_SEEN = Event('peer_seen', 'peer, incarnation, domain')
 PEER_LOST = Event('peer_lost', 'peer, is_listed, is_leaving', True)
 TABLE_RELAYED = Event(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -93,7 +93,7 @@
             self._forwarder.serve,
             self.state.limits,
             self.state.host_clock.move_on_after,
-            self.state.request_bodies,
+            self.state.caller_account,
         )
         row: shared_table.HostRow = {
             'callers': str(cfg.callers),
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/http_server.py
@@ -12,7 +12,9 @@
 
 import trio
 
+from sardinebend_gateway import caller_account
 from sardinebend_gateway import caller_connections
+from sardinebend_gateway import caller_sockets
 from sardinebend_gateway import request_bodies
 from sardinebend_policy import catalog
 
@@ -37,19 +39,21 @@
         handler: caller_connections.Handler,
         limits: typing.Callable[[], catalog.Limits] = catalog.Limits,
         wait_limit: caller_connections.WaitLimit = trio.move_on_after,
-        bodies: request_bodies.RequestBodies | None = None,
+        account: caller_account.CallerAccount | None = None,
     ) -> None:
         super().__init__(
             handler,
             limits,
             wait_limit,
-            bodies or request_bodies.RequestBodies(lambda: MAX_BODIES_BYTES),
+            account or _make_account(),
         )
         self._callers: set[caller_connections.CallerConnection] = set()
         self._connection_ended = trio.Event()
         self._idle_scopes: set[trio.CancelScope] = set()
         self._accept_scope = trio.CancelScope()
         self._nursery: trio.Nursery | None = None
+        # Whether new connections take few bytes before they are read.
+        self._is_narrow = False
         # Both are the listening socket. Only the first can be read without
         # waiting.
         self._socket: socket.socket | None = None
@@ -89,6 +93,7 @@
     ) -> None:
         """Records that a connection has been closed."""
         self._callers.discard(caller)
+        self.account.remove(caller)
         self._connection_ended.set()
         self._connection_ended = trio.Event()
 
@@ -174,5 +179,21 @@
         )
         if self.is_stopping:
             caller.hand_over_unsent_bytes()
+        if not self.account.add(caller):
+            conn.close()
+            return
+        is_crowded = self.account.is_crowded
+        if is_crowded:
+            caller_sockets.limit_unread_bytes(conn)
+        if is_crowded != self._is_narrow and self._socket is not None:
+            # New connections have the option of the listening socket.
+            caller_sockets.limit_unread_bytes(self._socket, is_crowded)
+            self._is_narrow = is_crowded
         self._callers.add(caller)
         self._nursery.start_soon(caller.run)
+
+
+def _make_account() -> caller_account.CallerAccount:
+    return caller_account.CallerAccount(
+        request_bodies.RequestBodies(lambda: MAX_BODIES_BYTES)
+    )
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -60,6 +60,7 @@
     try:
         async for chunk in response.aiter_stream():
             await buffer.add(chunk)
+            del chunk
         return buffer.join()
     finally:
         buffer.close()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/request_bodies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/request_bodies.py
@@ -15,7 +15,7 @@
 # and their copies up to some 50 MB.
 RESERVED_MB: typing.Final = 100.0
 # Where that would leave less for bodies, they have this share of the memory.
-MIN_MEMORY_SHARE: typing.Final = 0.25
+MIN_MEMORY_SHARE: typing.Final = 1 / 6
 # Bodies up to this size have a part of the budget of their own.
 SMALL_BODY_BYTES: typing.Final = 64 * 1024
 SMALL_BODIES_SHARE: typing.Final = 0.125
@@ -43,8 +43,11 @@
         size: Bytes in use or promised to bodies that are being read.
         peak: The highest number of such bytes so far.
         refused_count: Number of bodies that found no room.
+        make_room: Frees bytes, where it can, for a body that finds no room.
     """
 
+    make_room: typing.Callable[[int], None] | None = None
+
     def __init__(self, limit: typing.Callable[[], int]) -> None:
         """Creates an empty budget.
 
@@ -75,18 +78,28 @@
         Returns:
             Whether the body fits; otherwise nothing changes.
         """
-        size = self.size + new_size - old_size
-        large_size = self._large_size + _large(new_size) - _large(old_size)
-        limit = self._limit()
-        large_limit = limit - int(limit * SMALL_BODIES_SHARE)
-        is_large = new_size > SMALL_BODY_BYTES
-        if size > limit or (is_large and large_size > large_limit):
+        if not self._fits(old_size, new_size) and self.make_room is not None:
+            self.make_room(new_size - old_size)
+        if not self._fits(old_size, new_size):
             self.refused_count += 1
             return False
-        self.size, self._large_size = size, large_size
-        self.peak = max(self.peak, size)
+        self.size += new_size - old_size
+        self._large_size += _large(new_size) - _large(old_size)
+        self.peak = max(self.peak, self.size)
         return True
 
+    @property
+    def limit(self) -> int:
+        """The largest number of bytes in use."""
+        return self._limit()
+
+    def _fits(self, old_size: int, new_size: int) -> bool:
+        large_size = self._large_size + _large(new_size) - _large(old_size)
+        large_limit = self.limit - int(self.limit * SMALL_BODIES_SHARE)
+        if new_size > SMALL_BODY_BYTES and large_size > large_limit:
+            return False
+        return self.size + new_size - old_size <= self.limit
+
     def give_back(self, size: int) -> None:
         """Returns what one body had of the budget."""
         self.size -= size
@@ -143,6 +156,16 @@
             self._pieces.append(bytes(self._last_piece))
         self._last_piece = bytearray()
 
+    @property
+    def reserved_bytes(self) -> int:
+        """What it has of the budget."""
+        return self._reserved
+
+    def give_up(self) -> None:
+        """Drops the bytes, and those that still come."""
+        self.is_refused = True
+        self.release()
+
     def release(self) -> None:
         """Drops the bytes, which can't be needed any more."""
         self._pieces = []
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/request_reader.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/request_reader.py
@@ -58,6 +58,11 @@
     return 0
 
 
+def is_chunked(req: h11.Request) -> bool:
+    """Returns whether the body comes in chunks."""
+    return any(name == b'transfer-encoding' for name, _ in req.headers)
+
+
 async def read_body(
     body: request_bodies.Body, next_event: NextEvent, max_bytes: int
 ) -> None:
@@ -84,6 +89,8 @@
         if body.size + len(event.data) > max_bytes:
             raise errors.BadRequest(413, 'request body too large')
         body.add(event.data)
+        # A caller may never send the next piece.
+        del event
 
 
 async def discard_body(next_event: NextEvent, max_bytes: int) -> None:
@@ -105,3 +112,4 @@
         if not isinstance(event, h11.Data):
             return
         size += len(event.data)
+        del event
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/responder.py
@@ -1,5 +1,6 @@
 """Sends the answer to one request of a caller."""
 
+import collections
 import typing
 
 import h11
@@ -7,6 +8,9 @@
 
 from sardinebend_gateway import errors
 
+# Larger pieces of an answer are sent without a copy.
+COPIED_BYTES: typing.Final = 64 * 1024
+
 Pairs = typing.Sequence[tuple[bytes, bytes]]
 
 
@@ -28,7 +32,19 @@
             handler.
     """
 
-    def __init__(self, conn: h11.Connection, stream: trio.SocketStream) -> None:
+    def __init__(
+        self,
+        conn: h11.Connection,
+        stream: trio.SocketStream,
+        note_unsent: typing.Callable[[], None] = lambda: None,
+    ) -> None:
+        """Creates an answer that hasn't begun.
+
+        Args:
+            conn: The parser of the connection.
+            stream: The connection.
+            note_unsent: Is called when the number of unsent bytes changes.
+        """
         self.is_started = False
         self.media_type = b''
         self.is_ended = False
@@ -38,7 +54,11 @@
         self.log_fields: dict[str, str] = {}
         self._conn = conn
         self._stream = stream
-        self._unsent = bytearray()
+        self._unsent: collections.deque[bytearray | memoryview] = (
+            collections.deque()
+        )
+        self._whole_bytes = 0
+        self._note_unsent = note_unsent
 
     @property
     def is_finished(self) -> bool:
@@ -48,11 +68,18 @@
     @property
     def unsent_bytes(self) -> int:
         """Number of bytes that wait to be sent."""
-        return len(self._unsent)
+        return sum(len(piece) for piece in self._unsent)
+
+    @property
+    def held_bytes(self) -> int:
+        """Number of bytes that the answer takes until it has been sent."""
+        return max(self.unsent_bytes, self._whole_bytes) if self._unsent else 0
 
     async def answer(self, status: int, headers: Pairs, body: bytes) -> None:
         """Sends a complete answer."""
         length = (b'content-length', str(len(body)).encode())
+        # The whole body is kept until the last byte of it has been sent.
+        self._whole_bytes = len(body)
         self._start(status, [*headers, length])
         if body:
             self._add(h11.Data(data=body))
@@ -83,9 +110,16 @@
         try:
             while self._unsent:
                 # Unlike `send_all`, returns how much a cancelled call has sent.
-                sent = await self._stream.socket.send(self._unsent)
-                del self._unsent[:sent]
+                piece = self._unsent[0]
+                sent = await self._stream.socket.send(piece)
+                if sent == len(piece):
+                    self._unsent.popleft()
+                elif isinstance(piece, bytearray):
+                    del piece[:sent]
+                else:
+                    self._unsent[0] = piece[sent:]
                 self.sent_bytes += sent
+                self._note_unsent()
         except (OSError, trio.ClosedResourceError) as exc:
             self.is_caller_gone = True
             raise errors.ConnectionAborted(str(exc)) from exc
@@ -105,7 +139,18 @@
         self.is_ended = True
 
     def _add(self, event: h11.Event) -> None:
-        self._unsent += self._conn.send(event) or b''
+        for data in self._conn.send_with_data_passthrough(event) or ():
+            if not data:
+                continue
+            if len(data) >= COPIED_BYTES:
+                self._unsent.append(memoryview(data))
+                continue
+            if not self._unsent or not isinstance(self._unsent[-1], bytearray):
+                self._unsent.append(bytearray())
+            last = self._unsent[-1]
+            assert isinstance(last, bytearray)
+            last += data
+        self._note_unsent()
 
 
 def get_media_type(headers: Pairs) -> bytes:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/settings.py
@@ -81,6 +81,8 @@
         link_mbps: Capacity of the host's link, in Mbit/s; 0 if unknown.
         memory_mb: Memory limit of the process, in MB. Where it is unknown, the
             default is less than hosts usually have.
+        max_fds: Limit of the process for descriptors; 0 for that of the
+            system.
     """
 
     name: str
@@ -96,6 +98,7 @@
     answer_life_s: float = 1.0
     link_mbps: float = 0.0
     memory_mb: float = 256.0
+    max_fds: int = 0
 
     def check(self) -> 'HostSettings':
         """Returns the settings if all values are in range.
@@ -129,6 +132,10 @@
             raise errors.InvalidSettings(
                 f'memory_mb={self.memory_mb}; expected more than 0'
             )
+        if self.max_fds < 0:
+            raise errors.InvalidSettings(
+                f'max_fds={self.max_fds}; expected 0 or more'
+            )
         if not 0 <= self.retry_ratio <= 1:
             raise errors.InvalidSettings(
                 f'retry_ratio={self.retry_ratio}; expected 0 to 1'
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/state.py
@@ -7,6 +7,7 @@
 
 from sardinebend_gateway import answer_buffers
 from sardinebend_gateway import audit as audit_lib
+from sardinebend_gateway import caller_account
 from sardinebend_gateway import clocks
 from sardinebend_gateway import edges as edges_lib
 from sardinebend_gateway import events
@@ -79,6 +80,7 @@
         endpoint_limits: Limits that endpoints state on what they take.
         stream_gaps: History of the gaps between events of streams, by engine.
         answer_buffers: The buffered parts of incomplete answers.
+        caller_account: What the connections of all callers hold.
         request_bodies: The bodies of the requests in progress.
         leaving: Incarnations of endpoints that announced that they leave, to
             gossip to other hosts.
@@ -122,11 +124,19 @@
         self.balancer = balancing.Balancer(rng)
         self.inflight = inflight_lib.InFlight()
         self.stream_gaps = stream_gaps.StreamGapHistory()
-        self.answer_buffers = answer_buffers.AnswerBuffers()
+        self.answer_buffers = answer_buffers.AnswerBuffers(
+            answer_buffers.make_limit(cfg.memory_mb)
+        )
         self.request_bodies = request_bodies.RequestBodies(
             lambda: request_bodies.make_limit(self.cfg.memory_mb)
         )
         self.request_bodies.register_gauges(self.metrics)
+        self.caller_account = caller_account.CallerAccount(
+            self.request_bodies,
+            lambda: self.cfg.max_fds,
+            lambda: self.answer_buffers.size,
+        )
+        self.caller_account.register_gauges(self.metrics)
         self.unreachable: gossip.GossipItems[tuple[str, int]] = (
             gossip.GossipItems(UNREACHABLE_GOSSIP_S)
         )
--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -87,11 +87,15 @@
             except h11.RemoteProtocolError as exc:
                 failure = exc
             joined = JoinedChunks(b''.join(pieces))
+            is_more = len(pieces) == MAX_JOINED_CHUNKS
             joined.chunk_count = len(pieces)
+            # The next part may never come.
+            del pieces
             yield joined
+            del joined
             if failure is not None:
                 raise httpcore.RemoteProtocolError(failure) from failure
-            if event is h11.NEED_DATA or len(pieces) == MAX_JOINED_CHUNKS:
+            if event is h11.NEED_DATA or is_more:
                 event = await self._receive_event(timeout)
 
 
--- a/tests/processes/test_outside_limits.py
+++ b/tests/processes/test_outside_limits.py
@@ -252,7 +252,7 @@
     return size
 
 
-async def _play(kind, size, max_fds, folder):
+async def play_crowd(kind, size, max_fds, folder):
     async with trio.open_nursery() as background:
         scene = CrowdScene(background, folder, max_fds)
         try:
@@ -271,7 +271,7 @@
     size, max_fds = CROWDS[kind]
     with tempfile.TemporaryDirectory(prefix='crowd-') as folder:
         scene = trio.run(
-            _play, kind, size, max_fds, pathlib.Path(folder) / 'scene'
+            play_crowd, kind, size, max_fds, pathlib.Path(folder) / 'scene'
         )
     print(
         f'{scene.peak_mb:.1f} MB, {scene.peak_fds} descriptors,'
