--- a/Makefile
+++ b/Makefile
@@ -3,9 +3,10 @@
 BIN := .venv/bin
 WORKERS ?= 4
 PACKAGES := settings store policy simulation peers gateway router admin
+CROWDS := tests/processes/test_outside_limits.py
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/sardinebend-$(p))
 
-.PHONY: setup run demo lint test fast matrix processes soak bench capacity reference
+.PHONY: setup run demo lint test fast matrix processes crowds soak bench capacity reference
 
 setup: .venv/ready
 
@@ -27,9 +28,11 @@
 	$(BIN)/mypy packages/*/src platform/sardinebend_adapter deploy standins bench
 
 # The tests over processes measure real time, so they run one after another, and
-# few workers run the others beside them.
+# few workers run the others beside them. Those with crowds of callers run last,
+# with nothing beside them.
 test: lint
 	$(MAKE) --no-print-directory -j2 --output-sync=target fast processes
+	$(MAKE) --no-print-directory crowds
 
 fast: setup
 	$(BIN)/python -m pytest -n $(WORKERS) --dist loadfile \
@@ -39,7 +42,10 @@
 	$(BIN)/python -m tests.common.report
 
 processes: setup
-	$(BIN)/python -m pytest tests/processes
+	$(BIN)/python -m pytest tests/processes --ignore $(CROWDS)
+
+crowds: setup
+	$(BIN)/python -m pytest $(CROWDS)
 
 bench: setup
 	$(BIN)/python -m bench
