Refuse a chunk that doesn't end where its size says

Joining chunks handed what followed a chunk without its line end to the parser as the next chunk's size, so a malformed body could wait or be read wrong where it was refused before. It is answered with 400 now. The test of malformed chunks hung on that case (`1` with two bytes) and passes; it also fails rather than hangs if a body isn't refused.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/message_framing.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/message_framing.py
@@ -47,7 +47,8 @@
         """Returns the bytes for the parser, and those to be taken later.
 
         Raises:
-            errors.BadRequest: There is far more framing than content.
+            errors.BadRequest: There is far more framing than content, or a
+                chunk doesn't end where it should.
         """
 
 
@@ -150,7 +151,10 @@
                 self._lacks_end = not self._left
             elif self._lacks_end:
                 if data[at : at + 2] != _CHUNK_END:
-                    return at, data[at:] != _CHUNK_END[:1]
+                    if data[at:] == _CHUNK_END[:1]:
+                        return at, False
+                    # The parser would take what follows for the next chunk.
+                    raise errors.BadRequest(400, 'a chunk without its end')
                 at += 2
                 self._lacks_end = False
             elif run := _ONE_BYTE_CHUNKS.match(data, at):
