--- a/packages/sardinebend-gateway/src/sardinebend_gateway/ranked_lines.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/ranked_lines.py
@@ -14,8 +14,6 @@
 from sardinebend_policy import catalog as catalog_lib
 from sardinebend_policy import fair_queue
 from sardinebend_policy import fleet_shares
-from sardinebend_policy import headroom
-from sardinebend_policy import liveness
 from sardinebend_policy import path_cache
 from sardinebend_policy import paths as paths_lib
 from sardinebend_policy import return_order
@@ -88,11 +86,6 @@
         self.started_at: float | None = None
         self.found = trio.Event()
 
-    @property
-    def is_held(self) -> bool:
-        """Whether it found room that is left to more urgent ones."""
-        return self.outcome is waiting_line.Outcome.HELD
-
 
 class RankedLine:
     """The line of one service, and what its decisions are based on."""
@@ -112,8 +105,6 @@
         self._view_at = -math.inf
         self._fitting_tokens = 0
         self._fits_until = -math.inf
-        self._gap_version = -1
-        self._gap_target_s = 0.0
         self._named_customers: set[str] = set()
 
     def make_key(self) -> str:
@@ -160,8 +151,6 @@
                 if req.searcher.is_barred()
                 else waiting_line.Outcome.NO_ROOM
             )
-        elif self.is_held(req, path):
-            req.outcome = waiting_line.Outcome.HELD
         else:
             req.outcome = waiting_line.Outcome.FOUND
             req.path = path
@@ -169,47 +158,6 @@
             req.found.set()
         return req.outcome
 
-    def is_held(self, req: RankedRequest, path: paths_lib.Path) -> bool:
-        """Returns whether to leave a path's room to more urgent requests."""
-        catalog = self._state.catalog
-        service = catalog.services.get(self._name) if catalog else None
-        if (
-            req.searcher.is_begun()
-            or catalog is None
-            or service is None
-            or service.engine is None
-            or not service.has_layers
-        ):
-            return False
-        view = self.view()
-        if not headroom.is_held_back(view, req.rank):
-            return False
-        outlook = headroom.Outlook(
-            view.urgent_share(req.rank),
-            liveness.LARGE_HEARTBEAT_INTERVAL_S + view.age_s,
-            self._rates.service_s,
-        )
-        verdict = headroom.check(
-            service.engine,
-            self._find_gap_target_s(catalog),
-            path,
-            req.tokens,
-            self._state.loads(),
-            outlook,
-        )
-        if verdict is not headroom.Verdict.FITS:
-            self._state.metrics.count('ranked_holds', why=verdict.value)
-        return verdict is not headroom.Verdict.FITS
-
-    def _find_gap_target_s(self, catalog: catalog_lib.Catalog) -> float:
-        """Returns the shortest of the gaps that the routes expect."""
-        if catalog.version != self._gap_version:
-            self._gap_version = catalog.version
-            routes = catalog.list_stream_routes(self._name)
-            gaps_s = (r.gap_target_s for r in routes if r.gap_target_s > 0)
-            self._gap_target_s = min(gaps_s, default=0.0)
-        return self._gap_target_s
-
     def view(self) -> fleet_shares.ShareView:
         """Returns what is in flight of each rank and customer."""
         now = clocks.now()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_paths.py
@@ -213,12 +213,9 @@
             return None
         excluded_ids = self._list_excluded() | set(refused_ids)
         all_ids = {part.endpoint.endpoint_id for part in path}
-        hedge = self._search(excluded_ids | all_ids) or self._search(
+        return self._search(excluded_ids | all_ids) or self._search(
             {*excluded_ids, path[0].endpoint.endpoint_id}
         )
-        ranked = self._ranked
-        is_held = hedge and ranked and ranked.line.is_held(ranked, hedge)
-        return None if is_held else hedge
 
     def try_take_hedge(self, path: paths_lib.Path) -> bool:
         """Takes the retry of a hedge that is about to be sent.
@@ -283,8 +280,6 @@
 
     def explain_missing_path(self) -> str:
         """Returns why `choose` finds no path."""
-        if self._ranked is not None and self._ranked.is_held:
-            return 'no path: room is left to more urgent requests'
         engine = self._exchange.admitted.service.engine
         if engine is None or not self._exchange.admitted.service.has_layers:
             return 'no engine'
--- a/packages/sardinebend-policy/src/sardinebend_policy/waiting_line.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/waiting_line.py
@@ -25,13 +25,11 @@
     Attributes:
         FOUND: A path.
         NO_ROOM: No path with room for it; smaller ones may find one.
-        HELD: Room that is left to more urgent ones.
         BARRED: No path that it may take, which says nothing of the others.
     """
 
     FOUND = 'found'
     NO_ROOM = 'no room'
-    HELD = 'held'
     BARRED = 'barred'
 
 
@@ -107,9 +105,6 @@
             outcome = try_path(entry.request_id)
             if outcome is Outcome.FOUND:
                 found.append(entry)
-            elif outcome is Outcome.HELD:
-                # All that follow are as urgent or less.
-                break
             elif outcome is Outcome.NO_ROOM:
                 if now >= waiting.passes_until:
                     break
