--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -47,6 +47,7 @@
         self.last_event_at: float | None = None
         self.longest_pause_s = 0.0
         self._first_event_at: float | None = None
+        self.inputs: dict[str, typing.Any] = {}
         self._state = state
         self._arrived_at = req.arrived_at
         self._admitted = admitted
@@ -96,6 +97,7 @@
             end=outcome,
             reason=reason,
             took_s=self.took_s(),
+            **self.inputs,
         )
 
     def record_return(self) -> None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -83,7 +83,9 @@
     'request_sent',
     'request, route, endpoint, parts, prompt_parts, attempt, time_left_s,'
     ' recent_delay_s; where reading can break pauses prompt_tokens,'
-    ' reading_token_layers, predicted_pause_s, first_slots_used',
+    ' reading_token_layers, predicted_pause_s, first_slots_used; where requests'
+    ' differ in rank: rank, customer, found, ahead in line, waited_s,'
+    ' urgent_share, view_age_s',
 )
 ATTEMPT_FAILED = Event(
     'attempt_failed', 'request, endpoint, reason, next step', True
@@ -101,7 +103,10 @@
     ' first_event_s, longest_pause_s',
 )
 REQUEST_FAILED = Event(
-    'request_failed', 'request, route, end, reason, took_s', True
+    'request_failed',
+    'request, route, end, reason, took_s; where requests differ in rank: rank,'
+    ' customer, found, ahead in line, waited_s, urgent_share, view_age_s',
+    True,
 )
 REQUEST_CANCELLED = Event(
     'request_cancelled',
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/forwarder.py
@@ -9,7 +9,9 @@
 from sardinebend_gateway import errors
 from sardinebend_gateway import events
 from sardinebend_gateway import exchange as exchange_lib
+from sardinebend_gateway import first_rows
 from sardinebend_gateway import plain
+from sardinebend_gateway import ranked_lines
 from sardinebend_gateway import request_reader
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
@@ -31,6 +33,8 @@
         self._state = state
         self._calls = engine_calls
         self._crash_detector = crash_detector
+        self._first_rows = first_rows.FirstRows(state)
+        self._lines = ranked_lines.RankedLines(state)
 
     @property
     def open_requests(self) -> int:
@@ -48,6 +52,7 @@
             await out.answer(exc.status, [], b'')
             return
         out.log_fields['request'] = facts.request_id
+        await self._first_rows.wait(facts.time_left_s)
         admitted = admission.admit(self._state, req, facts)
         if isinstance(admitted, admission.Admitted):
             admitted = admission.admit_while_stopping(self._state, admitted)
@@ -89,7 +94,9 @@
     async def _run(self, exchange: exchange_lib.Exchange) -> None:
         admitted = exchange.admitted
         if admitted.route.is_stream or admitted.service.has_layers:
-            handler = streams.StreamRequestHandler(exchange, self._calls)
+            handler = streams.StreamRequestHandler(
+                exchange, self._calls, self._lines
+            )
             await handler.run()
         else:
             await plain.PlainRequestHandler(exchange).run()
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_race.py
@@ -58,7 +58,7 @@
         # As one request, however many attempts run at once.
         self._share = (
             admitted.service.name,
-            admitted.priority,
+            admitted.rank,
             exchange.customer_name or '',
             paths.tokens,
         )
@@ -166,6 +166,7 @@
     ) -> None:
         """Sends the request along a path, and records how that ends."""
         self._record_send(path)
+        self._paths.release_room()
         progress = stream_progress.StreamProgress(
             self._exchange, path, self._paths.tokens
         )
--- a/packages/sardinebend-policy/src/sardinebend_policy/fleet_shares.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/fleet_shares.py
@@ -85,9 +85,18 @@
 
     by_rank: dict[int, Use]
     by_customer: dict[str, Use]
-    others: Use
-    age_s: float
-    heard_hosts: int
+    others: Use = NO_USE
+    age_s: float = 0.0
+    heard_hosts: int = 0
+
+    def urgent_share(self, rank: int) -> float:
+        """Returns the share of the requests that are more urgent than a rank.
+
+        It is 0 if nothing is in flight.
+        """
+        total = sum(use.requests for use in self.by_rank.values())
+        urgent = sum(u.requests for r, u in self.by_rank.items() if r < rank)
+        return urgent / total if total > 0 else 0.0
 
 
 class _Totals(typing.Generic[_Key]):
--- a/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
+++ b/packages/sardinebend-policy/src/sardinebend_policy/slowness.py
@@ -6,10 +6,12 @@
 states is shared between hosts. No engine takes less than its published time, so
 a path that is fast bounds how slow each of its engines can be.
 
-Silence is no evidence here: only events that arrive tell anything.
+Silence makes nobody slow: a late event, or one that is still missing, raises a
+doubt and no more.
 """
 
 import math
+import random
 import typing
 
 from sardinebend_policy import catalog
@@ -23,11 +25,14 @@
 # Time for which evidence counts in full, and after which half of what exceeds 1
 # is left. An engine that gets no work shows nothing, so it must get some again.
 HOLD_S: typing.Final = 3.0
-HALF_LIFE_S: typing.Final = 1.0
+HALF_LIFE_S: typing.Final = 0.5
 # Evidence that is older tells nothing.
 MAX_AGE_S: typing.Final = 10.0
 # An engine isn't asked again while what is known of it is newer than this.
 FRESH_S: typing.Final = 2.0
+# Time for which others are told that an engine is no longer slow; heartbeats of
+# a large fleet take some rounds to reach all hosts.
+RECOVERY_NEWS_S: typing.Final = 5.0
 # A doubt that nothing renews ends after this time.
 DOUBT_S: typing.Final = 1.0
 # A stream waits half a pass on average for the one in progress at each engine.
@@ -50,11 +55,15 @@
         endpoint_id: The engine.
         factor: Time that it takes, relative to its published figures.
         at: When it was.
+        number: Rises with each finding about the engine. Ages grow by less than
+            the time that heartbeats take, so that a finding which returns over
+            other hosts would seem to be newer than it is.
     """
 
     endpoint_id: str
     factor: float
     at: float
+    number: int
 
 
 class Change(typing.NamedTuple):
@@ -116,28 +125,40 @@
         self._statements: dict[str, Statement] = {}
         self._doubts: dict[str, _Doubt] = {}
         self._slow: dict[str, float] = {}
+        self._recovered: set[str] = set()
 
     @property
     def has_suspects(self) -> bool:
         """Whether any engine is doubted or counted as slow at the last look."""
         return bool(self._slow or self._doubts)
 
-    def record(self, endpoint_id: str, factor: float, at: float) -> bool:
-        """Records how slow an engine is; returns whether that is news.
+    def record(self, endpoint_id: str, factor: float, at: float) -> None:
+        """Records how slow this host has found an engine to be.
 
         Args:
             endpoint_id: The engine.
             factor: Its factor; one below 1 counts as 1.
             at: When it was found.
         """
-        if not math.isfinite(factor):
-            return False
         last = self._statements.get(endpoint_id)
-        if last is not None and last.at >= at:
+        number = last.number + 1 if last else 1
+        self.apply(Statement(endpoint_id, factor, at, number))
+
+    def apply(self, statement: Statement) -> bool:
+        """Applies a finding of any host; returns whether it was news."""
+        name = statement.endpoint_id
+        last = self._statements.get(name)
+        if last is not None and last.number >= statement.number:
+            return False
+        if not math.isfinite(statement.factor):
             return False
-        self._doubts.pop(endpoint_id, None)
-        factor = min(MAX_FACTOR, max(1.0, factor))
-        self._statements[endpoint_id] = Statement(endpoint_id, factor, at)
+        self._doubts.pop(name, None)
+        factor = min(MAX_FACTOR, max(1.0, statement.factor))
+        if factor >= SLOW_FACTOR:
+            self._recovered.discard(name)
+        elif last is not None and last.factor >= SLOW_FACTOR:
+            self._recovered.add(name)
+        self._statements[name] = statement._replace(factor=factor)
         return True
 
     def record_late_event(
@@ -173,7 +194,7 @@
         gap_s: float,
         now: float,
     ) -> None:
-        """Bounds how slow the engines of a path are by its recent events.
+        """Bounds how slow the engines of a path are by events in time.
 
         Args:
             engine: Published figures of the engines.
@@ -186,11 +207,20 @@
         for part, own_ms in zip(path, least_ms, strict=True):
             name = part.endpoint.endpoint_id
             bound = 1 + excess_ms / max(own_ms, 1e-9)
+            self._weaken_doubt(name)
             if bound < SLOW_FACTOR and (
                 name in self._doubts or self.factor(name, now) > bound
             ):
                 self.record(name, bound, now)
 
+    def _weaken_doubt(self, endpoint_id: str) -> None:
+        """Halves what speaks against an engine whose events come in time."""
+        doubt = self._doubts.get(endpoint_id)
+        if doubt is not None:
+            self._doubts[endpoint_id] = doubt._replace(
+                events=max(1, doubt.events // 2)
+            )
+
     def doubtful(self, now: float) -> dict[str, int]:
         """Returns the engines that are doubted, and asked by nobody yet.
 
@@ -236,24 +266,33 @@
         for name, known in list(self._statements.items()):
             if now - known.at > MAX_AGE_S:
                 del self._statements[name]
+        self._recovered &= self._statements.keys()
         before, self._slow = self._slow, self.slow(now)
         return [
             Change(name, self.factor(name, now), before.get(name, 1.0))
             for name in sorted(before.keys() ^ self._slow.keys())
         ]
 
-    def statements_to_send(self, now: float) -> list[Statement]:
-        """Returns what other hosts should know: slow ones, and those asked.
+    def statements_to_send(
+        self, now: float, limit: int, rng: random.Random
+    ) -> list[Statement]:
+        """Returns some of what other hosts should know.
 
-        What has been found not to be slow is of use while it is fresh, so that
-        nobody asks again.
+        Those that are slow or have ceased to be come first. What else was found
+        not to be slow is of use while it is fresh, so that nobody asks again.
         """
-        return [
-            known
-            for name, known in self._statements.items()
-            if self._is_fresh(name, now)
-            or self.factor(name, now) >= SLOW_FACTOR
-        ]
+        urgent, others = [], []
+        for name, known in self._statements.items():
+            is_recovery = name in self._recovered and (
+                now - known.at < RECOVERY_NEWS_S
+            )
+            if is_recovery or self.factor(name, now) >= SLOW_FACTOR:
+                urgent.append(known)
+            elif self._is_fresh(name, now):
+                others.append(known)
+        chosen = rng.sample(urgent, min(limit, len(urgent)))
+        left = min(limit - len(chosen), len(others))
+        return chosen + rng.sample(others, left)
 
     def forget(self, listed: typing.Collection[str]) -> None:
         """Drops all engines except those named."""
