Log how an answer ended and what of its request could not be sent

It couldn't tell apart an answer that states its length, one that ends with its connection, one whose reset was reported to a read, and one whose reset was reported to a write.

`request_ended` now has `ends_with_connection` if nothing but the end of the connection ended the answer, and `send_failure` if an error ended the sending of the request. Two counters go with them.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/endings.py
@@ -11,6 +11,7 @@
 from sardinebend_gateway import responder
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
+from sardinebend_store import connections
 
 BROKEN_OFF: typing.Final = 'broken off'
 
@@ -56,6 +57,7 @@
         self._timing = 0
         self._out = out
         self._answered: str | None = None
+        self._exchange_end = connections.ExchangeEnd()
         self._is_recorded = False
 
     def start(self) -> None:
@@ -81,6 +83,10 @@
         """Returns the time since the request arrived."""
         return round(trio.current_time() - self._arrived_at, 4)
 
+    def record_exchange_end(self, end: connections.ExchangeEnd) -> None:
+        """Records how the exchange ended whose answer is passed on."""
+        self._exchange_end = end
+
     def record_answered(self, outcome: str) -> None:
         """Records the status of an answer whose end is about to be sent."""
         self._answered = outcome
@@ -151,9 +157,21 @@
             route=self._route,
             status=outcome,
             took_s=took_s,
+            **self._make_exchange_fields(),
             **self._make_stream_fields(),
         )
 
+    def _make_exchange_fields(self) -> dict[str, typing.Any]:
+        """Returns what was unusual of the exchange, as fields for the log."""
+        fields: dict[str, typing.Any] = {}
+        if self._exchange_end.ends_with_connection:
+            self._state.metrics.count('answers_ended_by_connection')
+            fields['ends_with_connection'] = True
+        if self._exchange_end.send_failure:
+            self._state.metrics.count('answers_before_whole_request')
+            fields['send_failure'] = self._exchange_end.send_failure
+        return fields
+
     def _make_stream_fields(self) -> dict[str, typing.Any]:
         """Returns when a stream's events came, as fields for the log."""
         if self._first_event_at is None:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/events.py
@@ -99,7 +99,9 @@
 STREAM_RESUMED = Event('stream_resumed', 'request, after_event, endpoint')
 REQUEST_ENDED = Event(
     'request_ended',
-    'request, route, status, took_s, bytes; of a stream prompt_tokens,'
+    'request, route, status, took_s, bytes; ends_with_connection if nothing'
+    ' but the end of the connection ended the answer, send_failure if the'
+    ' request could not be sent whole; of a stream prompt_tokens,'
     ' first_event_s, longest_pause_s',
 )
 REQUEST_FAILED = Event(
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/exchange.py
@@ -43,6 +43,7 @@
         facts: Values from the headers.
         is_followed: Whether further bytes follow an answer which states that
             nothing was run.
+        exchange_end: How the exchange ended.
     """
 
     status: int
@@ -50,6 +51,7 @@
     body: bytes
     facts: edges_lib.AnswerFacts
     is_followed: bool = False
+    exchange_end: connections.ExchangeEnd = connections.ExchangeEnd()
 
 
 def make_retry_after(seconds: float) -> tuple[bytes, bytes]:
@@ -311,6 +313,7 @@
         self.req.content.release()
         codec = self.state.edges.requests
         headers = codec.make_answer_headers(reply.headers)
+        self.ending.record_exchange_end(reply.exchange_end)
         self.ending.record_answered(str(reply.status))
         await self.out.answer(reply.status, headers, reply.body)
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -51,7 +51,12 @@
         and await conn.has_further_bytes(FURTHER_BYTES_WAIT_S)
     )
     return exchange_lib.Reply(
-        response.status, response.headers, body, facts, is_followed
+        response.status,
+        response.headers,
+        body,
+        facts,
+        is_followed,
+        conn.exchange_end,
     )
 
 
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -161,7 +161,7 @@
         ):
             self._progress.reason = 'answer of another media type midway'
             return
-        await self._forward_events(response)
+        await self._forward_events(conn, response)
 
     def _mark_part_at_fault(
         self, facts: edges_lib.AnswerFacts
@@ -187,16 +187,21 @@
                     )
         return at_fault_endpoints
 
-    async def _forward_events(self, response: typing.Any) -> None:
+    async def _forward_events(
+        self, conn: connections.Connection, response: typing.Any
+    ) -> None:
         buffer = self._state.answer_buffers.open(event_stream.MAX_EVENT_BYTES)
         try:
-            await self._forward_chunks(response, buffer)
+            if await self._forward_chunks(response, buffer):
+                self._exchange.ending.record_exchange_end(conn.exchange_end)
+                await self._finish()
         finally:
             buffer.close()
 
     async def _forward_chunks(
         self, response: typing.Any, buffer: answer_buffers.AnswerBuffer
-    ) -> None:
+    ) -> bool:
+        """Forwards the events; returns whether they were all forwarded."""
         async for chunk in response.aiter_stream():
             # The first piece counts for all chunks that were joined.
             chunk_count = reply_heads.count_chunks(chunk)
@@ -205,16 +210,18 @@
                 if not await self._forward_piece(
                     response, buffer, piece, chunk_count
                 ):
-                    return
+                    return False
                 chunk_count = 1
         if self._splitter.has_partial_event:
             self._progress.reason = 'ended within an event'
-            return
+            return False
         if not self._exchange.out.is_started:
             self._progress.reason = 'ended without an event'
-            return
-        if not self._take_lead():
-            return
+            return False
+        return self._take_lead()
+
+    async def _finish(self) -> None:
+        """Ends the answer after its last event."""
         if self._held_events:
             await self._write(b''.join(e.data for e in self._held_events))
         self._end = forwarding.End.ANSWERED
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -66,13 +66,27 @@
     body: bytes
 
 
+class ExchangeEnd(typing.NamedTuple):
+    """What is known of the end of an exchange.
+
+    Attributes:
+        ends_with_connection: Whether nothing but the end of the connection
+            ended the reply.
+        send_failure: The error that ended the sending of the request; empty if
+            there was none.
+    """
+
+    ends_with_connection: bool = False
+    send_failure: str = ''
+
+
 class Connection:
     """One open HTTP/1.1 connection to one origin."""
 
     def __init__(
         self,
         origin: 'Origin',
-        conn: httpcore.AsyncHTTP11Connection,
+        conn: reply_heads.LimitedConnection,
         stream: httpcore.AsyncNetworkStream,
     ) -> None:
         self._origin = origin
@@ -147,6 +161,13 @@
             }
             return Reply(response.status, header_values, reply_body)
 
+    @property
+    def exchange_end(self) -> ExchangeEnd:
+        """What is known of the end of the last exchange."""
+        return ExchangeEnd(
+            self._conn.ends_with_connection, self._conn.send_failure
+        )
+
     def is_reusable(self) -> bool:
         """Returns whether another request can be sent on this connection.
 
--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -43,6 +43,12 @@
     More than `MAX_INTERIM_RESPONSES` responses with status 1xx are an error.
     `httpcore` reads them without a limit, and thousands of them without
     letting another task run.
+
+    Attributes:
+        send_failure: The error that ended the sending of a request; empty if
+            there was none.
+        ends_with_connection: Whether nothing but the end of the connection
+            ended the last reply.
     """
 
     # Limit for each part of a reply that has no end yet: a head, the line of a
@@ -51,6 +57,23 @@
 
     _interim_count = 0
 
+    def __init__(
+        self, origin: httpcore.Origin, stream: httpcore.AsyncNetworkStream
+    ) -> None:
+        super().__init__(origin, stream)
+        self.send_failure = ''
+        self.ends_with_connection = False
+
+    # `httpcore` drops the error and reads the reply all the same.
+    async def _send_event(
+        self, event: h11.Event, timeout: float | None = None
+    ) -> None:
+        try:
+            await super()._send_event(event, timeout)
+        except httpcore.WriteError as exc:
+            self.send_failure = f'{type(exc).__name__}: {exc}'
+            raise
+
     # `httpcore` has no public way to see interim responses. Counting them in
     # the bytes would need a second parser.
     async def _receive_event(
@@ -67,6 +90,8 @@
                 # The error would keep it for as long as its traceback.
                 del event
                 raise _make_error()
+        elif isinstance(event, h11.EndOfMessage):
+            _, self.ends_with_connection = self._h11_state.trailing_data
         return event
 
     # `httpcore` yields each chunk by itself.
--- a/tests/common/gateway_world.py
+++ b/tests/common/gateway_world.py
@@ -218,6 +218,7 @@
 
 
 async def read_request(conn, stream):
+    """Returns what is left of a request: its head if unread, and its body."""
     req, body = None, b''
     while True:
         h11_event = conn.next_event()
