Refuse an answer that a reset ended while its request was sent

Streams ended as complete after 5 of 20 events, and requests that may be repeated weren't, as the attempt counted as served.

Cause: the kernel reports a reset once.

An answer that only the end of the connection ends is now a failed exchange if its request could not be sent. So the attempt is broken: a request that may be repeated is, a stream is resumed, others get 502 or a reset. Answers whose length or chunks tell that they are whole pass as before. An orderly end that a reset follows is refused, too: which came first can't be told from what the sockets report everywhere. All HTTP of a host goes through this class, so orders, reports, probes, the store and the product's own services have it as well.

--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -1,4 +1,4 @@
-"""Connections that limit the heads of replies and join what has arrived."""
+"""Connections that check the heads and ends of replies."""
 
 import collections.abc
 import typing
@@ -34,7 +34,10 @@
 
 
 class LimitedConnection(httpcore.AsyncHTTP11Connection):
-    """An HTTP/1.1 connection that fails at a head beyond the limits.
+    """An HTTP/1.1 connection that fails at replies that may not be whole.
+
+    A reply that only the end of the connection ends isn't taken for a whole one
+    if the request could not be sent: the connection was reset.
 
     It returns a body in the pieces in which it arrives, not in its chunks: a
     host that is behind catches up with all of a stream's events at a time.
@@ -92,6 +95,13 @@
                 raise _make_error()
         elif isinstance(event, h11.EndOfMessage):
             _, self.ends_with_connection = self._h11_state.trailing_data
+            if self.ends_with_connection and self.send_failure:
+                # The kernel reports a reset once. If a write got that report,
+                # the reads that follow look like those of an orderly end.
+                raise httpcore.ReadError(
+                    'the connection ended the reply, and failed while the'
+                    f' request was sent: {self.send_failure}'
+                )
         return event
 
     # `httpcore` yields each chunk by itself.
