Refuse answers whose heads have folded lines or control characters

Callers got answers with a line that wasn't the server's: a line whose name begins with a blank reached them as a part of the value before it, `response-seal: a.b.c X-Odd: 1`. If that line states the length, they got 100 of 524 bytes as a whole answer, and if it states chunks, the sizes of the chunks as a part of the body. Values with control characters were passed on with them, and a status line with one without its reason.

Cause: the parser joins lines that begin with a blank (a form that RFC 9112, section 5.2, lets a gateway refuse), and checks values for NUL and line ends only. What it returns no longer shows either.

The bytes of a head are now checked before they are parsed, interim responses and heads that come in pieces included. Such an answer is a failed exchange, for requests, streams, orders, reports, probes and the store. Tabs in values, bytes from 0x80 in values and all characters of valid names pass as before.

--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -6,6 +6,8 @@
 import h11
 import httpcore
 
+from sardinebend_store import message_heads
+
 # A server usually sends at most one, while a request takes long.
 MAX_INTERIM_RESPONSES: typing.Final = 8
 # Servers send some ten fields. Each takes some 100 bytes besides its own, and
@@ -33,6 +35,23 @@
     return data.chunk_count if isinstance(data, JoinedChunks) else 1
 
 
+class _Parser(h11.Connection):
+    """A parser of replies that refuses heads that aren't valid."""
+
+    def next_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Returns the next event.
+
+        Raises:
+            h11.RemoteProtocolError: The bytes aren't a valid reply.
+        """
+        if self.their_state is h11.SEND_RESPONSE:
+            unread_bytes, _ = self.trailing_data
+            fault = message_heads.find_fault(unread_bytes)
+            if fault:
+                raise h11.RemoteProtocolError(fault)
+        return super().next_event()
+
+
 class LimitedConnection(httpcore.AsyncHTTP11Connection):
     """An HTTP/1.1 connection that fails at replies that may not be whole.
 
@@ -54,16 +73,17 @@
             ended the last reply.
     """
 
-    # Limit for each part of a reply that has no end yet: a head, the line of a
-    # chunk's size, trailers.
-    MAX_INCOMPLETE_EVENT_SIZE = MAX_HEAD_BYTES
-
     _interim_count = 0
 
     def __init__(
         self, origin: httpcore.Origin, stream: httpcore.AsyncNetworkStream
     ) -> None:
         super().__init__(origin, stream)
+        # The limit holds for each part of a reply that has no end yet: a head,
+        # the line of a chunk's size, trailers.
+        self._h11_state = _Parser(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
         self.send_failure = ''
         self.ends_with_connection = False
 
--- /dev/null
+++ b/tests/cover/test_odd_heads.py
@@ -0,0 +1,172 @@
+"""Heads of answers and of requests that are sound but for one thing."""
+
+import pytest
+import trio
+
+from sardinebend_store import connections
+from sardinebend_store import errors as store_errors
+from tests.common import gateway_world as world_lib
+
+BODY = b'0123456789' * 50
+EVENTS = b''.join(world_lib.event(number) for number in range(1, 4))
+SERVED = b'served by app-0'
+
+
+def make_head(request_id, line=b'', start=b'HTTP/1.1 200 OK', size=None):
+    """Returns the head of an answer, with a line after its first field."""
+    lines = [
+        start,
+        b'Response-Seal: a.b.c',
+        *([line] if line else []),
+        b'Request-Id: ' + request_id.encode(),
+        b'Content-Length: %d' % (len(BODY) if size is None else size),
+        b'',
+        b'',
+    ]
+    return b'\r\n'.join(lines)
+
+
+async def ask_server(answer, target='/book/x', service='app'):
+    """Asks a server for an answer; returns what its caller gets.
+
+    Args:
+        answer: Returns the bytes to send, from the id of the request.
+        target: Target of the request.
+        service: The service of the server.
+    """
+
+    async def script(headers, stream):
+        return world_lib.Answer(answer(headers['request-id']))
+
+    servers = [world_lib.Server('app-0', 'app', script)]
+    if service == 'llm':
+        servers = world_lib.engines((0, 4), script=script)
+    async with world_lib.running(*servers) as world:
+        found = await world.ask(
+            target, 'POST', b'p', token_usage='10,10', model='m'
+        )
+    assert servers[0].requests
+    return found
+
+
+ODD_LINES = {
+    'a name that begins with a blank': b' X-Odd: 1',
+    'a name that begins with a tab': b'\tX-Odd: 1',
+    'a line of blanks': b' ',
+    'a length that begins with a blank': b' Content-Length: 524',
+    'chunks that begin with a blank': b' Transfer-Encoding: chunked',
+    'a name with a blank': b'X Odd: 1',
+    'a name with a tab': b'X\tOdd: 1',
+    'a blank before the colon': b'X-Odd : 1',
+    'an empty name': b': 1',
+    'no colon': b'X-Odd',
+    **{
+        f'a name with {byte:#04x}': b'X%cOdd: 1' % byte
+        for byte in (0x00, 0x01, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F, 0x85)
+    },
+    **{
+        f'a value with {byte:#04x}': b'X-Odd: a%cb' % byte
+        for byte in (0x00, 0x01, 0x08, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F)
+    },
+}
+FOLDS = {
+    kind: line for kind, line in ODD_LINES.items() if line[:1] in (b' ', b'\t')
+}
+
+
+# Guards against a field that is joined to the one before it and passed on, and
+# against control characters that reach callers.
+@pytest.mark.parametrize('kind', ODD_LINES)
+async def test_an_answer_with_an_odd_line_in_its_head_is_no_answer(kind):
+    line = ODD_LINES[kind]
+    answer = await ask_server(lambda name: make_head(name, line) + BODY)
+    assert (answer[0], answer[2]) == (502, b'')
+
+
+# Guards against a body whose length is hidden in a joined line (100 of 524
+# bytes as a whole answer).
+@pytest.mark.parametrize('kind', FOLDS)
+async def test_such_a_line_does_not_hide_how_the_body_ends(kind):
+    def make_answer(request_id):
+        head = make_head(request_id, FOLDS[kind])
+        return head.replace(b'\r\nContent-Length: 500', b'') + BODY[:100]
+
+    assert (await ask_server(make_answer))[0] == 502
+
+
+@pytest.mark.parametrize('kind', ODD_LINES)
+async def test_a_stream_with_an_odd_line_in_its_head_is_no_answer(kind):
+    line = ODD_LINES[kind]
+
+    def make_answer(request_id):
+        return make_head(request_id, line, size=len(EVENTS)) + EVENTS
+
+    answer = await ask_server(make_answer, '/draft/x', 'llm')
+    assert answer[0] in (502, 503)
+    assert answer[2] == b''
+
+
+async def test_control_characters_in_a_status_line_are_no_answer():
+    start = b'HTTP/1.1 200 O\x01K'
+    answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
+    assert answer[0] == 502
+
+
+# An interim response has a head as well.
+@pytest.mark.parametrize('kind', FOLDS)
+async def test_an_odd_line_in_an_interim_response_is_no_answer(kind):
+    interim = b'HTTP/1.1 103 X\r\nLink: x\r\n%b\r\n\r\n' % FOLDS[kind]
+    answer = await ask_server(lambda name: interim + make_head(name) + BODY)
+    assert answer[0] == 502
+
+
+# What is unusual but valid, and bytes of a body that look like an odd line.
+@pytest.mark.parametrize(
+    ('line', 'name', 'value'),
+    [
+        (b'X-Odd: a\tb', 'x-odd', 'a\tb'),
+        (b'X-Odd:', 'x-odd', ''),
+        (b'X-Odd:  1 ', 'x-odd', '1'),
+        (b"!#$%&'*+-.^_`|~09: 1", "!#$%&'*+-.^_`|~09", '1'),
+    ],
+)
+async def test_a_valid_line_is_passed_on(line, name, value):
+    body = b'\n a\r\n\t\x00\x01\r\n\r\n b' + BODY
+
+    def make_answer(request_id):
+        return make_head(request_id, line, size=len(body)) + body
+
+    answer = await ask_server(make_answer)
+    assert (answer[0], answer[2]) == (200, body)
+    assert answer[1][name] == value
+
+
+# Guards against an odd line that is seen only if it comes in one piece.
+@pytest.mark.parametrize('line', [b' X-Odd: 1', b'X-Odd: a\x01b'])
+async def test_an_odd_line_that_comes_byte_by_byte_is_no_answer(line):
+    async def script(headers, stream):
+        head = make_head(headers['request-id'], line)
+        pieces = [bytes([byte]) for byte in head]
+        return world_lib.Answer(*pieces, BODY)
+
+    server = world_lib.Server('app-0', 'app', script)
+    async with world_lib.running(server) as world:
+        assert (await world.ask('/book/x', 'POST', b'p'))[0] == 502
+
+
+# Guards against orders, reports and rows that are read from such an answer.
+@pytest.mark.parametrize('kind', FOLDS)
+async def test_a_call_of_the_host_itself_fails_with_an_odd_line(kind):
+    async def serve(stream):
+        async with stream:
+            await stream.receive_some(65536)
+            await stream.send_all(make_head('r1', FOLDS[kind]) + BODY)
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host=world_lib.IP)
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        port = listeners[0].socket.getsockname()[1]
+        origin = connections.Origin(f'http://{world_lib.IP}:{port}')
+        with pytest.raises(store_errors.ExchangeFailed):
+            await origin.exchange('GET', '/x', timeout_s=5.0)
+        nursery.cancel_scope.cancel()
