Refuse answers with an invalid status or of another protocol version

Callers got answers with status 600, 700 and 999 as they were, and heads of HTTP/0.9, 2.0 and 3.7 as answers of version 1.1. Statuses below 100 (000 was reported on other systems) and those with other than three digits were refused before.

Cause: the parser takes any status from 100 to 999 and any version of one digit each. RFC 9110, section 15: values outside of 100 to 599 are invalid. A version with another major number has another message syntax.

Such an answer is now a failed exchange. Unregistered statuses up to 599, minor versions of HTTP/1 and an empty reason pass as before.

--- a/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
+++ b/packages/sardinebend-store/src/sardinebend_store/reply_heads.py
@@ -15,6 +15,8 @@
 MAX_FIELDS: typing.Final = 256
 MAX_HEAD_BYTES: typing.Final = 64 * 1024
 STATUS_HEAD_TOO_LARGE: typing.Final = 431
+# The parser refuses those below 100 only.
+STATUS_END: typing.Final = 600
 # Chunks that are joined at a time; other tasks wait some 11 us for each.
 MAX_JOINED_CHUNKS: typing.Final = 256
 
@@ -103,6 +105,8 @@
         self, timeout: float | None = None
     ) -> h11.Event | type[h11.PAUSED]:
         event = await super()._receive_event(timeout)
+        if isinstance(event, (h11.InformationalResponse, h11.Response)):
+            _check_start(event)
         if isinstance(event, h11.InformationalResponse):
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_RESPONSES:
@@ -154,6 +158,16 @@
                 event = await self._receive_event(timeout)
 
 
+def _check_start(response: h11.InformationalResponse | h11.Response) -> None:
+    if response.status_code >= STATUS_END:
+        raise httpcore.RemoteProtocolError(
+            f'status {response.status_code} is not valid'
+        )
+    version = response.http_version.decode()
+    if not version.startswith('1.'):
+        raise httpcore.RemoteProtocolError(f'HTTP/{version} was not asked for')
+
+
 def _is_too_large(response: h11.Response) -> bool:
     headers = response.headers
     size = sum(len(name) + len(value) + 4 for name, value in headers)
--- a/tests/cover/test_odd_heads.py
+++ b/tests/cover/test_odd_heads.py
@@ -170,3 +170,57 @@
         with pytest.raises(store_errors.ExchangeFailed):
             await origin.exchange('GET', '/x', timeout_s=5.0)
         nursery.cancel_scope.cancel()
+
+
+ODD_STARTS = {
+    f'status {status}': b'HTTP/1.1 %b X' % status.encode()
+    for status in (
+        *('000', '001', '099', '101', '199', '600', '700', '999'),
+        *('20', '0200', '2x0', '+20', '-20', ' 20', '2 0', ''),
+    )
+} | {
+    f'version {version}': b'%b 200 X' % version.encode()
+    for version in (
+        *('HTTP/0.9', 'HTTP/2.0', 'HTTP/3.7', 'HTTP/1', 'HTTP/11.1'),
+        *('http/1.1', 'XTTP/1.1', 'HTTP/1.1 ', ''),
+    )
+}
+
+
+# Guards against a status that no server means as an answer (000, 600), and
+# against other protocols that are passed on as version 1.1.
+@pytest.mark.parametrize('target', ['/book/x', '/look/x'])
+@pytest.mark.parametrize('kind', ODD_STARTS)
+async def test_an_answer_with_an_odd_status_line_is_no_answer(kind, target):
+    start = ODD_STARTS[kind]
+    answer = await ask_server(
+        lambda name: make_head(name, start=start) + BODY, target
+    )
+    assert (answer[0], answer[2]) == (502, b'')
+
+
+@pytest.mark.parametrize('kind', ODD_STARTS)
+async def test_a_stream_with_an_odd_status_line_is_no_answer(kind):
+    def make_answer(request_id):
+        head = make_head(request_id, start=ODD_STARTS[kind], size=len(EVENTS))
+        return head + EVENTS
+
+    answer = await ask_server(make_answer, '/draft/x', 'llm')
+    assert answer[0] in (502, 503)
+    assert answer[2] == b''
+
+
+@pytest.mark.parametrize(
+    'start',
+    [b'HTTP/1.1 200', b'HTTP/1.1 200 ', b'HTTP/1.0 200 X', b'HTTP/1.7 200 X'],
+)
+async def test_a_valid_status_line_is_passed_on(start):
+    answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
+    assert (answer[0], answer[2]) == (200, BODY)
+
+
+@pytest.mark.parametrize('status', [299, 399, 499, 599])
+async def test_a_status_that_is_not_registered_is_passed_on(status):
+    start = b'HTTP/1.1 %d X' % status
+    answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
+    assert (answer[0], answer[2]) == (status, BODY)
