Refuse requests whose heads have folded lines or control characters

A caller that sends ` Content-Length: 5`, with a blank in front, after `Request-Id: x` got 200; the server got the id `x Content-Length: 5` and no body, and the five bytes were read as the next request. Other lines that begin with a blank changed the field before them likewise, and values with control characters reached servers with them.

Cause: that of answers, as the same parser reads both.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/message_framing.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/message_framing.py
@@ -10,6 +10,7 @@
 import typing
 
 from sardinebend_gateway import errors
+from sardinebend_store import message_heads
 
 HEAD_READ_BYTES: typing.Final = 8192
 BODY_READ_BYTES: typing.Final = 65536
@@ -47,8 +48,8 @@
         """Returns the bytes for the parser, and those to be taken later.
 
         Raises:
-            errors.BadRequest: There is far more framing than content, or a
-                chunk doesn't end where it should.
+            errors.BadRequest: There is far more framing than content, a chunk
+                doesn't end where it should, or a line isn't valid.
         """
 
 
@@ -60,9 +61,16 @@
         self._is_over = False
 
     def take(self, data: bytes) -> tuple[bytes, bytes]:
-        """Returns the bytes up to the blank line, and those behind it."""
+        """Returns the bytes up to the blank line, and those behind it.
+
+        Raises:
+            errors.BadRequest: A line isn't valid.
+        """
         if self._is_over:
             return data, b''
+        fault = message_heads.find_fault(self._last + data)
+        if fault:
+            raise errors.BadRequest(400, fault)
         found = _BLANK_LINE.search(self._last + data)
         if found is None:
             self._last = (self._last + data)[-2:]
--- a/tests/common/odd_values.py
+++ b/tests/common/odd_values.py
@@ -86,3 +86,26 @@
 
 def without(entry, name):
     return json.dumps({k: v for k, v in entry.items() if k != name}).encode()
+
+
+# Lines in the head of a message.
+HEAD_LINES = {
+    'a name that begins with a blank': b' X-Odd: 1',
+    'a name that begins with a tab': b'\tX-Odd: 1',
+    'a line of blanks': b' ',
+    'a length that begins with a blank': b' Content-Length: 524',
+    'chunks that begin with a blank': b' Transfer-Encoding: chunked',
+    'a name with a blank': b'X Odd: 1',
+    'a name with a tab': b'X\tOdd: 1',
+    'a blank before the colon': b'X-Odd : 1',
+    'an empty name': b': 1',
+    'no colon': b'X-Odd',
+    **{
+        f'a name with {byte:#04x}': b'X%cOdd: 1' % byte
+        for byte in (0x00, 0x01, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F, 0x85)
+    },
+    **{
+        f'a value with {byte:#04x}': b'X-Odd: a%cb' % byte
+        for byte in (0x00, 0x01, 0x08, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F)
+    },
+}
--- a/tests/cover/test_odd_heads.py
+++ b/tests/cover/test_odd_heads.py
@@ -6,6 +6,7 @@
 from sardinebend_store import connections
 from sardinebend_store import errors as store_errors
 from tests.common import gateway_world as world_lib
+from tests.common import odd_values
 
 BODY = b'0123456789' * 50
 EVENTS = b''.join(world_lib.event(number) for number in range(1, 4))
@@ -49,36 +50,18 @@
     return found
 
 
-ODD_LINES = {
-    'a name that begins with a blank': b' X-Odd: 1',
-    'a name that begins with a tab': b'\tX-Odd: 1',
-    'a line of blanks': b' ',
-    'a length that begins with a blank': b' Content-Length: 524',
-    'chunks that begin with a blank': b' Transfer-Encoding: chunked',
-    'a name with a blank': b'X Odd: 1',
-    'a name with a tab': b'X\tOdd: 1',
-    'a blank before the colon': b'X-Odd : 1',
-    'an empty name': b': 1',
-    'no colon': b'X-Odd',
-    **{
-        f'a name with {byte:#04x}': b'X%cOdd: 1' % byte
-        for byte in (0x00, 0x01, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F, 0x85)
-    },
-    **{
-        f'a value with {byte:#04x}': b'X-Odd: a%cb' % byte
-        for byte in (0x00, 0x01, 0x08, 0x0B, 0x0C, 0x0D, 0x1F, 0x7F)
-    },
-}
 FOLDS = {
-    kind: line for kind, line in ODD_LINES.items() if line[:1] in (b' ', b'\t')
+    kind: line
+    for kind, line in odd_values.HEAD_LINES.items()
+    if line[:1] in (b' ', b'\t')
 }
 
 
 # Guards against a field that is joined to the one before it and passed on, and
 # against control characters that reach callers.
-@pytest.mark.parametrize('kind', ODD_LINES)
+@pytest.mark.parametrize('kind', odd_values.HEAD_LINES)
 async def test_an_answer_with_an_odd_line_in_its_head_is_no_answer(kind):
-    line = ODD_LINES[kind]
+    line = odd_values.HEAD_LINES[kind]
     answer = await ask_server(lambda name: make_head(name, line) + BODY)
     assert (answer[0], answer[2]) == (502, b'')
 
@@ -94,9 +77,9 @@
     assert (await ask_server(make_answer))[0] == 502
 
 
-@pytest.mark.parametrize('kind', ODD_LINES)
+@pytest.mark.parametrize('kind', odd_values.HEAD_LINES)
 async def test_a_stream_with_an_odd_line_in_its_head_is_no_answer(kind):
-    line = ODD_LINES[kind]
+    line = odd_values.HEAD_LINES[kind]
 
     def make_answer(request_id):
         return make_head(request_id, line, size=len(EVENTS)) + EVENTS
