Refuse requests whose fields have several values that differ

A request with two `Request-Id` that differ got 200: the host took the first one, and the server got both and may take either, so that answers, repeats and logs go by an id that the server doesn't know. The same held for the other fields that have one value (time limit, key, model, token counts, the last event's id).

Cause: fields were read by their first value, whatever else there was. Such a request now gets 400. Equal values and lists in several lines pass as before.

--- a/tests/cover/test_odd_request_heads.py
+++ b/tests/cover/test_odd_request_heads.py
@@ -79,3 +79,37 @@
     assert received == body
     assert headers['x-odd'] == 'a\tb'
     assert headers['request-id'] == 'r1'
+
+
+# Guards against a request that the host and the server read differently.
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'Request-Id: r2',
+        b'REQUEST-ID: r2',
+        b'Request-Id: ',
+        b'Deadline-Ms: 1',
+        b'Authorization: Bearer other',
+        b'Model: m\r\nModel: n',
+        b'Last-Event-Id: 1\r\nLast-Event-Id: 2',
+    ],
+)
+async def test_a_request_with_two_values_of_a_field_is_refused(line):
+    answer, requests = await send(make_request(line))
+    assert answer[0] == 400
+    assert requests == []
+
+
+# A list may come in several lines.
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'Request-Id: r1',
+        b'Prefix-Hash: a:1\r\nPrefix-Hash: b:2',
+        b'X: 1\r\nX: 2',
+    ],
+)
+async def test_a_request_with_a_field_twice_is_served(line):
+    answer, requests = await send(make_request(line))
+    assert answer[0] == 200
+    assert len(requests) == 1
