--- a/tests/cover/test_odd_heads.py
+++ b/tests/cover/test_odd_heads.py
@@ -207,3 +207,20 @@
     start = b'HTTP/1.1 %d X' % status
     answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
     assert (answer[0], answer[2]) == (status, BODY)
+
+
+# Guards against an answer that may be that of another request.
+@pytest.mark.parametrize(
+    'line',
+    [b'Request-Id: other', b'request-id: other', b'Response-Seal: d.e.f'],
+)
+async def test_an_answer_with_two_ids_or_marks_is_no_answer(line):
+    start = b'HTTP/1.1 200 OK\r\nRequest-Id: r1'
+    answer = await ask_server(lambda name: make_head(name, line, start) + BODY)
+    assert (answer[0], answer[2]) == (502, b'')
+
+
+async def test_an_answer_with_its_mark_twice_is_passed_on():
+    line = b'Response-Seal: a.b.c'
+    answer = await ask_server(lambda name: make_head(name, line) + BODY)
+    assert (answer[0], answer[2]) == (200, BODY)
