Refuse a reply over TLS that ends without TLS's alert

A reply without a length from an endpoint at an `https` URL was taken for a whole one when its TCP connection ended, whoever ended it: 100 of 500 bytes with status 200 in the test. This is the cause of the reset answers, an end of the connection that proves nothing, on the product's own interface; the platform's servers are asked without TLS.

Cause: httpcore opens TLS in a mode that reports the end of the connection as TLS's own end. RFC 9112, section 9.8: a reply without a length is incomplete without that alert. TLS is now opened here, without that mode. Replies that state their length need no alert, as before.

--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -284,10 +284,7 @@
             )
         try:
             with self._fail_after(timeout_s):
-                stream = await _connect_tcp(self._host, self._port)
-                if self._secure:
-                    context = self._tls or ssl.create_default_context()
-                    stream = await stream.start_tls(context, self._host)
+                stream = await self._open_stream()
         # A `ValueError` is a host name that can't be encoded.
         except (*_CONNECTION_ERRORS, trio.TooSlowError, ValueError) as exc:
             text = f'{self.url}: {format_exception(exc)}'
@@ -298,8 +295,28 @@
         origin = httpcore.Origin(
             scheme.encode(), self._host.encode(), self._port
         )
-        conn = reply_heads.LimitedConnection(origin, stream)
-        return Connection(self, conn, stream)
+        network_stream = httpcore_trio.TrioStream(stream)
+        conn = reply_heads.LimitedConnection(origin, network_stream)
+        return Connection(self, conn, network_stream)
+
+    async def _open_stream(self) -> trio.abc.Stream:
+        stream = await _connect_tcp(self._host, self._port)
+        if not self._secure:
+            return stream
+        # `httpcore` would take the end of the connection for an orderly end of
+        # TLS, and a part of a reply without a length for a whole one (RFC 9112,
+        # section 9.8).
+        tls_stream = trio.SSLStream(
+            stream,
+            self._tls or ssl.create_default_context(),
+            server_hostname=self._host,
+        )
+        try:
+            await tls_stream.do_handshake()
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+        return tls_stream
 
     async def acquire(self, timeout_s: float) -> Connection:
         """Returns an idle connection, or opens a new one."""
@@ -377,7 +394,7 @@
         await self.drop_idle()
 
 
-async def _connect_tcp(host: str, port: int) -> httpcore.AsyncNetworkStream:
+async def _connect_tcp(host: str, port: int) -> trio.SocketStream:
     """Connects to a host.
 
     The library tries all addresses of a name beside each other, which takes
@@ -387,7 +404,7 @@
     try:
         address = ipaddress.ip_address(host)
     except ValueError:
-        return await httpcore.TrioBackend().connect_tcp(host, port)
+        return await trio.open_tcp_stream(host, port)
     family = socket.AF_INET if address.version == 4 else socket.AF_INET6
     sock = trio.socket.socket(family, socket.SOCK_STREAM)
     try:
@@ -395,7 +412,7 @@
     except BaseException:
         sock.close()
         raise
-    return httpcore_trio.TrioStream(trio.SocketStream(sock))
+    return trio.SocketStream(sock)
 
 
 def _make_failure(exc: BaseException) -> errors.ExchangeFailed:
