Refuse a cut reply in the operators' command-line tool

The tool printed a part of a host's reply as the reply, with exit code 0: what isn't JSON became `{"detail": ...}`, also with a status below 300. A reply without a length that is cut, say by a proxy, arrives so.

Such a reply now counts as an unknown outcome; a change is sent again under its id. Texts of refusals are shown as before.

Test: test_a_reply_that_is_cut_is_no_success; failed before, passes.

--- a/packages/sardinebend-admin/src/sardinebend_admin/client.py
+++ b/packages/sardinebend-admin/src/sardinebend_admin/client.py
@@ -77,19 +77,21 @@
             httpcore.ProtocolError,
         ) as exc:
             raise errors.OutcomeUnknown(f'{self._url}: {exc}') from exc
-        value = _decode(response.content)
+        data = response.content
+        try:
+            value = msgspec.json.decode(data) if data else {}
+        except msgspec.MsgspecError as exc:
+            text = data[:200].decode('utf-8', 'replace')
+            if response.status < 300:
+                raise errors.OutcomeUnknown(
+                    f'{self._url}: the reply is not whole: {text}'
+                ) from exc
+            value = {'detail': text}
         if response.status < 300:
             return value
         raise _make_error(response.status, value)
 
 
-def _decode(data: bytes) -> typing.Any:
-    try:
-        return msgspec.json.decode(data) if data else {}
-    except msgspec.MsgspecError:
-        return {'detail': data[:200].decode('utf-8', 'replace')}
-
-
 def _make_error(status: int, problem: typing.Any) -> errors.AdminError:
     detail = str(problem.get('detail') or problem)
     if status == 409:
--- a/packages/sardinebend-admin/tests/cover/test_commands.py
+++ b/packages/sardinebend-admin/tests/cover/test_commands.py
@@ -24,7 +24,8 @@
         if isinstance(answer, Exception):
             raise answer
         status, body = answer
-        response = httpcore.Response(status, content=json.dumps(body).encode())
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        response = httpcore.Response(status, content=data)
         response.read()
         return response
 
@@ -71,6 +72,16 @@
         make_client(answer).get('hosts')
 
 
+# Guards against a part of a reply whose connection was reset, which was shown
+# as the reply.
+def test_a_reply_that_is_cut_is_no_success():
+    cut = (200, b'{"version": 2, "no')
+    with pytest.raises(errors.OutcomeUnknown):
+        make_client(cut).get('hosts')
+    client = make_client(cut, ACCEPTED)
+    assert client.submit_change(CHANGE) == {'version': 2}
+
+
 def test_conflict_message_shows_the_current_and_the_proposed_value():
     problem = {
         'detail': 'expected version 1, found version 2',
