--- a/tests/cover/test_gateway_reset_answers.py
+++ b/tests/cover/test_gateway_reset_answers.py
@@ -80,12 +80,12 @@
             world_lib.reset(stream)
 
 
-async def ask(world, target='/book/x', request_id='r1', size=REQUEST_BYTES):
+async def ask(world, target='/book/x', size=REQUEST_BYTES, **headers):
     return await world.ask(
         target,
-        'POST' if size else 'GET',
+        'POST',
         b'q' * size,
-        request_id=request_id,
+        **headers,
         token_usage='10,10',
         model='m',
     )
@@ -211,6 +211,26 @@
     assert (answer[0], answer[2]) == (200, BODY)
 
 
+# A server that stops without a reset, in the middle of its answer.
+async def test_an_answer_that_falls_silent_under_its_request_is_not_whole():
+    server = EarlyServer('app-0', 'app', [BODY[:SENT_BYTES]], 'hang')
+    async with world_lib.running(server, config=make_config()) as world:
+        answer = await ask(world, deadline_ms='700')
+    assert answer[0] in (502, 504)
+    assert answer[2] == b''
+
+
+async def test_a_stream_that_falls_silent_under_its_request_is_resumed():
+    broken = EarlyServer('engine-0', 'llm', EVENTS[:5], 'hang')
+    broken.span = (0, 4)
+    sound = world_lib.Server('engine-1', 'llm', serve_whole_stream, 'west')
+    sound.span = (0, 4)
+    async with world_lib.running(broken, sound, config=make_config()) as world:
+        answer = await ask(world, '/draft/x', size=3600)
+    assert answer[2:] == (b''.join(EVENTS), True)
+    assert len(broken.requests) == 1
+
+
 # Guards against orders, reports and rows that are read from a part of a reply.
 async def test_a_call_of_the_host_itself_fails_with_such_a_reset():
     server = EarlyServer('app-0', 'app', [b'{"rows":[]}'], 'reset')
--- a/tests/cover/test_odd_heads.py
+++ b/tests/cover/test_odd_heads.py
@@ -103,6 +103,43 @@
     assert answer[0] == 502
 
 
+# How the body ends is said twice or in an unknown way.
+@pytest.mark.parametrize(
+    'line',
+    [
+        b'Content-Length: 100',
+        b'Content-Length: +500',
+        b'Content-Length: -1',
+        b'Content-Length: 500, 100',
+        b'Content-Length: x',
+        b'Transfer-Encoding: xchunked',
+        b'Transfer-Encoding: gzip, chunked',
+        b'Transfer-Encoding: chunked, chunked',
+    ],
+)
+async def test_an_answer_whose_end_is_ambiguous_is_no_answer(line):
+    answer = await ask_server(lambda name: make_head(name, line) + BODY)
+    assert (answer[0], answer[2]) == (502, b'')
+
+
+async def test_an_answer_whose_trailer_is_odd_is_no_answer():
+    def make_answer(request_id):
+        head = make_head(request_id, b'Transfer-Encoding: chunked')
+        head = head.replace(b'Content-Length: 500\r\n', b'')
+        return head + world_lib.chunk(BODY) + b'0\r\nX\x01: 1\r\n\r\n'
+
+    assert (await ask_server(make_answer))[0] == 502
+
+
+async def test_an_answer_whose_first_line_begins_with_a_blank_is_no_answer():
+    start = b' X-Odd: 1\r\nHTTP/1.1 200 OK'
+    answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
+    assert answer[0] == 502
+    start = b'HTTP/1.1 200 OK\r\n X-Odd: 1'
+    answer = await ask_server(lambda name: make_head(name, start=start) + BODY)
+    assert answer[0] == 502
+
+
 # What is unusual but valid, and bytes of a body that look like an odd line.
 @pytest.mark.parametrize(
     ('line', 'name', 'value'),
