Resume a stream without a length whose server was killed

Bodies of plain answers without a length were cut likewise and passed on as whole.

Cause: the kernel closes the connections of a killed process in order, and the host took any such end between two events for the server's own.

Before an answer that only its connection ended counts as whole, the host connects to its server once more, and waits up to 50 ms (10 ms for plain answers) for the reset of a process that is just ending: its kernel closes the listening socket last. If nothing listens, the attempt is broken: streams are resumed after their last event, requests that may be repeated are, others get a reset or 502.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/crashes.py
@@ -32,6 +32,7 @@
 
     Attributes:
         LISTENS: Its process runs, whatever it does with requests.
+        RESET: Its machine has accepted the connection and then ended it.
         REFUSED: Its machine refuses the connection: no process listens.
         UNREACHABLE: No answer; the machine or the network path to it is down.
         UNKNOWN: No answer, but this host was held up meanwhile, or so many
@@ -39,6 +40,7 @@
     """
 
     LISTENS = 'listens'
+    RESET = 'reset'
     REFUSED = 'refused'
     UNREACHABLE = 'unreachable'
     UNKNOWN = 'unknown'
@@ -147,6 +149,25 @@
         self._record_unreachable(endpoint, outcome)
         return outcome
 
+    async def has_ended(
+        self, endpoint: endpoints_lib.Endpoint, wait_s: float
+    ) -> bool:
+        """Returns whether an endpoint's process has ended.
+
+        Earlier results aren't used, as it may have ended since. The kernel of
+        an ending process closes its listening socket last and then resets the
+        connections that wait there, as a busy endpoint may do, too.
+
+        Args:
+            endpoint: The endpoint.
+            wait_s: How long to wait for such a reset.
+        """
+        outcome = await self._probe_new(endpoint, wait_s)
+        if outcome is ProbeResult.RESET:
+            outcome = await self._probe_new(endpoint)
+        self._probes[endpoint.address] = (clocks.now(), outcome)
+        return outcome is ProbeResult.REFUSED
+
     def _record_unreachable(
         self, endpoint: endpoints_lib.Endpoint, outcome: ProbeResult
     ) -> None:
@@ -251,8 +272,15 @@
             self._in_progress.pop(address).set()
         return outcome
 
-    async def _probe_new(self, endpoint: endpoints_lib.Endpoint) -> ProbeResult:
-        """Returns the result of a new connection to an endpoint."""
+    async def _probe_new(
+        self, endpoint: endpoints_lib.Endpoint, wait_s: float = 0.0
+    ) -> ProbeResult:
+        """Returns the result of a new connection to an endpoint.
+
+        Args:
+            endpoint: The endpoint.
+            wait_s: How long to wait for the end of the connection.
+        """
         clock = self._state.host_clock
         origin = connections.Origin(
             f'http://{endpoint.address}', fail_after=clock.fail_after
@@ -263,8 +291,9 @@
         except store_errors.ConnectFailed as exc:
             return self._classify(endpoint, exc, started_at)
         self._state.silences.record_success(began_at)
+        is_reset = wait_s > 0 and await conn.ends_within(wait_s)
         await conn.close()
-        return ProbeResult.LISTENS
+        return ProbeResult.RESET if is_reset else ProbeResult.LISTENS
 
     def _classify(
         self,
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/plain.py
@@ -273,7 +273,7 @@
                 ) as response:
                     facts = replies.decode_answer(exchange, endpoint, response)
                     reply = await replies.read_reply(
-                        exchange, conn, response, facts
+                        exchange, conn, endpoint, response, facts
                     )
             except (errors.TooLarge, store_errors.ReplyTooLarge) as exc:
                 exchange.record_oversized_answer(endpoint)
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/replies.py
@@ -3,6 +3,7 @@
 import typing
 
 from sardinebend_gateway import edges as edges_lib
+from sardinebend_gateway import errors
 from sardinebend_gateway import exchange as exchange_lib
 from sardinebend_gateway import state as state_lib
 from sardinebend_policy import endpoints as endpoints_lib
@@ -13,6 +14,8 @@
 # more is followed by the real answer, at the latest when the request has run.
 # No wait rules that out; this one finds those that were sent together.
 FURTHER_BYTES_WAIT_S: typing.Final = 0.005
+# A process that ends closes hundreds of sockets within a few ms.
+RESET_WAIT_S: typing.Final = 0.01
 
 
 def decode_answer(
@@ -35,16 +38,19 @@
 async def read_reply(
     exchange: exchange_lib.Exchange,
     conn: connections.Connection,
+    endpoint: endpoints_lib.Endpoint,
     response: typing.Any,
     facts: edges_lib.AnswerFacts,
 ) -> exchange_lib.Reply:
     """Returns the complete answer whose head was read on a connection.
 
     Raises:
+        errors.Malformed: The body may not be whole.
         errors.TooLarge: The body exceeds the size limit, or was dropped to
             free memory.
     """
     body = await _read_body(exchange.state, response)
+    await check_end(exchange, conn, endpoint)
     is_followed = (
         facts.was_not_run
         and not exchange.admitted.route.may_repeat
@@ -60,6 +66,32 @@
     )
 
 
+async def check_end(
+    exchange: exchange_lib.Exchange,
+    conn: connections.Connection,
+    endpoint: endpoints_lib.Endpoint,
+    wait_s: float = RESET_WAIT_S,
+) -> None:
+    """Checks that an endpoint itself ended the body that has been read.
+
+    The kernel of a process that ended closes its connections in order. That
+    looks like the end of a body that only the end of the connection ends.
+
+    Args:
+        exchange: The request.
+        conn: The connection that the body came on.
+        endpoint: Its endpoint.
+        wait_s: How long to wait for a sign that the process is ending.
+
+    Raises:
+        errors.Malformed: The endpoint's process has ended.
+    """
+    if not conn.exchange_end.ends_with_connection:
+        return
+    if await exchange.crash_detector.has_ended(endpoint, wait_s):
+        raise errors.Malformed('ended with its connection and its endpoint')
+
+
 async def _read_body(state: state_lib.State, response: typing.Any) -> bytes:
     buffer = state.answer_buffers.open()
     try:
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/stream_attempt.py
@@ -25,6 +25,8 @@
 
 # Memory that an event takes in addition to its bytes.
 HELD_EVENT_OVERHEAD_BYTES: typing.Final = 128
+# A longer wait than for other answers costs little, as no event is held up.
+RESET_WAIT_S: typing.Final = 0.05
 # Bytes that are split into events at a time. A blank event has two.
 PIECE_BYTES: typing.Final = 8 * 1024
 
@@ -135,7 +137,9 @@
         exchange = self._exchange
         facts = replies.decode_answer(exchange, self.first_endpoint, response)
         if response.status != 200:
-            reply = await replies.read_reply(exchange, conn, response, facts)
+            reply = await replies.read_reply(
+                exchange, conn, self.first_endpoint, response, facts
+            )
             self._end, self._progress.reason, self._reply = (
                 replies.classify_reply(exchange, self.first_endpoint, reply)
             )
@@ -192,7 +196,12 @@
     ) -> None:
         buffer = self._state.answer_buffers.open(event_stream.MAX_EVENT_BYTES)
         try:
-            if await self._forward_chunks(response, buffer):
+            if not await self._forward_chunks(response, buffer):
+                return
+            await replies.check_end(
+                self._exchange, conn, self.first_endpoint, RESET_WAIT_S
+            )
+            if self._take_lead():
                 self._exchange.ending.record_exchange_end(conn.exchange_end)
                 await self._finish()
         finally:
@@ -201,7 +210,7 @@
     async def _forward_chunks(
         self, response: typing.Any, buffer: answer_buffers.AnswerBuffer
     ) -> bool:
-        """Forwards the events; returns whether they were all forwarded."""
+        """Forwards the events; returns whether they came to an end."""
         async for chunk in response.aiter_stream():
             # The first piece counts for all chunks that were joined.
             chunk_count = reply_heads.count_chunks(chunk)
@@ -218,7 +227,7 @@
         if not self._exchange.out.is_started:
             self._progress.reason = 'ended without an event'
             return False
-        return self._take_lead()
+        return True
 
     async def _finish(self) -> None:
         """Ends the answer after its last event."""
--- a/packages/sardinebend-store/src/sardinebend_store/connections.py
+++ b/packages/sardinebend-store/src/sardinebend_store/connections.py
@@ -197,6 +197,18 @@
                 return False
         return False
 
+    async def ends_within(self, wait_s: float) -> bool:
+        """Returns whether the other side ends an idle connection within a time.
+
+        Bytes that it sends meanwhile are lost.
+        """
+        with trio.move_on_after(wait_s):
+            try:
+                return not await self._stream.read(1)
+            except _CONNECTION_ERRORS:
+                return True
+        return False
+
     def _has_unread_bytes(self) -> bool:
         # `httpcore` has no public way to learn of them.
         return bool(self._conn._h11_state.trailing_data[0])
