Wait for the newest configuration if all hosts start after a return

Cause: a host that starts in a later era asks its peers for the newest version; if none could tell for 1.5 s, as all had just started, it took what the store held for the newest. Nothing told a return of this moment from one of last week, for which 10 s at each start would be too much.

10 s after a return, a host that was running now writes into the shared table that the era is settled. A host that no peer tells relies on its configuration after 1.5 s in a settled era only; otherwise once a newer one is written, after 10 s at most.

--- a/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/gateway.py
@@ -20,6 +20,7 @@
 from sardinebend_gateway import relay
 from sardinebend_gateway import row_guard
 from sardinebend_gateway import settings as settings_lib
+from sardinebend_gateway import settled_era
 from sardinebend_gateway import share_metrics
 from sardinebend_gateway import shared_part_evidence
 from sardinebend_gateway import shared_quarantine
@@ -118,6 +119,7 @@
             follower_lib.SHARED_ROWS_POLL,
         )
         self._catalog = watch.CatalogUpdater(self.state)
+        self._settled_era = settled_era.SettledEra(self.state, self._catalog)
         self._endpoints = watch.EndpointUpdater(self.state, self._crashes)
         self.state.has_listings = lambda: self._endpoints.follower.has_rows
         self._heartbeats = heartbeats.Heartbeats(
@@ -147,8 +149,9 @@
             jobs: dict[str, supervisor.Job] = {
                 'catalog': self._catalog.run,
                 'first catalog': start_check.StartCheck(
-                    self._catalog, client
+                    self._catalog, client, self._settled_era
                 ).run,
+                'settled era': self._settled_era.run,
                 'endpoints': self._endpoints.run,
                 'shared rows': self._shared.run,
                 'life signs': self._heartbeats.run,
@@ -276,6 +279,8 @@
     def _apply_shared_row(self, row: feeds.FeedRow) -> None:
         if row.key == shared_table.LEASE_KEY:
             self.placement_controller.apply_lease_row(row)
+        elif row.key == shared_table.SETTLED_ERA_KEY:
+            self._settled_era.apply_row(row)
         elif row.key.startswith(shared_table.HOST_PREFIX):
             self.members.apply_row(row)
         elif row.key.startswith(shared_table.QUARANTINE_PREFIX):
--- a/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
+++ b/packages/sardinebend-gateway/src/sardinebend_gateway/shared_table.py
@@ -1,8 +1,9 @@
 """Rows that the hosts of a fleet share in the platform's store.
 
 Each host has a row with its addresses. One row holds the lease of the placement
-controller. Each quarantined request or part of prompts has a row, and so has
-each part that repeated crashes make suspect.
+controller, and one the latest era of the store that is settled. Each
+quarantined request or part of prompts has a row, and so has each part that
+repeated crashes make suspect.
 """
 
 import typing
@@ -18,6 +19,8 @@
 TABLE: typing.Final = 'sardinebend'
 HOST_PREFIX: typing.Final = 'host/'
 LEASE_KEY: typing.Final = 'lease/orders'
+# Holds the latest era of the store that is settled.
+SETTLED_ERA_KEY: typing.Final = 'era/settled'
 # Followed by the fingerprint of a request or part that crashes endpoints.
 QUARANTINE_PREFIX: typing.Final = 'quarantine/'
 # Followed by the fingerprint of a part that may crash endpoints.
