Review: rows of other parts of the store are taken for entries

Claim: a host takes a row of another part of the table of servers for the entry of the server whose key it has, so that a server runs requests of a service that isn't its own.

--- a/review/common3/lab.py
+++ b/review/common3/lab.py
@@ -209,20 +209,20 @@
         while self.known.get(table, 0) < version:  # noqa: ASYNC110
             await asyncio.sleep(0.01)
 
-    def put(self, table, key, value):
+    def put(self, table, key, value, part=''):
         """Writes a row; `None` removes it."""
-        self._commit([((table, '', key), value)])
+        self._commit([((table, part, key), value)])
 
-    def put_json(self, table, key, value):
+    def put_json(self, table, key, value, part=''):
         """Writes a row as JSON."""
-        self.put(table, key, json.dumps(value).encode())
+        self.put(table, key, json.dumps(value).encode(), part)
 
     def _commit(self, changes):
         self.version += 1
         for key, value in changes:
             self.rows[key] = (self.version, value)
             self._log.append((now(), self.version, key, value))
-            if key[0] == 'servers':
+            if key[:2] == ('servers', ''):
                 self._beats[key] = now()
         self._changed.set()
         self._changed = asyncio.Event()
@@ -240,7 +240,7 @@
         self._beats = {
             key: now()
             for key, (_, value) in self.rows.items()
-            if key[0] == 'servers' and value is not None
+            if key[:2] == ('servers', '') and value is not None
         }
 
     async def lapse(self):
@@ -324,7 +324,7 @@
         keys = sorted(
             key
             for key, (_, value) in self.rows.items()
-            if key[0] == fields['table']
+            if key[:2] == (fields['table'], fields['part'])
             and value is not None
             and key[2] >= fields.get('from', '')
         )
